--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Bench.
+fn main() {}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of the router fleet, without I/O.
+//!
+//! Each module is a state machine or a set of plain functions. Time comes from the caller as a
+//! [`tokio::time::Instant`], so that tests drive them on a paused clock.
+//!
+//! ```
+//! use gentianhinge_core::code::{ResultCode, Ran};
+//!
+//! assert_eq!(ResultCode::WaitingLimit.number(), 200);
+//! assert_eq!(ResultCode::WaitingLimit.ran(), Ran::No);
+//! ```
+//!
+//! # Path of a request
+//!
+//! A [`router::Router`] keeps a request until a [`dispatch::Dispatcher`] grants it a slot at a
+//! target. The router reports its demand to the dispatcher of each cell; the dispatcher orders
+//! teams by charged service per weight.
+
+#![warn(clippy::unwrap_used)]
+
+pub mod code;
+pub mod dispatch;
+pub mod estimate;
+pub mod fair;
+pub mod ids;
+pub mod message;
+pub mod router;
+pub mod table;
--- /dev/null
+++ b/wire/generator/src/main.rs
@@ -0,0 +1,56 @@
+//! Writes the types of `wire/schema` to `wire/src/generated`.
+
+use std::error;
+use std::fs;
+use std::path;
+
+const SCHEMA_DIR: &str = "schema";
+const OUT_DIR: &str = "src/generated";
+const BOUNDS: [&str; 6] =
+    ["minLength", "maxLength", "minimum", "maximum", "exclusiveMinimum", "minItems"];
+
+fn main() -> Result<(), Box<dyn error::Error>> {
+    generate_messages()?;
+    generate_settings()
+}
+
+/// Generates one module for each Cap'n Proto schema.
+fn generate_messages() -> Result<(), Box<dyn error::Error>> {
+    let mut command = capnpc::CompilerCommand::new();
+    command.src_prefix(SCHEMA_DIR).output_path(OUT_DIR);
+    command.default_parent_module(vec!["generated".into()]);
+    for entry in fs::read_dir(SCHEMA_DIR)? {
+        let file = entry?.path();
+        if file.extension().is_some_and(|ext| ext == "capnp") {
+            command.file(file);
+        }
+    }
+    command.run()?;
+    Ok(())
+}
+
+/// Generates the settings' types from their JSON schema.
+fn generate_settings() -> Result<(), Box<dyn error::Error>> {
+    let text = fs::read_to_string(path::Path::new(SCHEMA_DIR).join("settings.schema.json"))?;
+    let mut json = serde_json::from_str::<serde_json::Value>(&text)?;
+    strip_bounds(&mut json);
+    let schema = serde_json::from_value::<schemars::schema::RootSchema>(json)?;
+    let mut space = typify::TypeSpace::new(typify::TypeSpaceSettings::default().with_struct_builder(false));
+    space.add_root_schema(schema)?;
+    let code = prettyplease::unparse(&syn::parse2(space.to_stream())?);
+    fs::write(path::Path::new(OUT_DIR).join("settings.rs"), code)?;
+    Ok(())
+}
+
+/// Removes bounds, which the validator checks, so that fields become plain types.
+fn strip_bounds(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::Object(map) => {
+            // A property may itself be called like a keyword, so only scalars go.
+            map.retain(|key, entry| !(BOUNDS.contains(&key.as_str()) && !entry.is_object()));
+            map.values_mut().for_each(strip_bounds);
+        }
+        serde_json::Value::Array(items) => items.iter_mut().for_each(strip_bounds),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages between routers and settings of a router, as types generated from schemas.
+//!
+//! ```
+//! let mistakes = gentianhinge_wire::settings::parse("{ // comment\n  \"router\": 3\n}").unwrap_err();
+//! assert_eq!(mistakes[0].line, 1);
+//! ```
+//!
+//! # Layout
+//!
+//! `schema/` holds the schemas, `src/generated/` what `regenerate.sh` makes of them. The generated
+//! code is committed, so that a build needs no generator.
+
+pub mod settings;
+
+/// Code generated from the schemas; not edited by hand.
+#[allow(missing_docs, clippy::all, unused_parens, dead_code)]
+#[rustfmt::skip]
+pub mod generated {
+    pub mod peer_capnp;
+    pub mod settings;
+}
+
+pub use generated::peer_capnp;
