Serve the model API and plain services through one router

A caller's request is admitted by its team's key, waits for a slot that the control thread grants, runs at a target and comes back whole or as a stream. Lost streams are resumed by offset, lost idempotent requests retried within a budget per team.

--- /dev/null
+++ b/daemon/src/directory.rs
@@ -0,0 +1,107 @@
+//! Read-only snapshot of the table for the traffic threads: who may call, and in which class.
+
+use std::collections::HashMap;
+use std::sync;
+
+use gentianhinge_core::ids::{Flow, Name};
+use gentianhinge_core::{code, table};
+use smallvec::SmallVec;
+
+use crate::telemetry;
+
+/// Teams by key, with the metrics of each of their classes.
+#[derive(Debug)]
+pub struct Directory {
+    keys: HashMap<table::KeyHash, sync::Arc<TeamEntry>>,
+    operator_keys: Vec<table::KeyHash>,
+    default_class: Option<Name>,
+    classes: Vec<Name>,
+}
+
+/// One team as the traffic threads see it.
+#[derive(Debug)]
+pub struct TeamEntry {
+    /// Name of the team.
+    pub name: Name,
+    flows: SmallVec<[sync::Arc<FlowEntry>; 4]>,
+}
+
+/// A team's class with its metrics.
+#[derive(Debug)]
+pub struct FlowEntry {
+    /// Team and class.
+    pub flow: Flow,
+    /// Histograms and counters of the flow.
+    pub metrics: telemetry::FlowMetrics,
+}
+
+impl Directory {
+    /// Builds the snapshot of a table.
+    pub fn new(table: &table::Table, telemetry: &telemetry::Telemetry) -> Directory {
+        let mut keys = HashMap::new();
+        for team in table.teams.values() {
+            let entry = sync::Arc::new(team_entry(team, table, telemetry));
+            keys.extend(team.key_hashes.iter().map(|hash| (*hash, entry.clone())));
+        }
+        Directory {
+            keys,
+            operator_keys: table.operator_key_hashes.clone(),
+            default_class: default_class(table),
+            classes: table.classes.keys().cloned().collect(),
+        }
+    }
+
+    /// Finds the team that has a key.
+    pub fn team(&self, key: &[u8]) -> Option<&sync::Arc<TeamEntry>> {
+        // The look-up is by hash, so its time says nothing about the stored keys.
+        self.keys.get(blake3::hash(key).as_bytes())
+    }
+
+    /// Whether a key is an operator's.
+    pub fn is_operator(&self, key: &[u8]) -> bool {
+        let hash = blake3::hash(key);
+        self.operator_keys.iter().any(|known| hash == blake3::Hash::from(*known))
+    }
+
+    /// Finds the flow of a team's request.
+    ///
+    /// # Errors
+    ///
+    /// The class isn't in the price list, or the team may not use it.
+    pub fn flow(
+        &self,
+        team: &TeamEntry,
+        class: Option<&str>,
+    ) -> Result<sync::Arc<FlowEntry>, code::ResultCode> {
+        let class = match (class, &self.default_class) {
+            (Some(class), _) => class,
+            (None, Some(class)) => class,
+            (None, None) => return Err(code::ResultCode::UnknownClass),
+        };
+        if !self.classes.iter().any(|known| &**known == class) {
+            return Err(code::ResultCode::UnknownClass);
+        }
+        let entry = team.flows.iter().find(|entry| &*entry.flow.class == class);
+        entry.cloned().ok_or(code::ResultCode::ClassNotAllowed)
+    }
+}
+
+fn team_entry(
+    team: &table::Team,
+    table: &table::Table,
+    telemetry: &telemetry::Telemetry,
+) -> TeamEntry {
+    let allowed = |class: &&Name| team.classes.is_empty() || team.classes.contains(class);
+    let flows = table.classes.keys().filter(allowed).map(|class| {
+        let flow = Flow { team: team.name.clone(), class: class.clone() };
+        sync::Arc::new(FlowEntry { metrics: telemetry.flow(&flow), flow })
+    });
+    TeamEntry { name: team.name.clone(), flows: flows.collect() }
+}
+
+/// The dearest class: a caller who names none hasn't offered to wait.
+fn default_class(table: &table::Table) -> Option<Name> {
+    let classes = table.classes.values();
+    let dearest = classes.max_by(|a, b| a.price_ratio.total_cmp(&b.price_ratio));
+    dearest.map(|class| class.name.clone())
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,28 @@
-//! x
+//! The router of the fleet: takes requests from callers and runs them on targets.
+//!
+//! ```no_run
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let text = std::fs::read_to_string("router.jsonc")?;
+//! let settings = gentianhinged::config::load(&text).map_err(|mistakes| mistakes[0].to_string())?;
+//! let router = gentianhinged::server::start(settings)?;
+//! println!("callers at {}", router.callers_addr());
+//! router.join();
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # Threads
+//!
+//! One control thread holds all fleet state on a single-threaded runtime. A second runtime with
+//! worker threads carries the traffic. They share nothing but channels and read-only snapshots.
+
+#![warn(clippy::unwrap_used)]
+
+pub mod admin;
+pub mod config;
+pub mod control;
+pub mod directory;
+pub mod listener;
+pub mod server;
+pub mod telemetry;
+pub mod traffic;
--- /dev/null
+++ b/daemon/src/listener.rs
@@ -0,0 +1,91 @@
+//! Accepts connections within bounds on their number, heads and times.
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_wire::settings;
+use hyper::server::conn::http1;
+use hyper_util::rt;
+use hyper_util::server::graceful;
+use tokio::sync as tokio_sync;
+use tokio::time;
+
+/// Wait after an accept that failed, as it does when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Bounds on the connections of one listener.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Most open connections; more wait in the kernel's queue.
+    pub max_connections: usize,
+    /// Largest request head in bytes.
+    pub max_header_bytes: usize,
+    /// Most header lines of a request.
+    pub max_headers: usize,
+    /// Longest time for a request head to arrive.
+    pub header_timeout: Duration,
+}
+
+impl Bounds {
+    /// The bounds that the settings give.
+    pub fn new(callers: &settings::Callers) -> Bounds {
+        Bounds {
+            max_connections: callers.max_connections as usize,
+            max_header_bytes: callers.max_header_bytes as usize,
+            max_headers: callers.max_headers as usize,
+            header_timeout: Duration::from_millis(callers.header_timeout_ms),
+        }
+    }
+}
+
+/// Serves connections until `stop` resolves, then lets those in progress end.
+///
+/// # Errors
+///
+/// The listener can't be taken over by the runtime.
+pub async fn serve(
+    listener: net::TcpListener,
+    app: axum::Router,
+    bounds: Bounds,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let permits = sync::Arc::new(tokio_sync::Semaphore::new(bounds.max_connections));
+    let connections = graceful::GracefulShutdown::new();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(rt::TokioTimer::new())
+        .max_buf_size(bounds.max_header_bytes.max(MIN_BUF_BYTES))
+        .max_headers(bounds.max_headers)
+        .header_read_timeout(bounds.header_timeout);
+    tokio::pin!(stop);
+    loop {
+        let permit = tokio::select! {
+            () = &mut stop => break,
+            permit = permits.clone().acquire_owned() => permit,
+        };
+        let accepted = tokio::select! {
+            () = &mut stop => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = hyper_util::service::TowerToHyperService::new(app.clone());
+        let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+        let connection = connections.watch(connection);
+        tokio::spawn(async move {
+            // A caller's broken connection shows in its request's own result.
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+    connections.shutdown().await;
+    Ok(())
+}
+
+/// Least buffer that hyper takes.
+const MIN_BUF_BYTES: usize = 8192;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,2 +1,97 @@
-//! x
-fn main() {}
+//! `gentianhinged`, the router.
+
+use std::fs;
+use std::io::Write;
+use std::process;
+use std::thread;
+
+use clap::{Arg, ArgAction, Command};
+use gentianhinge_wire::settings;
+use gentianhinged::{config, server, telemetry};
+use tokio::runtime;
+use tokio::signal::unix;
+
+/// Exit status for settings with mistakes.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit status for a router that can't start.
+const EXIT_START: u8 = 3;
+
+fn main() -> process::ExitCode {
+    let matches = command().get_matches();
+    let Some(path) = matches.get_one::<String>("settings") else {
+        return process::ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(lines) => {
+            for line in lines {
+                eprintln!("{path}: {line}");
+            }
+            return process::ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check-settings") {
+        println!("{path}: ok");
+        return process::ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("gentianhinged: {message}");
+            process::ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("gentianhinged")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Router of the fleet: takes requests from callers and runs them on targets")
+        .arg(
+            Arg::new("settings")
+                .value_name("FILE")
+                .required(true)
+                .help("Settings: JSON with comments"),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+fn read(path: &str) -> Result<settings::Settings, Vec<String>> {
+    let text = fs::read_to_string(path).map_err(|err| vec![err.to_string()])?;
+    config::load(&text)
+        .map_err(|mistakes| mistakes.iter().map(ToString::to_string).collect::<Vec<_>>())
+}
+
+fn run(settings: settings::Settings) -> Result<(), String> {
+    telemetry::init_logs(&settings.log)?;
+    let server = server::start(settings).map_err(|err| err.to_string())?;
+    println!("callers at {}", server.callers_addr());
+    println!("operators at {}", server.operators_addr());
+    // Whoever reads the addresses may have closed the pipe; the router runs on.
+    let _ = std::io::stdout().flush();
+    thread::scope(|scope| {
+        scope.spawn(|| wait_for_signal(&server));
+    });
+    server.join();
+    Ok(())
+}
+
+/// Blocks until the process is asked to end, then begins the shutdown.
+fn wait_for_signal(server: &server::Server) {
+    let Ok(runtime) = runtime::Builder::new_current_thread().enable_all().build() else { return };
+    runtime.block_on(async {
+        let terminate = unix::signal(unix::SignalKind::terminate());
+        let interrupt = unix::signal(unix::SignalKind::interrupt());
+        let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else { return };
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    });
+    server.stop();
+}
--- /dev/null
+++ b/daemon/src/server.rs
@@ -0,0 +1,231 @@
+//! Starts and stops one router.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time::Duration;
+
+use gentianhinge_core::ids::RouterId;
+use gentianhinge_wire::settings;
+use quick_error::quick_error;
+use tokio::runtime;
+use tokio::sync as tokio_sync;
+use tokio::time;
+
+use crate::{admin, config, control, directory, listener, telemetry, traffic};
+
+/// Time for the balancer to notice that the router isn't ready any more.
+const DRAIN_NOTICE: Duration = Duration::from_millis(1000);
+
+quick_error! {
+    /// Why a router can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address in the settings can't be listened on.
+        Listen(addr: String, err: std::io::Error) {
+            display("can't listen on {addr}: {err}")
+            source(err)
+        }
+        /// A value of the settings can't be used.
+        Settings(message: String) {
+            display("settings: {message}")
+        }
+        /// A runtime can't be started.
+        Runtime(err: std::io::Error) {
+            display("can't start a runtime: {err}")
+            source(err)
+        }
+    }
+}
+
+/// Stage of a router's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not ready for requests yet.
+    Starting,
+    /// Takes requests.
+    Serving,
+    /// Finishes what it has and takes no more.
+    Draining,
+}
+
+/// What the threads of one router share.
+pub struct Shared {
+    /// Name and incarnation of the router.
+    pub id: RouterId,
+    /// Metrics of the router.
+    pub telemetry: telemetry::Telemetry,
+    /// Way to the control thread.
+    pub control: control::Handle,
+    /// The latest snapshot of the table.
+    pub directory: tokio_sync::watch::Receiver<sync::Arc<directory::Directory>>,
+    phase: atomic::AtomicU8,
+}
+
+impl Shared {
+    /// The router's current stage.
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(atomic::Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Serving,
+            _ => Phase::Draining,
+        }
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        self.phase.store(phase as u8, atomic::Ordering::Release);
+        tracing::info!(router = %self.id, ?phase, "phase");
+    }
+}
+
+/// A router that runs.
+pub struct Server {
+    callers_addr: net::SocketAddr,
+    operators_addr: net::SocketAddr,
+    stop: tokio_sync::watch::Sender<bool>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Server {
+    /// Where callers reach the router.
+    pub fn callers_addr(&self) -> net::SocketAddr {
+        self.callers_addr
+    }
+
+    /// Where operators reach the router.
+    pub fn operators_addr(&self) -> net::SocketAddr {
+        self.operators_addr
+    }
+
+    /// Begins a graceful shutdown.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+    }
+
+    /// Waits until the router has ended.
+    pub fn join(self) {
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts a router on threads of its own.
+///
+/// # Errors
+///
+/// An address can't be listened on, a value of the settings can't be used, or the system gives no
+/// threads.
+pub fn start(settings: settings::Settings) -> Result<Server, StartError> {
+    let pools = config::pools(&settings).map_err(StartError::Settings)?;
+    let table = config::table(&settings.table).map_err(StartError::Settings)?;
+    let callers = bind(&settings.listen.callers_addr)?;
+    let operators = bind(&settings.listen.operators_addr)?;
+    let callers_addr = local_addr(&callers)?;
+    let operators_addr = local_addr(&operators)?;
+    let id = RouterId::new(settings.router.name.as_str(), incarnation());
+    let telemetry = telemetry::Telemetry::new();
+    let snapshot = sync::Arc::new(directory::Directory::new(&table, &telemetry));
+    let (_directory_sender, directory) = tokio_sync::watch::channel(snapshot);
+    let (handle, commands) = control::Handle::channel();
+    let state = control::Control::new(id.clone(), &table, &pools, commands);
+    let shared = sync::Arc::new(Shared {
+        id,
+        telemetry,
+        control: handle,
+        directory,
+        phase: atomic::AtomicU8::new(Phase::Starting as u8),
+    });
+    let (stop, stopped) = tokio_sync::watch::channel(false);
+    let control_runtime =
+        runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
+    let traffic_runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(usize::from(settings.traffic_threads))
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(StartError::Runtime)?;
+    let traffic = traffic::Traffic::new(shared.clone(), &settings, pools);
+    let control_thread = spawn("control", move || {
+        tokio::task::LocalSet::new().block_on(&control_runtime, state.run());
+    })?;
+    let bounds = listener::Bounds::new(&settings.callers);
+    let traffic_thread = spawn("server", move || {
+        let served = serve(shared, traffic, callers, operators, bounds, stopped);
+        traffic_runtime.block_on(served);
+    })?;
+    let threads = vec![traffic_thread, control_thread];
+    Ok(Server { callers_addr, operators_addr, stop, threads })
+}
+
+async fn serve(
+    shared: sync::Arc<Shared>,
+    traffic: traffic::Traffic,
+    callers: net::TcpListener,
+    operators: net::TcpListener,
+    bounds: listener::Bounds,
+    mut stopped: tokio_sync::watch::Receiver<bool>,
+) {
+    let app = traffic::routes(traffic);
+    let (closed, all_closed) = tokio_sync::oneshot::channel::<()>();
+    let admin = tokio::spawn(listener::serve(
+        operators,
+        admin::routes(shared.clone()),
+        bounds.clone(),
+        async {
+            let _ = all_closed.await;
+        },
+    ));
+    let upkeep = tokio::spawn(run_upkeep(shared.clone()));
+    shared.set_phase(Phase::Serving);
+    let draining = shared.clone();
+    let stop = async move {
+        let _ = stopped.wait_for(|stop| *stop).await;
+        draining.set_phase(Phase::Draining);
+        time::sleep(DRAIN_NOTICE).await;
+    };
+    if let Err(err) = listener::serve(callers, app, bounds, stop).await {
+        tracing::error!(%err, "callers' listener");
+    }
+    upkeep.abort();
+    drop(closed);
+    let _ = admin.await;
+}
+
+async fn run_upkeep(shared: sync::Arc<Shared>) {
+    let mut interval = time::interval(telemetry::UPKEEP_INTERVAL);
+    loop {
+        interval.tick().await;
+        shared.telemetry.run_upkeep();
+    }
+}
+
+fn spawn(
+    name: &str,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>, StartError> {
+    thread::Builder::new().name(name.to_string()).spawn(body).map_err(StartError::Runtime)
+}
+
+fn bind(addr: &str) -> Result<net::TcpListener, StartError> {
+    let parsed = addr.parse::<net::SocketAddr>();
+    let parsed = parsed.map_err(|err| StartError::Settings(format!("{addr}: {err}")))?;
+    let listener = net::TcpListener::bind(parsed)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener));
+    listener.map_err(|err| StartError::Listen(addr.to_string(), err))
+}
+
+fn local_addr(listener: &net::TcpListener) -> Result<net::SocketAddr, StartError> {
+    listener.local_addr().map_err(|err| StartError::Listen("listener".to_string(), err))
+}
+
+/// A number that grows from one life of a router to the next.
+///
+/// Hosts keep nothing, so it comes from the wall clock; the low bits are random, so that two lives
+/// within one millisecond differ.
+fn incarnation() -> u64 {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now_ms = since_epoch.map_or(0, |time| time.as_millis() as u64);
+    (now_ms << 12) | (rand::random::<u64>() & 0xfff)
+}
--- /dev/null
+++ b/daemon/src/telemetry.rs
@@ -0,0 +1,139 @@
+//! Metrics and logs.
+//!
+//! Each router owns its recorder, so that several routers in one process don't mix their metrics.
+
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_core::code;
+use gentianhinge_core::ids::Flow;
+use gentianhinge_wire::settings;
+use metrics::Recorder;
+use metrics_exporter_prometheus as prometheus;
+
+/// Upper bounds of the buckets for times, in seconds.
+const SECONDS_BUCKETS: [f64; 16] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.045, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0, 120.0,
+];
+
+/// Time between two clean-ups of the recorder's internal buffers.
+pub const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+static METADATA: metrics::Metadata<'_> =
+    metrics::Metadata::new(module_path!(), metrics::Level::INFO, Some(module_path!()));
+
+/// Metrics of one router.
+pub struct Telemetry {
+    recorder: prometheus::PrometheusRecorder,
+}
+
+/// Histograms and counters of one team's class.
+pub struct FlowMetrics {
+    /// Time from arrival to the slot, in seconds.
+    pub waiting: metrics::Histogram,
+    /// Time from arrival to the first token, in seconds.
+    pub first_token: metrics::Histogram,
+    /// Time between two tokens, in seconds.
+    pub between_tokens: metrics::Histogram,
+    /// Time from arrival to the end, in seconds.
+    pub whole: metrics::Histogram,
+    /// Tokens delivered.
+    pub output_tokens: metrics::Counter,
+    results: Vec<metrics::Counter>,
+}
+
+impl std::fmt::Debug for FlowMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("FlowMetrics").finish_non_exhaustive()
+    }
+}
+
+impl FlowMetrics {
+    /// Counts an answer with its result code.
+    pub fn count_result(&self, code: code::ResultCode) {
+        let index = code::ResultCode::ALL.iter().position(|known| *known == code);
+        if let Some(counter) = index.and_then(|index| self.results.get(index)) {
+            counter.increment(1);
+        }
+    }
+}
+
+impl Default for Telemetry {
+    fn default() -> Telemetry {
+        Telemetry::new()
+    }
+}
+
+impl Telemetry {
+    /// Creates a recorder without metrics.
+    pub fn new() -> Telemetry {
+        let builder = prometheus::PrometheusBuilder::new();
+        let builder = match builder.set_buckets(&SECONDS_BUCKETS) {
+            Ok(builder) => builder,
+            // Only an empty list is refused; summaries are then the fallback.
+            Err(_) => prometheus::PrometheusBuilder::new(),
+        };
+        Telemetry { recorder: builder.build_recorder() }
+    }
+
+    /// The metrics of one team's class.
+    pub fn flow(&self, flow: &Flow) -> FlowMetrics {
+        let labels = [("team", flow.team.clone()), ("class", flow.class.clone())];
+        let histogram =
+            |name: &'static str| self.recorder.register_histogram(&key(name, &labels), &METADATA);
+        let results = code::ResultCode::ALL.iter().map(|code| {
+            let labels = [labels[0].clone(), labels[1].clone(), ("code", code.name().into())];
+            self.recorder.register_counter(&key("gentianhinge_requests_total", &labels), &METADATA)
+        });
+        let output_key = key("gentianhinge_output_tokens_total", &labels);
+        FlowMetrics {
+            waiting: histogram("gentianhinge_waiting_seconds"),
+            first_token: histogram("gentianhinge_first_token_seconds"),
+            between_tokens: histogram("gentianhinge_between_tokens_seconds"),
+            whole: histogram("gentianhinge_whole_seconds"),
+            output_tokens: self.recorder.register_counter(&output_key, &METADATA),
+            results: results.collect(),
+        }
+    }
+
+    /// A counter without labels.
+    pub fn counter(&self, name: &'static str) -> metrics::Counter {
+        self.recorder.register_counter(&metrics::Key::from_name(name), &METADATA)
+    }
+
+    /// A gauge without labels.
+    pub fn gauge(&self, name: &'static str) -> metrics::Gauge {
+        self.recorder.register_gauge(&metrics::Key::from_name(name), &METADATA)
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        self.recorder.handle().render()
+    }
+
+    /// Empties the recorder's internal buffers; to be called every [`UPKEEP_INTERVAL`].
+    pub fn run_upkeep(&self) {
+        self.recorder.handle().run_upkeep();
+    }
+}
+
+fn key(name: &'static str, labels: &[(&'static str, sync::Arc<str>)]) -> metrics::Key {
+    let labels = labels.iter().map(|(key, value)| metrics::Label::new(*key, value.to_string()));
+    metrics::Key::from_parts(name, labels.collect::<Vec<_>>())
+}
+
+/// Starts log output to standard error.
+///
+/// # Errors
+///
+/// The filter's text is wrong, or the process logs already.
+pub fn init_logs(log: &settings::LogSettings) -> Result<(), String> {
+    let filter = tracing_subscriber::EnvFilter::try_new(&log.filter);
+    let filter = filter.map_err(|err| format!("log.filter: {err}"))?;
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let result = match log.format {
+        settings::LogSettingsFormat::Json => builder.json().try_init(),
+        settings::LogSettingsFormat::Text => builder.try_init(),
+    };
+    result.map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/daemon/src/traffic/model.rs
@@ -0,0 +1,267 @@
+//! Calls of the model API.
+
+use std::sync;
+
+use axum::{body, extract, response};
+use bytes::Bytes;
+use gentianhinge_core::code::ResultCode;
+use http::{HeaderValue, Method, header};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time;
+
+use super::failure::{self, Failure};
+use super::intake::Arrival;
+use super::slot::Slot;
+use super::upstream::{self, Connection};
+use super::{PoolEntry, Traffic, prompt, sse, stream};
+use crate::config;
+
+/// Header by which a target can tell attempts apart.
+pub const ATTEMPT_HEADER: &str = "x-attempt-id";
+
+/// Largest answer that is held until it is whole.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// A model request that has been read.
+#[derive(Clone, Debug)]
+pub struct ModelCall {
+    /// Who calls, and since when.
+    pub arrival: Arrival,
+    /// The model's targets.
+    pub pool: sync::Arc<PoolEntry>,
+    /// Path at the engine.
+    pub path: &'static str,
+    /// The body, passed on as it came.
+    pub body: Bytes,
+}
+
+/// Cost of one request as it grows.
+#[derive(Clone, Copy, Debug)]
+pub struct Meter {
+    prompt_token_cost: f64,
+    output_token_cost: f64,
+    prompt_tokens: f64,
+    /// Tokens generated so far.
+    pub output_tokens: u64,
+}
+
+impl Meter {
+    /// Starts at the cost of the prompt, as far as its size tells.
+    pub fn new(pool: &PoolEntry, body: &[u8]) -> Meter {
+        let (prompt_token_cost, output_token_cost) = match pool.kind {
+            config::PoolKind::Model { prompt_token_cost, output_token_cost } => {
+                (prompt_token_cost, output_token_cost)
+            }
+            config::PoolKind::Service { call_cost, .. } => (0.0, call_cost),
+        };
+        let prompt_tokens = prompt::guess_tokens(body);
+        Meter { prompt_token_cost, output_token_cost, prompt_tokens, output_tokens: 0 }
+    }
+
+    /// Takes over the engine's own counts.
+    pub fn set_usage(&mut self, usage: sse::Usage) {
+        self.prompt_tokens = usage.prompt_tokens as f64;
+        self.output_tokens = self.output_tokens.max(usage.completion_tokens);
+    }
+
+    /// Cost so far.
+    pub fn cost(&self) -> f64 {
+        self.prompt_tokens * self.prompt_token_cost
+            + self.output_tokens as f64 * self.output_token_cost
+    }
+}
+
+/// How an attempt that gave no whole answer ended.
+#[derive(Clone, Debug)]
+pub enum AttemptError {
+    /// Nothing was written to the target.
+    NotSent(String),
+    /// The target was lost or answered with an error; it may have run the request.
+    Lost(Failure),
+}
+
+impl AttemptError {
+    /// The failure to tell when there are no more attempts.
+    pub fn into_failure(self) -> Failure {
+        match self {
+            AttemptError::NotSent(message) => Failure::new(ResultCode::TargetUnreachable, message),
+            AttemptError::Lost(failure) => failure,
+        }
+    }
+}
+
+/// Serves a request of the model API.
+pub async fn call(
+    extract::State(traffic): extract::State<sync::Arc<Traffic>>,
+    request: extract::Request,
+) -> response::Response {
+    let request_id = traffic.request_id();
+    match serve(&traffic, request_id.clone(), request).await {
+        Ok(answer) => answer,
+        Err(failure) => failure.into_response(&request_id),
+    }
+}
+
+async fn serve(
+    traffic: &sync::Arc<Traffic>,
+    request_id: sync::Arc<str>,
+    request: extract::Request,
+) -> Result<response::Response, Failure> {
+    let (parts, body) = request.into_parts();
+    let arrival = traffic.admit(request_id, &parts.headers)?;
+    let flow = arrival.flow.clone();
+    let result = take_and_run(traffic, arrival, &parts, body).await;
+    if let Err(failure) = &result {
+        flow.metrics.count_result(failure.code);
+    }
+    result
+}
+
+async fn take_and_run(
+    traffic: &sync::Arc<Traffic>,
+    arrival: Arrival,
+    parts: &http::request::Parts,
+    body: body::Body,
+) -> Result<response::Response, Failure> {
+    if parts.headers.contains_key("idempotency-key") {
+        let message = "no log is set up to record calls that run at most once";
+        return Err(Failure::new(ResultCode::LogUnavailable, message));
+    }
+    let body = traffic.read_body(body).await?;
+    let prompt = prompt::parse(&body)?;
+    let pool = traffic.models.get(prompt.model.as_str()).cloned().ok_or_else(|| {
+        Failure::new(ResultCode::UnknownModel, format!("no model {}", prompt.model))
+    })?;
+    let path = match parts.uri.path() {
+        "/v1/completions" => "/v1/completions",
+        _ => "/v1/chat/completions",
+    };
+    let call = ModelCall { arrival, pool, path, body };
+    if prompt.stream {
+        return stream::respond(traffic.clone(), call).await;
+    }
+    whole(traffic, &call).await
+}
+
+/// Runs a request whose answer isn't streamed, with retries.
+async fn whole(traffic: &Traffic, call: &ModelCall) -> Result<response::Response, Failure> {
+    for attempt in 1_u32.. {
+        let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
+        let metrics = &call.arrival.flow.metrics;
+        metrics.waiting.record(call.arrival.at.elapsed());
+        match whole_attempt(traffic, call, &slot, attempt).await {
+            Ok(answer) => {
+                metrics.whole.record(call.arrival.at.elapsed());
+                metrics.count_result(ResultCode::Ok);
+                traffic.retries.earn(&call.arrival.flow.flow.team);
+                return Ok(answer);
+            }
+            Err(err) => traffic.may_retry(&call.arrival, err)?,
+        }
+    }
+    unreachable!("the loop ends by a return")
+}
+
+async fn whole_attempt(
+    traffic: &Traffic,
+    call: &ModelCall,
+    slot: &Slot,
+    attempt: u32,
+) -> Result<response::Response, AttemptError> {
+    let answer = traffic.send_model(call, slot, attempt).await?;
+    traffic.take_answer(call, slot, answer).await
+}
+
+impl Traffic {
+    /// Sends a model request to a target and waits for the head of its answer.
+    pub(super) async fn send_model(
+        &self,
+        call: &ModelCall,
+        slot: &Slot,
+        attempt: u32,
+    ) -> Result<upstream::Answer, AttemptError> {
+        let request = model_request(call, slot, attempt)
+            .ok_or_else(|| AttemptError::NotSent("no request for the path".to_string()))?;
+        let sent = self.upstream.send(Connection::Pooled, request);
+        let answer = match time::timeout(self.bounds.first_byte_timeout, sent).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(err)) if upstream::never_sent(&err) => {
+                return Err(AttemptError::NotSent(format!("{}: {err}", slot.target)));
+            }
+            Ok(Err(err)) => return Err(lost(format!("{}: {err}", slot.target))),
+            Err(_) => return Err(timed_out(slot)),
+        };
+        if answer.status().is_server_error() {
+            let message = format!("{} answered {}", slot.target, answer.status());
+            return Err(AttemptError::Lost(Failure::new(ResultCode::TargetError, message)));
+        }
+        Ok(answer)
+    }
+
+    /// Reads a whole answer that isn't streamed and charges for it.
+    pub(super) async fn take_answer(
+        &self,
+        call: &ModelCall,
+        slot: &Slot,
+        answer: upstream::Answer,
+    ) -> Result<response::Response, AttemptError> {
+        let (parts, body) = answer.into_parts();
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let collected = time::timeout(self.bounds.first_byte_timeout, collected).await;
+        let body = match collected {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(err)) => return Err(lost(format!("{}: {err}", slot.target))),
+            Err(_) => return Err(timed_out(slot)),
+        };
+        let mut meter = Meter::new(&call.pool, &call.body);
+        if let Some(usage) = sse::usage_of_body(&body) {
+            meter.set_usage(usage);
+        }
+        slot.progress(meter.cost());
+        call.arrival.flow.metrics.output_tokens.increment(meter.output_tokens);
+        let mut response = response::Response::new(body.into());
+        *response.status_mut() = parts.status;
+        if let Some(kind) = parts.headers.get(header::CONTENT_TYPE) {
+            response.headers_mut().insert(header::CONTENT_TYPE, kind.clone());
+        }
+        failure::mark(response.headers_mut(), ResultCode::Ok, &call.arrival.request_id);
+        Ok(response)
+    }
+
+    /// Decides whether an idempotent request may be tried once more.
+    ///
+    /// A request that wasn't sent is tried again too, at the cost of the same budget: each attempt
+    /// is work for the fleet.
+    pub(super) fn may_retry(&self, arrival: &Arrival, err: AttemptError) -> Result<(), Failure> {
+        if self.retries.take(&arrival.flow.flow.team) {
+            return Ok(());
+        }
+        Err(err.into_failure())
+    }
+}
+
+fn model_request(
+    call: &ModelCall,
+    slot: &Slot,
+    attempt: u32,
+) -> Option<http::Request<Full<Bytes>>> {
+    let mut request = http::Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = upstream::target_uri(slot.addr, call.path)?;
+    let headers = request.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let attempt = format!("{}.{attempt}", call.arrival.request_id);
+    headers.insert(ATTEMPT_HEADER, HeaderValue::from_str(&attempt).ok()?);
+    Some(request)
+}
+
+/// A target that was lost after the request was sent.
+pub fn lost(message: String) -> AttemptError {
+    AttemptError::Lost(Failure::new(ResultCode::TargetLost, message))
+}
+
+/// A target that was silent for too long.
+pub fn timed_out(slot: &Slot) -> AttemptError {
+    let message = format!("{} was silent for too long", slot.target);
+    AttemptError::Lost(Failure::new(ResultCode::TargetTimeout, message))
+}
--- /dev/null
+++ b/daemon/src/traffic/service.rs
@@ -0,0 +1,204 @@
+//! Calls of plain services.
+
+use std::sync;
+use std::time::Duration;
+
+use axum::{extract, response};
+use bytes::Bytes;
+use gentianhinge_core::code::ResultCode;
+use gentianhinge_wire::settings;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time;
+
+use super::failure::{self, Failure};
+use super::intake::{self, Arrival};
+use super::model::{self, ATTEMPT_HEADER, AttemptError};
+use super::slot::Slot;
+use super::upstream::{self, Connection};
+use super::{PoolEntry, Traffic};
+use crate::config;
+
+/// Largest answer that is held until it is whole.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Headers that concern one connection, or that are the router's own.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::AUTHORIZATION,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A service call that has been read.
+struct ServiceCall {
+    arrival: Arrival,
+    pool: sync::Arc<PoolEntry>,
+    method: Method,
+    path_and_query: String,
+    headers: HeaderMap,
+    body: Bytes,
+    idempotent: bool,
+    timeout: Duration,
+    cost: f64,
+}
+
+/// Serves a call of a plain service.
+pub async fn call(
+    extract::State(traffic): extract::State<sync::Arc<Traffic>>,
+    request: extract::Request,
+) -> response::Response {
+    let request_id = traffic.request_id();
+    match serve(&traffic, request_id.clone(), request).await {
+        Ok(answer) => answer,
+        Err(failure) => failure.into_response(&request_id),
+    }
+}
+
+async fn serve(
+    traffic: &Traffic,
+    request_id: sync::Arc<str>,
+    request: extract::Request,
+) -> Result<response::Response, Failure> {
+    let (parts, body) = request.into_parts();
+    let arrival = traffic.admit(request_id, &parts.headers)?;
+    let flow = arrival.flow.clone();
+    let result = async {
+        let mut call = read_call(traffic, arrival, parts)?;
+        call.body = traffic.read_body(body).await?;
+        run(traffic, &call).await
+    };
+    let result = result.await;
+    let code = result.as_ref().map_or_else(|failure| failure.code, |_| ResultCode::Ok);
+    flow.metrics.count_result(code);
+    result
+}
+
+fn read_call(
+    traffic: &Traffic,
+    arrival: Arrival,
+    parts: http::request::Parts,
+) -> Result<ServiceCall, Failure> {
+    let rest = parts.uri.path().strip_prefix("/services/").unwrap_or_default();
+    let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let pool =
+        traffic.services.get(service).cloned().ok_or_else(|| {
+            Failure::new(ResultCode::UnknownService, format!("no service {service}"))
+        })?;
+    let config::PoolKind::Service { call_cost, timeout, routes } = &pool.kind else {
+        return Err(Failure::new(ResultCode::UnknownService, format!("no service {service}")));
+    };
+    if parts.headers.contains_key("idempotency-key") {
+        let message = "no log is set up to record calls that run at most once";
+        return Err(Failure::new(ResultCode::LogUnavailable, message));
+    }
+    let path = if path.is_empty() { "/" } else { path };
+    let path_and_query = match parts.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_string(),
+    };
+    Ok(ServiceCall {
+        idempotent: is_idempotent(routes, &parts.method, path),
+        timeout: *timeout,
+        cost: *call_cost,
+        arrival,
+        pool,
+        method: parts.method,
+        path_and_query,
+        headers: end_to_end(parts.headers),
+        body: Bytes::new(),
+    })
+}
+
+/// Whether a call may run more than once.
+fn is_idempotent(routes: &[settings::Route], method: &Method, path: &str) -> bool {
+    let fits = |route: &&settings::Route| {
+        let same_method = |name: &String| name.eq_ignore_ascii_case(method.as_str());
+        path.starts_with(&route.path_prefix) && route.method.as_ref().is_none_or(same_method)
+    };
+    match routes.iter().find(fits) {
+        Some(route) => route.repeatable,
+        None => matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS),
+    }
+}
+
+fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(intake::CLASS_HEADER);
+    headers.remove("keep-alive");
+    headers
+}
+
+async fn run(traffic: &Traffic, call: &ServiceCall) -> Result<response::Response, Failure> {
+    for attempt in 1_u32.. {
+        let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
+        let metrics = &call.arrival.flow.metrics;
+        metrics.waiting.record(call.arrival.at.elapsed());
+        match run_attempt(traffic, call, &slot, attempt).await {
+            Ok(answer) => {
+                slot.progress(call.cost);
+                metrics.whole.record(call.arrival.at.elapsed());
+                traffic.retries.earn(&call.arrival.flow.flow.team);
+                return Ok(answer);
+            }
+            Err(AttemptError::Lost(failure)) if !call.idempotent => return Err(failure),
+            Err(err) => traffic.may_retry(&call.arrival, err)?,
+        }
+    }
+    unreachable!("the loop ends by a return")
+}
+
+async fn run_attempt(
+    traffic: &Traffic,
+    call: &ServiceCall,
+    slot: &Slot,
+    attempt: u32,
+) -> Result<response::Response, AttemptError> {
+    let request = service_request(call, slot, attempt)
+        .ok_or_else(|| AttemptError::NotSent("no request for the path".to_string()))?;
+    let connection = if call.idempotent { Connection::Pooled } else { Connection::Fresh };
+    let answer = async {
+        let answer = traffic.upstream.send(connection, request).await.map_err(|err| {
+            let message = format!("{}: {err}", slot.target);
+            if upstream::never_sent(&err) {
+                AttemptError::NotSent(message)
+            } else {
+                model::lost(message)
+            }
+        })?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|err| model::lost(format!("{}: {err}", slot.target)))?;
+        Ok((parts, body.to_bytes()))
+    };
+    let (parts, body) = match time::timeout(call.timeout, answer).await {
+        Ok(answer) => answer?,
+        Err(_) => return Err(model::timed_out(slot)),
+    };
+    let mut response = response::Response::new(body.into());
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = end_to_end(parts.headers);
+    failure::mark(response.headers_mut(), ResultCode::Ok, &call.arrival.request_id);
+    Ok(response)
+}
+
+fn service_request(
+    call: &ServiceCall,
+    slot: &Slot,
+    attempt: u32,
+) -> Option<http::Request<Full<Bytes>>> {
+    let mut request = http::Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = upstream::target_uri(slot.addr, &call.path_and_query)?;
+    *request.headers_mut() = call.headers.clone();
+    let attempt = format!("{}.{attempt}", call.arrival.request_id);
+    request.headers_mut().insert(ATTEMPT_HEADER, HeaderValue::from_str(&attempt).ok()?);
+    Some(request)
+}
--- /dev/null
+++ b/daemon/src/traffic/stream.rs
@@ -0,0 +1,322 @@
+//! Streamed answers: each token once and in order, over the loss of connections to the target.
+
+use std::sync;
+use std::time::Duration;
+
+use axum::{body, response};
+use bytes::Bytes;
+use futures_util::stream;
+use gentianhinge_core::code::ResultCode;
+use http::{HeaderValue, Method, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::failure::{self, Failure};
+use super::model::{self, AttemptError, Meter, ModelCall};
+use super::slot::Slot;
+use super::upstream::{self, Connection};
+use super::{Traffic, sse};
+
+/// Events that wait for a slow caller before the target's stream is no longer read.
+const BUFFERED_EVENTS: usize = 32;
+
+/// Time between two reports of a stream's progress to the control thread.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time to resume or cancel a stream at its target.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A comment, which keeps the connection alive and means nothing.
+const KEEPALIVE: &[u8] = b": waiting\n\n";
+
+/// From the task that runs the request to the answer's body.
+#[derive(Debug)]
+enum Item {
+    /// Bytes for the caller.
+    Event(Bytes),
+    /// The target refused the request; its answer is passed on.
+    Refused(response::Response),
+    /// The request failed.
+    Failed(Failure),
+}
+
+/// Starts the request and answers once its first event or failure is there.
+///
+/// After the keepalive interval the answer begins without an event; a failure is then told in the
+/// stream.
+///
+/// # Errors
+///
+/// The request failed before the answer began.
+pub async fn respond(
+    traffic: sync::Arc<Traffic>,
+    call: ModelCall,
+) -> Result<response::Response, Failure> {
+    let (items, mut receiver) = mpsc::channel(BUFFERED_EVENTS);
+    let interval = traffic.bounds.keepalive_interval;
+    let request_id = call.arrival.request_id.clone();
+    tokio::spawn(async move {
+        let runner = Runner::new(&traffic, &call, &items);
+        runner.run().await;
+    });
+    let first = match time::timeout(interval, receiver.recv()).await {
+        Ok(Some(Item::Failed(failure))) => return Err(failure),
+        Ok(Some(Item::Refused(answer))) => return Ok(answer),
+        Ok(Some(Item::Event(event))) => event,
+        Ok(None) => return Err(Failure::new(ResultCode::Draining, "the router has ended")),
+        Err(_) => Bytes::from_static(KEEPALIVE),
+    };
+    let tail = Tail { receiver, interval, request_id: request_id.clone() };
+    let events = stream::unfold((Some(first), tail), |(first, mut tail)| async move {
+        let event = match first {
+            Some(first) => Some(first),
+            None => tail.next().await,
+        };
+        event.map(|event| (Ok::<_, std::convert::Infallible>(event), (None, tail)))
+    });
+    let mut response = response::Response::new(body::Body::from_stream(events));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    failure::mark(headers, ResultCode::Ok, &request_id);
+    Ok(response)
+}
+
+/// What follows the first event.
+struct Tail {
+    receiver: mpsc::Receiver<Item>,
+    interval: Duration,
+    request_id: sync::Arc<str>,
+}
+
+impl Tail {
+    async fn next(&mut self) -> Option<Bytes> {
+        match time::timeout(self.interval, self.receiver.recv()).await {
+            Ok(Some(Item::Event(event))) => Some(event),
+            Ok(Some(Item::Failed(failure))) => Some(failure.into_event(&self.request_id)),
+            Ok(Some(Item::Refused(answer))) => {
+                let message = format!("the target answered {}", answer.status());
+                let failure = Failure::new(ResultCode::TargetError, message);
+                Some(failure.into_event(&self.request_id))
+            }
+            Ok(None) => None,
+            Err(_) => Some(Bytes::from_static(KEEPALIVE)),
+        }
+    }
+}
+
+/// How reading one connection to the target ended.
+enum ReadEnd {
+    /// The end mark came.
+    Done,
+    /// The caller closed its connection.
+    CallerLeft,
+    /// The target or the connection was lost.
+    Broken(AttemptError),
+}
+
+/// Runs one streamed request.
+struct Runner<'a> {
+    traffic: &'a Traffic,
+    call: &'a ModelCall,
+    items: &'a mpsc::Sender<Item>,
+    meter: Meter,
+    last_token_at: Option<time::Instant>,
+    reported_at: time::Instant,
+}
+
+impl<'a> Runner<'a> {
+    fn new(traffic: &'a Traffic, call: &'a ModelCall, items: &'a mpsc::Sender<Item>) -> Runner<'a> {
+        Runner {
+            traffic,
+            call,
+            items,
+            meter: Meter::new(&call.pool, &call.body),
+            last_token_at: None,
+            reported_at: call.arrival.at,
+        }
+    }
+
+    async fn run(mut self) {
+        let metrics = &self.call.arrival.flow.metrics;
+        let code = match self.attempts().await {
+            Ok(code) => code,
+            Err(failure) => {
+                let code = failure.code;
+                // The handler counts a failure that it answers itself; one in a begun stream too,
+                // since it can't know which it will be.
+                let _ = self.items.send(Item::Failed(failure)).await;
+                code
+            }
+        };
+        metrics.output_tokens.increment(self.meter.output_tokens);
+        if code == ResultCode::Ok {
+            metrics.whole.record(self.call.arrival.at.elapsed());
+            self.traffic.retries.earn(&self.call.arrival.flow.flow.team);
+            metrics.count_result(code);
+        } else if self.begun() || code == ResultCode::CallerLeft {
+            metrics.count_result(code);
+        }
+    }
+
+    /// Whether the caller has got a token.
+    fn begun(&self) -> bool {
+        self.last_token_at.is_some()
+    }
+
+    async fn attempts(&mut self) -> Result<ResultCode, Failure> {
+        for attempt in 1_u32.. {
+            let (traffic, call) = (self.traffic, self.call);
+            let slot = tokio::select! {
+                slot = traffic.slot(&call.pool, &call.arrival, call.body.len()) => slot?,
+                () = self.items.closed() => return Ok(ResultCode::CallerLeft),
+            };
+            call.arrival.flow.metrics.waiting.record(call.arrival.at.elapsed());
+            match self.attempt(&slot, attempt).await {
+                Ok(code) => return Ok(code),
+                Err(err) if self.begun() => return Err(self.interrupted(err)),
+                Err(err) => traffic.may_retry(&call.arrival, err)?,
+            }
+        }
+        unreachable!("the loop ends by a return")
+    }
+
+    async fn attempt(&mut self, slot: &Slot, attempt: u32) -> Result<ResultCode, AttemptError> {
+        let sent = self.traffic.send_model(self.call, slot, attempt);
+        let answer = tokio::select! {
+            answer = sent => answer?,
+            () = self.items.closed() => return Ok(ResultCode::CallerLeft),
+        };
+        if !answer.status().is_success() {
+            let answer = self.traffic.take_answer(self.call, slot, answer).await?;
+            let _ = self.items.send(Item::Refused(answer)).await;
+            return Ok(ResultCode::Ok);
+        }
+        let stream_id = answer.headers().get("stream-id").cloned();
+        let mut end = self.read(slot, answer.into_body()).await;
+        for _ in 0..self.traffic.bounds.max_resumes {
+            let ReadEnd::Broken(_) = &end else { break };
+            let Some(stream_id) = stream_id.as_ref().filter(|_| self.begun()) else { break };
+            let Some(answer) = self.resume(slot, stream_id).await else { continue };
+            end = self.read(slot, answer.into_body()).await;
+        }
+        match end {
+            ReadEnd::Done => Ok(ResultCode::Ok),
+            ReadEnd::CallerLeft => {
+                self.cancel(slot, stream_id);
+                Ok(ResultCode::CallerLeft)
+            }
+            ReadEnd::Broken(err) => Err(err),
+        }
+    }
+
+    /// Passes events on until the stream ends or breaks.
+    async fn read(&mut self, slot: &Slot, mut body: Incoming) -> ReadEnd {
+        let mut splitter = sse::Splitter::default();
+        loop {
+            let bounds = &self.traffic.bounds;
+            let silence =
+                if self.begun() { bounds.idle_timeout } else { bounds.first_byte_timeout };
+            let frame = tokio::select! {
+                frame = time::timeout(silence, body.frame()) => frame,
+                () = self.items.closed() => return ReadEnd::CallerLeft,
+            };
+            let frame = match frame {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(err))) => {
+                    return ReadEnd::Broken(model::lost(format!("{}: {err}", slot.target)));
+                }
+                Ok(None) => {
+                    let message = format!("{} ended the stream without its end mark", slot.target);
+                    return ReadEnd::Broken(model::lost(message));
+                }
+                Err(_) => return ReadEnd::Broken(model::timed_out(slot)),
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            if !splitter.push(&bytes) {
+                let message = format!("{} sent an event that is too large", slot.target);
+                return ReadEnd::Broken(model::lost(message));
+            }
+            while let Some(event) = splitter.next_event() {
+                if let Some(end) = self.pass_on(slot, event).await {
+                    return end;
+                }
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, slot: &Slot, event: sse::Event) -> Option<ReadEnd> {
+        if let Some(token) = event.token {
+            // A resumed stream may repeat tokens that the caller has.
+            if token <= self.meter.output_tokens {
+                return None;
+            }
+            if token > self.meter.output_tokens + 1 {
+                let message = format!("{} left out tokens before {token}", slot.target);
+                return Some(ReadEnd::Broken(model::lost(message)));
+            }
+            self.meter.output_tokens = token;
+            self.note_token();
+        }
+        if let Some(usage) = event.usage() {
+            self.meter.set_usage(usage);
+        }
+        if event.done || self.reported_at.elapsed() >= PROGRESS_INTERVAL {
+            self.reported_at = time::Instant::now();
+            slot.progress(self.meter.cost());
+        }
+        let done = event.done;
+        if self.items.send(Item::Event(event.raw)).await.is_err() {
+            return Some(ReadEnd::CallerLeft);
+        }
+        done.then_some(ReadEnd::Done)
+    }
+
+    fn note_token(&mut self) {
+        let metrics = &self.call.arrival.flow.metrics;
+        let now = time::Instant::now();
+        match self.last_token_at.replace(now) {
+            Some(last) => metrics.between_tokens.record(now - last),
+            None => metrics.first_token.record(now - self.call.arrival.at),
+        }
+    }
+
+    /// Opens the stream again behind the last token, on a new connection.
+    async fn resume(&self, slot: &Slot, stream_id: &HeaderValue) -> Option<upstream::Answer> {
+        let stream_id = stream_id.to_str().ok()?;
+        let offset = self.meter.output_tokens;
+        let path = format!("/v1/streams/{stream_id}/resume?offset={offset}");
+        let mut request = http::Request::new(Full::default());
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = upstream::target_uri(slot.addr, &path)?;
+        let sent = self.traffic.upstream.send(Connection::Fresh, request);
+        let answer = time::timeout(RESUME_TIMEOUT, sent).await.ok()?.ok()?;
+        answer.status().is_success().then_some(answer)
+    }
+
+    /// Tells the target that nobody waits for the stream any more.
+    fn cancel(&self, slot: &Slot, stream_id: Option<HeaderValue>) {
+        let path = stream_id.as_ref().and_then(|id| id.to_str().ok());
+        let uri = path.and_then(|id| upstream::target_uri(slot.addr, &format!("/v1/streams/{id}")));
+        let Some(uri) = uri else { return };
+        let mut request = http::Request::new(Full::default());
+        *request.method_mut() = Method::DELETE;
+        *request.uri_mut() = uri;
+        let client = self.traffic.upstream.clone();
+        tokio::spawn(async move {
+            // A target that can't be reached has lost the stream with its connection.
+            let _ = time::timeout(RESUME_TIMEOUT, client.send(Connection::Fresh, request)).await;
+        });
+    }
+
+    fn interrupted(&self, err: AttemptError) -> Failure {
+        let cause = err.into_failure().message;
+        let delivered = self.meter.output_tokens;
+        Failure::new(
+            ResultCode::AnswerInterrupted,
+            format!("{cause}; {delivered} tokens delivered"),
+        )
+    }
+}
