message: cost per request in flight, cell and group summaries; take_report takes the time

Cause: at 370 routers each one sees a few requests of a team, too few to learn costs from. Accounts are sent only when a session starts. Summaries carry lifts apart from service, so that two cells that lift one team don't lift it twice.

Changed: Router::take_report(cell, now); Demand.newest_deadline; InFlight.cost; Report.progress; Account without pending_cost; CellSummary, TeamSummary, and the new CellLine and GroupSummary.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -5,11 +5,18 @@
 
 use tokio::time;
 
+use crate::estimate;
 use crate::fair;
 use crate::ids::{Flow, GrantId, Name, RouterId};
-use crate::message::{Account, Demand, Grant, GrantBatch, Report, TeamVirtualTime};
+use crate::message::{Demand, Grant, GrantBatch, Report, TeamVirtualTime};
 use crate::table;
 
+/// Share of the expected remaining cost that is charged while a request runs.
+pub const PENDING_RATIO: f64 = 0.25;
+
+/// Cost up to which the prior of an unknown team spreads.
+pub const PRIOR_MAX_COST: f64 = 2_000.0;
+
 /// A target as the settings describe it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetSpec {
@@ -55,8 +62,7 @@
 #[derive(Debug, Default)]
 struct RouterState {
     demand: BTreeMap<Flow, Demand>,
-    accounts: BTreeMap<Name, Account>,
-    in_flight: BTreeMap<GrantId, (Flow, Name)>,
+    in_flight: BTreeMap<GrantId, (Flow, Name, f64)>,
     sent_seq: u64,
     outbox: Vec<Grant>,
 }
@@ -105,7 +111,7 @@
     /// Ends a router's session and takes its slots back.
     pub fn leave(&mut self, router: &RouterId) {
         let Some(state) = self.routers.remove(router) else { return };
-        for (id, (_, target)) in state.in_flight {
+        for (id, (_, target, _)) in state.in_flight {
             self.release(&target, id);
         }
         self.update_teams();
@@ -119,10 +125,10 @@
         if report.full {
             self.replace_state(&report);
         }
+        self.take_progress(&report);
         for id in report.finished.iter().chain(&report.declined) {
             self.end_grant(&report.router, *id);
         }
-        self.take_accounts(&report);
         let Some(state) = self.routers.get_mut(&report.router) else { return };
         for demand in report.demand {
             if demand.waiting_count == 0 {
@@ -146,11 +152,8 @@
         }
         let Some(state) = self.routers.get_mut(&report.router) else { return };
         state.demand.clear();
-        // What was delivered before the session began is part of the virtual times.
-        state.accounts =
-            report.accounts.iter().map(|line| (line.team.clone(), line.clone())).collect();
         let old = std::mem::take(&mut state.in_flight);
-        for (id, (_, target)) in old {
+        for (id, (_, target, _)) in old {
             self.release(&target, id);
         }
         for line in &report.in_flight {
@@ -158,14 +161,18 @@
                 target.busy.insert(line.grant);
             }
             if let Some(state) = self.routers.get_mut(&report.router) {
-                state.in_flight.insert(line.grant, (line.flow.clone(), line.target.clone()));
+                state
+                    .in_flight
+                    .insert(line.grant, (line.flow.clone(), line.target.clone(), line.cost));
             }
         }
     }
 
     fn end_grant(&mut self, router: &RouterId, id: GrantId) {
         let state = self.routers.get_mut(router);
-        let Some((_, target)) = state.and_then(|state| state.in_flight.remove(&id)) else { return };
+        let Some((_, target, _)) = state.and_then(|state| state.in_flight.remove(&id)) else {
+            return;
+        };
         self.release(&target, id);
     }
 
@@ -177,24 +184,26 @@
         }
     }
 
-    fn take_accounts(&mut self, report: &Report) {
+    fn take_progress(&mut self, report: &Report) {
         let Some(state) = self.routers.get_mut(&report.router) else { return };
-        for line in &report.accounts {
-            let old = state.accounts.insert(line.team.clone(), line.clone());
-            let old_cost = old.map_or(0.0, |old| old.delivered_cost);
-            let delta = (line.delivered_cost - old_cost).max(0.0);
-            self.ledger.charge(&line.team, delta, self.table.weight(&line.team));
+        for line in &report.progress {
+            let Some((flow, _, cost)) = state.in_flight.get_mut(&line.grant) else { continue };
+            let delta = (line.cost - *cost).max(0.0) * self.table.price_ratio(&flow.class);
+            *cost = cost.max(line.cost);
+            self.ledger.charge(&flow.team, delta, self.table.weight(&flow.team));
         }
     }
 
     fn update_teams(&mut self) {
-        let mut pending = BTreeMap::<Name, f64>::new();
         let mut active = BTreeSet::<Name>::new();
+        let mut pending = BTreeMap::<Name, f64>::new();
+        let costs = estimate::CostHistogram::new(PRIOR_MAX_COST);
         for state in self.routers.values() {
             active.extend(state.demand.keys().map(|flow| flow.team.clone()));
-            active.extend(state.in_flight.values().map(|(flow, _)| flow.team.clone()));
-            for line in state.accounts.values() {
-                *pending.entry(line.team.clone()).or_default() += line.pending_cost;
+            active.extend(state.in_flight.values().map(|(flow, _, _)| flow.team.clone()));
+            for (flow, _, cost) in state.in_flight.values() {
+                let remaining = costs.expected_remaining(*cost) * PENDING_RATIO;
+                *pending.entry(flow.team.clone()).or_default() += remaining;
             }
         }
         let known = self.ledger.settled().map(|(team, _)| team.clone()).collect::<Vec<_>>();
@@ -219,7 +228,7 @@
                 state.demand.remove(&flow);
             }
         }
-        state.in_flight.insert(id, (flow.clone(), target.clone()));
+        state.in_flight.insert(id, (flow.clone(), target.clone(), 0.0));
         state.outbox.push(Grant { id, flow, target });
         true
     }
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -24,6 +24,8 @@
     pub waiting_count: u32,
     /// Deadline of the request that must start first.
     pub oldest_deadline: time::Instant,
+    /// Deadline of the last request that the line counts.
+    pub newest_deadline: time::Instant,
     /// Targets that hold a prefix of the oldest request.
     pub preferred_targets: PreferredTargets,
 }
@@ -37,17 +39,26 @@
     pub flow: Flow,
     /// Name of the target.
     pub target: Name,
+    /// Cost so far, before the class's price.
+    pub cost: f64,
+}
+
+/// What a granted request has cost so far.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Progress {
+    /// The grant that the request runs under.
+    pub grant: GrantId,
+    /// Cost so far, before the class's price.
+    pub cost: f64,
 }
 
-/// Service that one router has charged to one team.
+/// Service that one router has delivered to one team through one cell.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     /// Name of the team.
     pub team: Name,
     /// Cost delivered since the router's incarnation began, times the class's price.
     pub delivered_cost: f64,
-    /// Share of the expected remaining cost of running requests that is charged ahead.
-    pub pending_cost: f64,
 }
 
 /// Charged service of a team per weight.
@@ -74,13 +85,15 @@
     pub full: bool,
     /// Demand lines that have changed; all if `full`.
     pub demand: Vec<Demand>,
+    /// Costs that have changed: of requests in flight each report interval, of `finished` at once.
+    pub progress: Vec<Progress>,
     /// Grants whose requests have ended.
     pub finished: Vec<GrantId>,
     /// Grants that the router had no use for.
     pub declined: Vec<GrantId>,
     /// Everything in flight; only if `full`.
     pub in_flight: Vec<InFlight>,
-    /// Accounts that have changed; all if `full`.
+    /// What was delivered before the session; only if `full`.
     pub accounts: Vec<Account>,
     /// Virtual times last heard from a dispatcher; only if `full`.
     pub virtual_times: Vec<TeamVirtualTime>,
@@ -108,11 +121,11 @@
     pub to_cell: Name,
 }
 
-/// What one cell has served and holds waiting, for the other cells of its model.
+/// State of one cell, as the other cells of its model need it.
 ///
-/// Summaries are versioned by dispatcher and number, so that none counts twice.
+/// Lines are versioned by dispatcher and number, so that none counts twice.
 #[derive(Clone, Debug, PartialEq)]
-pub struct CellSummary {
+pub struct CellLine {
     /// Name of the cell.
     pub cell: Name,
     /// The cell's dispatcher.
@@ -121,19 +134,54 @@
     pub seq: u64,
     /// Slots without a request.
     pub free_slots: u32,
-    /// Teams that are backlogged here or have changed.
-    pub teams: Vec<TeamSummary>,
+    /// Requests that wait for the cell, capped by router and flow.
+    pub waiting_count: u32,
+    /// Least virtual time of the teams that wait for the cell; 0 if none waits.
+    pub least_virtual_time: f64,
 }
 
-/// One team's line of a [`CellSummary`].
+/// One team's service in a cell or a group of cells.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamSummary {
     /// Name of the team.
     pub team: Name,
-    /// Service charged in the cell per weight.
+    /// Service charged per weight, without lifts; a group's is the sum over its cells.
     pub service_cost: f64,
-    /// Requests that wait for the cell, capped like those of a demand line.
+    /// Virtual time added when the team returned from a pause; a group's is the greatest.
+    pub lift_cost: f64,
+    /// Requests that wait; a group's is the sum.
     pub waiting_count: u32,
+    /// Requests in flight; a group's is the sum.
+    pub running_count: u32,
+}
+
+/// What one cell has served and holds waiting: from its dispatcher to the aggregator of its zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellSummary {
+    /// State of the cell.
+    pub line: CellLine,
+    /// Whether teams that aren't named are to be forgotten.
+    pub full: bool,
+    /// Teams whose numbers have changed; all if `full`.
+    pub teams: Vec<TeamSummary>,
+}
+
+/// Sum over a group of cells: from the aggregator of a zone up to that of the fleet, and from there
+/// down to the dispatchers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GroupSummary {
+    /// Name of the zone, or of the model for the whole fleet.
+    pub group: Name,
+    /// Sender.
+    pub aggregator: RouterId,
+    /// Number of the summary within the aggregator's incarnation.
+    pub seq: u64,
+    /// Whether teams that aren't named are to be forgotten.
+    pub full: bool,
+    /// All cells of the group, with the version of each that the sums hold.
+    pub cells: Vec<CellLine>,
+    /// Teams whose sums have changed; all if `full`.
+    pub teams: Vec<TeamSummary>,
 }
 
 /// From the dispatcher of a cell to a router.
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -7,20 +7,13 @@
 use tokio::time;
 
 use crate::code;
-use crate::estimate;
 use crate::ids::{Flow, GrantId, Name, RequestId, RouterId};
 use crate::message::{
-    Account, Demand, Grant, GrantBatch, InFlight, MAX_WAITING_COUNT, PreferredTargets, Report,
-    TeamVirtualTime,
+    Account, Demand, Grant, GrantBatch, InFlight, MAX_WAITING_COUNT, PreferredTargets, Progress,
+    Report, TeamVirtualTime,
 };
 use crate::table;
 
-/// Share of the expected remaining cost that is charged while a request runs.
-pub const PENDING_RATIO: f64 = 0.25;
-
-/// Cost up to which the prior of an unknown team spreads.
-pub const PRIOR_MAX_COST: f64 = 2_000.0;
-
 quick_error! {
     /// Why a request can't wait at this router.
     #[derive(Clone, Debug, PartialEq, Eq)]
@@ -84,7 +77,6 @@
     waiting: BTreeMap<RequestId, Waiting>,
     running: BTreeMap<RequestId, Running>,
     teams: BTreeMap<Name, TeamState>,
-    costs: BTreeMap<(Name, Name), estimate::CostHistogram>,
 }
 
 #[derive(Debug, Default)]
@@ -93,6 +85,7 @@
     dispatcher: Option<RouterId>,
     changed: BTreeSet<Flow>,
     finished: Vec<GrantId>,
+    ended: Vec<Progress>,
     declined: Vec<GrantId>,
     delivered_cost: BTreeMap<Name, f64>,
     virtual_times: BTreeMap<Name, f64>,
@@ -133,7 +126,6 @@
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             teams: BTreeMap::new(),
-            costs: BTreeMap::new(),
         }
     }
 
@@ -191,13 +183,9 @@
             return;
         }
         let Some(running) = self.running.remove(&id) else { return };
-        let key = (running.flow.team.clone(), running.flow.class.clone());
-        self.costs
-            .entry(key)
-            .or_insert_with(|| estimate::CostHistogram::new(PRIOR_MAX_COST))
-            .record(running.cost);
         let queue = self.cells.entry(running.cell).or_default();
         queue.finished.push(running.grant);
+        queue.ended.push(Progress { grant: running.grant, cost: running.cost });
         queue.changed.insert(running.flow);
     }
 
@@ -236,7 +224,7 @@
     }
 
     /// Makes the report that is due for a cell, if anything has changed.
-    pub fn take_report(&mut self, cell: &Name) -> Option<Report> {
+    pub fn take_report(&mut self, cell: &Name, now: time::Instant) -> Option<Report> {
         let queue = self.cells.get(cell)?;
         queue.dispatcher.as_ref()?;
         let accounts = self.accounts(cell);
@@ -246,6 +234,7 @@
         queue.report_seq += 1;
         let (seq, acked_seq) = (queue.report_seq, queue.acked_seq);
         let finished = std::mem::take(&mut queue.finished);
+        let ended = std::mem::take(&mut queue.ended);
         let declined = std::mem::take(&mut queue.declined);
         let virtual_times = queue.virtual_times.iter().filter(|_| full);
         let virtual_times = virtual_times
@@ -253,15 +242,21 @@
             .collect();
         let queue = self.cells.get(cell)?;
         let flows = if full { queue.flows.keys().cloned().collect() } else { changed };
-        let demand = flows.iter().map(|flow| self.demand(queue, flow)).collect();
+        let demand = flows.iter().map(|flow| self.demand(queue, flow, now)).collect();
         let running = self.running.values().filter(|running| full && running.cell == *cell);
         let in_flight = running
             .map(|running| InFlight {
                 grant: running.grant,
                 flow: running.flow.clone(),
                 target: running.target.clone(),
+                cost: running.cost,
             })
             .collect();
+        let progress = self.running.values().filter(|running| running.cell == *cell);
+        let progress = progress
+            .map(|running| Progress { grant: running.grant, cost: running.cost })
+            .chain(ended)
+            .collect();
         let (router, cell) = (self.id.clone(), cell.clone());
         Some(Report {
             router,
@@ -270,6 +265,7 @@
             acked_seq,
             full,
             demand,
+            progress,
             finished,
             declined,
             in_flight,
@@ -316,7 +312,7 @@
         Some(waiting)
     }
 
-    fn demand(&self, queue: &CellQueue, flow: &Flow) -> Demand {
+    fn demand(&self, queue: &CellQueue, flow: &Flow, now: time::Instant) -> Demand {
         let line = queue.flows.get(flow);
         let first = line.and_then(|line| line.first());
         let count = line.map_or(0, |line| line.len());
@@ -324,7 +320,10 @@
         Demand {
             flow: flow.clone(),
             waiting_count: u32::try_from(count).unwrap_or(u32::MAX).min(MAX_WAITING_COUNT),
-            oldest_deadline: first.map_or_else(time::Instant::now, |(deadline, _)| *deadline),
+            oldest_deadline: first.map_or(now, |(deadline, _)| *deadline),
+            newest_deadline: line
+                .and_then(|line| line.last())
+                .map_or(now, |(deadline, _)| *deadline),
             preferred_targets: preferred
                 .map(|waiting| waiting.submit.preferred_targets.clone())
                 .unwrap_or_default(),
@@ -333,27 +332,8 @@
 
     fn accounts(&self, cell: &Name) -> Vec<Account> {
         let Some(queue) = self.cells.get(cell) else { return Vec::new() };
-        let mut pending = BTreeMap::<Name, f64>::new();
-        for running in self.running.values().filter(|running| running.cell == *cell) {
-            let price = self.table.price_ratio(&running.flow.class);
-            let cost = self.expected_remaining(running) * price * PENDING_RATIO;
-            *pending.entry(running.flow.team.clone()).or_default() += cost;
-        }
-        let teams = queue.delivered_cost.keys().chain(pending.keys());
-        let teams = teams.cloned().collect::<BTreeSet<_>>();
-        let account = |team: Name| Account {
-            delivered_cost: queue.delivered_cost.get(&team).copied().unwrap_or(0.0),
-            pending_cost: pending.get(&team).copied().unwrap_or(0.0),
-            team,
-        };
-        teams.into_iter().map(account).collect()
-    }
-
-    fn expected_remaining(&self, running: &Running) -> f64 {
-        let key = (running.flow.team.clone(), running.flow.class.clone());
-        match self.costs.get(&key) {
-            Some(costs) => costs.expected_remaining(running.cost),
-            None => estimate::CostHistogram::new(PRIOR_MAX_COST).expected_remaining(running.cost),
-        }
+        let account =
+            |(team, cost): (&Name, &f64)| Account { team: team.clone(), delivered_cost: *cost };
+        queue.delivered_cost.iter().map(account).collect()
     }
 }
