--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -153,7 +153,7 @@
 
     fn dispatch(&mut self, now: time::Instant) {
         for (cell, dispatcher) in &mut self.dispatchers {
-            if let Some(report) = self.router.take_report(cell) {
+            if let Some(report) = self.router.take_report(cell, now) {
                 dispatcher.report(report, now);
             }
             for (_, batch) in dispatcher.poll(now) {
