--- /dev/null
+++ b/daemon/tests/bad_input.rs
@@ -0,0 +1,140 @@
+//! Requests that can't be served: each has its own code, and the router stays up.
+
+mod support;
+
+use std::time::Duration;
+
+use support::Deployment;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::{net, time};
+
+/// Longest time for the router to end a bad connection, over the bound of its settings.
+const MARGIN: Duration = Duration::from_secs(3);
+
+struct Case {
+    method: &'static str,
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    result: u16,
+}
+
+const KEY: (&str, &str) = ("authorization", "Bearer key-of-lanes");
+const CLUBS: (&str, &str) = ("authorization", "Bearer key-of-clubs");
+const CHAT: &str = "/v1/chat/completions";
+
+async fn check(case: Case) {
+    let fleet = Deployment::start(r#""callers": {"max_body_bytes": 2048},"#);
+    let answer =
+        support::send(case.method, fleet.callers, case.path, case.headers, case.body).await;
+    assert_eq!(answer.result(), case.result, "{answer:?}");
+    assert_eq!(answer.ran(), "no");
+    let error = &answer.json()["error"];
+    assert_eq!(error["code"], case.result);
+    assert!(error["request_id"].as_str().is_some_and(|id| id.starts_with("r1-")));
+    assert_eq!(support::chat(fleet.callers, true, 3).await.result(), 0);
+}
+
+macro_rules! answers {
+    ($($name:ident: $method:literal $path:expr, $headers:expr, $body:expr => $result:literal;)*) => { $(
+        #[tokio::test]
+        async fn $name() {
+            check(Case { method: $method, path: $path, headers: $headers, body: $body, result: $result })
+                .await;
+        }
+    )* };
+}
+
+static LARGE_BODY: &str = include_str!("bad_input.rs");
+
+answers! {
+    no_key: "POST" CHAT, &[], "{}" => 110;
+    wrong_key: "POST" CHAT, &[("authorization", "Bearer nobody")], "{}" => 110;
+    not_a_bearer_key: "POST" CHAT, &[("authorization", "Basic a2V5")], "{}" => 110;
+    class_unknown: "POST" CHAT, &[KEY, ("gentianhinge-class", "gold")], "{}" => 122;
+    class_not_allowed: "POST" CHAT, &[CLUBS, ("gentianhinge-class", "now")], "{}" => 111;
+    malformed_json: "POST" CHAT, &[KEY], "{\"model\": " => 100;
+    json_without_model: "POST" CHAT, &[KEY], "{\"stream\": true}" => 100;
+    json_of_other_types: "POST" CHAT, &[KEY], "{\"model\": 7}" => 100;
+    unknown_model: "POST" CHAT, &[KEY], "{\"model\": \"oracle\"}" => 120;
+    unknown_service: "POST" "/services/bank/pay", &[KEY], "" => 121;
+    unknown_path: "GET" "/v2/anything", &[KEY], "" => 123;
+    wrong_method: "GET" CHAT, &[KEY], "" => 124;
+    body_too_large: "POST" CHAT, &[KEY], LARGE_BODY => 101;
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[tokio::test]
+        async fn $name() { $body }
+    )* };
+}
+
+/// Writes raw bytes and returns what comes back until the router closes the connection.
+async fn raw(addr: std::net::SocketAddr, bytes: &[u8], bound: Duration) -> String {
+    let mut stream = net::TcpStream::connect(addr).await.unwrap();
+    // The router may close the connection before all is written.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = time::timeout(bound, stream.read_to_end(&mut answer)).await;
+    assert!(read.is_ok(), "the router closes the connection");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+cases! {
+    a_flood_of_headers_is_cut_off: {
+        let fleet = Deployment::start("");
+        let mut head = String::from("POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n");
+        for n in 0..10_000 {
+            head.push_str(&format!("x-filler-{n}: {n}\r\n"));
+        }
+        let answer = raw(fleet.callers, head.as_bytes(), MARGIN).await;
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+        assert_eq!(support::chat(fleet.callers, true, 3).await.result(), 0);
+    },
+    a_slow_head_is_cut_off: {
+        let fleet = Deployment::start(r#""callers": {"header_timeout_ms": 200},"#);
+        raw(fleet.callers, b"POST /v1/chat/completions HTT", MARGIN).await;
+        assert_eq!(support::chat(fleet.callers, true, 3).await.result(), 0);
+    },
+    a_slow_body_is_cut_off: {
+        let fleet = Deployment::start(r#""callers": {"body_timeout_ms": 200},"#);
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\
+                    authorization: Bearer key-of-lanes\r\nconnection: close\r\n\r\n{";
+        let answer = raw(fleet.callers, head.as_bytes(), MARGIN).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert!(answer.contains("gentianhinge-result: 103"), "{answer}");
+    },
+    a_caller_that_leaves_frees_its_slot: {
+        let fleet = Deployment::start("");
+        for _ in 0..8 {
+            let mut stream = net::TcpStream::connect(fleet.callers).await.unwrap();
+            let body = r#"{"model": "assistant", "stream": true, "max_tokens": 100000}"#;
+            let head = format!(
+                "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\
+                 authorization: Bearer key-of-lanes\r\n\r\n{body}",
+                body.len()
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        let answer = time::timeout(MARGIN, support::chat(fleet.callers, true, 3)).await;
+        assert_eq!(answer.expect("a slot is free").result(), 0);
+    },
+    a_team_at_its_limit_is_refused: {
+        let fleet = Deployment::start("");
+        let call = async |team_key: &'static str| {
+            let auth = format!("Bearer {team_key}");
+            let body = r#"{"model": "assistant", "stream": true, "max_tokens": 300}"#;
+            let headers =
+                [("authorization", auth.as_str()), ("gentianhinge-class", "later")];
+            support::send("POST", fleet.callers, CHAT, &headers, body).await.result()
+        };
+        // Five run (four slots and one of look-ahead), two wait, and the others are refused.
+        let calls = (0..10).map(|_| call(support::CLUBS_KEY));
+        let results = futures_util::future::join_all(calls).await;
+        let refused = results.iter().filter(|result| **result == 200).count();
+        assert!(refused >= 1, "{results:?}");
+        assert!(results.iter().all(|result| [0, 200].contains(result)), "{results:?}");
+    },
+}
--- /dev/null
+++ b/daemon/tests/support/mod.rs
@@ -0,0 +1,268 @@
+//! Starts the router and stand-ins as processes, and calls them.
+
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy;
+use hyper_util::rt;
+
+/// Key of the team `lanes` in [`settings`].
+pub const LANES_KEY: &str = "key-of-lanes";
+/// Key of the team `clubs` in [`settings`].
+pub const CLUBS_KEY: &str = "key-of-clubs";
+
+/// Longest time for a process to say where it listens.
+const START_BOUND: Duration = Duration::from_secs(10);
+
+/// A child process that is killed at the end of the test.
+pub struct Process {
+    child: process::Child,
+    lines: std::sync::mpsc::Receiver<String>,
+}
+
+impl Process {
+    /// Starts a program of the workspace.
+    pub fn start(program: &str, args: &[&str]) -> Process {
+        let dir = path::Path::new(env!("CARGO_BIN_EXE_gentianhinged")).parent().unwrap();
+        let mut child = process::Command::new(dir.join(program))
+            .args(args)
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::null())
+            .spawn()
+            .unwrap_or_else(|err| panic!("{program}: {err}; build the whole workspace first"));
+        let stdout = BufReader::new(child.stdout.take().unwrap());
+        let (sender, lines) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for line in stdout.lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Process { child, lines }
+    }
+
+    /// Waits for a line that begins with `prefix` and returns the address behind it.
+    pub fn addr(&self, prefix: &str) -> net::SocketAddr {
+        loop {
+            let line = self.lines.recv_timeout(START_BOUND).expect("the process says its address");
+            if let Some(rest) = line.strip_prefix(prefix) {
+                return rest.trim().parse().unwrap();
+            }
+        }
+    }
+
+    /// The process's id.
+    pub fn pid(&self) -> rustix::process::Pid {
+        rustix::process::Pid::from_child(&self.child)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        rustix::process::kill_process(self.pid(), signal).unwrap();
+    }
+
+    /// Waits for the process's end; `None` if it runs beyond `bound`.
+    pub fn wait(&mut self, bound: Duration) -> Option<process::ExitStatus> {
+        let end = std::time::Instant::now() + bound;
+        while std::time::Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return Some(status);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A settings file that is removed at the end of the test.
+pub struct SettingsFile {
+    path: path::PathBuf,
+}
+
+impl SettingsFile {
+    /// Writes settings to a file of their own.
+    pub fn new(text: &str) -> SettingsFile {
+        static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let name = format!("gentianhinge-{}-{number}.jsonc", process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
+        SettingsFile { path }
+    }
+
+    /// The file's path.
+    pub fn path(&self) -> &str {
+        self.path.to_str().unwrap()
+    }
+}
+
+impl Drop for SettingsFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Settings of one router with one model engine and one service; `more` is put in as it is.
+pub fn settings(engine: net::SocketAddr, service: net::SocketAddr, more: &str) -> String {
+    let lanes = blake3::hash(LANES_KEY.as_bytes()).to_hex();
+    let clubs = blake3::hash(CLUBS_KEY.as_bytes()).to_hex();
+    format!(
+        r#"{{
+        "router": {{ "name": "r1", "region": "here", "zone": "a" }},
+        "listen": {{ "callers_addr": "127.0.0.1:0", "operators_addr": "127.0.0.1:0",
+                    "peers_addr": "127.0.0.1:0" }},
+        "models": [{{ "name": "assistant", "targets": [
+            {{ "name": "m1", "addr": "{engine}", "zone": "a", "max_slots": 4 }}] }}],
+        "services": [{{ "name": "desk", "timeout_ms": 2000,
+            "routes": [{{ "path_prefix": "/bookings", "method": "POST", "repeatable": false }},
+                       {{ "path_prefix": "/search", "repeatable": true }}],
+            "targets": [{{ "name": "s1", "addr": "{service}", "zone": "a" }}] }}],
+        {more}
+        "table": {{
+            "classes": [{{ "name": "now", "price_ratio": 1.0, "max_wait_ms": 10000 }},
+                        {{ "name": "later", "price_ratio": 0.5, "max_wait_ms": 60000 }}],
+            "teams": [{{ "name": "lanes", "key_hashes": ["{lanes}"] }},
+                      {{ "name": "clubs", "key_hashes": ["{clubs}"], "classes": ["later"],
+                         "max_waiting_requests": 2 }}] }}
+    }}"#
+    )
+}
+
+/// A router with its stand-ins, each a process of its own.
+pub struct Deployment {
+    /// The router.
+    pub router: Process,
+    /// Where callers reach the router.
+    pub callers: net::SocketAddr,
+    /// Where operators reach the router.
+    pub operators: net::SocketAddr,
+    /// The model engine.
+    pub engine: Process,
+    /// Where the engine listens.
+    pub engine_addr: net::SocketAddr,
+    /// The plain service.
+    pub service: Process,
+    /// Where the service listens.
+    pub service_addr: net::SocketAddr,
+    _settings: SettingsFile,
+}
+
+impl Deployment {
+    /// Starts a model engine, a service and a router; `more` goes into the router's settings.
+    pub fn start(more: &str) -> Deployment {
+        let listen = ["--listen", "127.0.0.1:0"];
+        let engine_args = ["engine", "--name", "m1", "--slots", "4", "--token-ms", "5"];
+        let engine = Process::start("gentianhinge-standin", &[&engine_args[..], &listen].concat());
+        let service = Process::start("gentianhinge-standin", &[&["service"][..], &listen].concat());
+        let engine_addr = engine.addr("listening on ");
+        let service_addr = service.addr("listening on ");
+        let file = SettingsFile::new(&settings(engine_addr, service_addr, more));
+        let router = Process::start("gentianhinged", &[file.path()]);
+        let callers = router.addr("callers at ");
+        let operators = router.addr("operators at ");
+        Deployment {
+            router,
+            callers,
+            operators,
+            engine,
+            engine_addr,
+            service,
+            service_addr,
+            _settings: file,
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status of the answer.
+    pub status: u16,
+    /// Headers of the answer.
+    pub headers: http::HeaderMap,
+    /// The whole body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Number of the result code in the answer's header.
+    pub fn result(&self) -> u16 {
+        let value = self.headers.get("gentianhinge-result").expect("every answer has a result");
+        value.to_str().unwrap().parse().unwrap()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    /// Whether the request ran, as the error body tells.
+    pub fn ran(&self) -> String {
+        self.json()["error"]["ran"].as_str().unwrap().to_string()
+    }
+}
+
+/// Client for tests.
+pub type Client = legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>;
+
+/// Creates a client.
+pub fn client() -> Client {
+    legacy::Client::builder(rt::TokioExecutor::new()).build_http()
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn send(
+    method: &str,
+    addr: net::SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut request = http::Request::builder().method(method).uri(format!("http://{addr}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::from(body.to_string())).unwrap();
+    let answer = client().request(request).await.unwrap();
+    let (parts, body) = answer.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    }
+}
+
+/// Sends a chat request of the team `lanes`.
+pub async fn chat(addr: net::SocketAddr, stream: bool, max_tokens: u32) -> Answer {
+    let auth = format!("Bearer {LANES_KEY}");
+    let body = serde_json::json!({
+        "model": "assistant",
+        "stream": stream,
+        "max_tokens": max_tokens,
+        "messages": [{"role": "user", "content": "Which lanes are open?"}],
+    });
+    let headers = [("authorization", auth.as_str())];
+    send("POST", addr, "/v1/chat/completions", &headers, &body.to_string()).await
+}
+
+/// Numbers of the tokens in a streamed answer, in order.
+pub fn token_ids(body: &str) -> Vec<u64> {
+    body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+}
