--- /dev/null
+++ b/standin/src/args.rs
@@ -0,0 +1,158 @@
+//! Command line of the program.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use gentianhinge_standin::{engine, service};
+
+/// The program's command.
+pub(crate) fn command() -> Command {
+    Command::new("gentianhinge-standin")
+        .about("Stand-ins for targets, platform and callers of gentianhinge; development only")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(engine_command())
+        .subcommand(service_command())
+}
+
+/// An option whose default is shown in the help.
+pub(crate) fn option(name: &'static str, help: &'static str, default: impl ToString) -> Arg {
+    Arg::new(name).long(name).help(help).default_value(default.to_string())
+}
+
+/// Value of an option that has a default.
+pub(crate) fn get<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches.get_one::<T>(name).cloned().expect("option has a default")
+}
+
+fn listen() -> Arg {
+    option("listen", "IP address and port; port 0 takes a free one", "127.0.0.1:0")
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn engine_command() -> Command {
+    let config = engine::Config::default();
+    let u64s = value_parser!(u64);
+    let floats = value_parser!(f64);
+    Command::new("engine")
+        .about("Model engine: continuous batching, prefix cache, resumable streams")
+        .arg(listen())
+        .arg(option("name", "Name of the model", config.model))
+        .arg(
+            option("slots", "Most streams in the batch", config.max_running_count)
+                .value_parser(value_parser!(usize)),
+        )
+        .arg(
+            option(
+                "max-waiting",
+                "Most requests that wait for the batch",
+                config.max_waiting_count,
+            )
+            .value_parser(value_parser!(usize)),
+        )
+        .arg(
+            option("token-ms", "Time of one step; 0 answers at once", config.token_ms)
+                .value_parser(floats),
+        )
+        .arg(
+            option(
+                "batch-growth",
+                "Growth of the step's time for each further stream",
+                config.batch_growth_ratio,
+            )
+            .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            option(
+                "prefill-token-ms",
+                "Time to read one prompt token that isn't cached",
+                config.prefill_token_ms,
+            )
+            .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            option("cache-blocks", "Blocks that the prefix cache holds", config.max_cached_blocks)
+                .value_parser(value_parser!(usize)),
+        )
+        .arg(option("load-lag-ms", "Age of the load report", config.load_lag_ms).value_parser(u64s))
+        .arg(
+            option("event-lag-ms", "Delay of a cache event", config.cache_event_lag_ms)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option(
+                "event-loss",
+                "Share of cache events that are lost",
+                config.cache_event_loss_ratio,
+            )
+            .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            option(
+                "resume-window-ms",
+                "Time for which an unread stream goes on",
+                config.resume_window_ms,
+            )
+            .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option(
+                "default-max-tokens",
+                "Greatest answer for requests that state none",
+                config.default_max_tokens,
+            )
+            .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            option("seed", "Seed of the lost cache events", config.seed)
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+/// Configuration of an engine from its options.
+pub(crate) fn engine_config(matches: &ArgMatches) -> engine::Config {
+    engine::Config {
+        listen: get(matches, "listen"),
+        model: get(matches, "name"),
+        max_running_count: get(matches, "slots"),
+        max_waiting_count: get(matches, "max-waiting"),
+        token_ms: get(matches, "token-ms"),
+        batch_growth_ratio: get(matches, "batch-growth"),
+        prefill_token_ms: get(matches, "prefill-token-ms"),
+        max_cached_blocks: get(matches, "cache-blocks"),
+        load_lag_ms: get(matches, "load-lag-ms"),
+        cache_event_lag_ms: get(matches, "event-lag-ms"),
+        cache_event_loss_ratio: get(matches, "event-loss"),
+        resume_window_ms: get(matches, "resume-window-ms"),
+        default_max_tokens: get(matches, "default-max-tokens"),
+        seed: get(matches, "seed"),
+    }
+}
+
+fn service_command() -> Command {
+    let config = service::Config::default();
+    Command::new("service")
+        .about("Plain service that counts its effects")
+        .arg(listen())
+        .arg(
+            option("latency-ms", "Time that each call takes", config.latency_ms)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option(
+                "slots",
+                "Calls in progress that the load report states as the most",
+                config.max_running_count,
+            )
+            .value_parser(value_parser!(usize)),
+        )
+}
+
+/// Configuration of a service from its options.
+pub(crate) fn service_config(matches: &ArgMatches) -> service::Config {
+    service::Config {
+        listen: get(matches, "listen"),
+        latency_ms: get(matches, "latency-ms"),
+        max_running_count: get(matches, "slots"),
+    }
+}
--- /dev/null
+++ b/standin/src/engine/api.rs
@@ -0,0 +1,241 @@
+//! Bodies of the model API.
+
+use std::fmt::Write;
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A request of the model API, as far as the engine looks at it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Completion {
+    /// Name of the model.
+    pub model: String,
+    /// Messages of a chat.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub messages: Vec<Message>,
+    /// Prompt of a plain completion.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prompt: Option<String>,
+    /// Most tokens of the answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+    /// Newer name of `max_tokens`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_completion_tokens: Option<u32>,
+    /// Whether the answer comes as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Tag of the answer's tokens; `t` if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub user: Option<String>,
+    /// Length of the answer, unless `max_tokens` is smaller.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub standin_tokens: Option<u32>,
+    /// Whether each token's event says when it was sent, as `standin_sent_us`.
+    #[serde(default)]
+    pub standin_timing: bool,
+}
+
+/// One message of a chat.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+/// Tokens of one request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+    /// Both together.
+    pub total_tokens: u32,
+    /// Tokens of the prompt that the prefix cache held.
+    pub cached_tokens: u32,
+}
+
+impl Completion {
+    /// Text that the prefix hashes cover.
+    pub fn prompt_text(&self) -> String {
+        let mut text = String::new();
+        for message in &self.messages {
+            text.push_str(&message.role);
+            text.push('\n');
+            text.push_str(&message.content);
+            text.push('\n');
+        }
+        text.push_str(self.prompt.as_deref().unwrap_or_default());
+        text
+    }
+
+    /// Length of the answer, and whether `max_tokens` cuts it off.
+    ///
+    /// A request that states no length gets one that depends on its prompt alone.
+    pub(super) fn answer_length(&self, prompt: &str, default_max_tokens: u32) -> (u32, bool) {
+        let limit = self.max_completion_tokens.or(self.max_tokens);
+        let wanted = match (self.standin_tokens, limit) {
+            (Some(wanted), _) => wanted,
+            (None, Some(limit)) => limit,
+            (None, None) => {
+                let hash = blake3::hash(prompt.as_bytes());
+                let head = u16::from_be_bytes([hash.as_bytes()[0], hash.as_bytes()[1]]);
+                1 + u32::from(head) % default_max_tokens.max(1)
+            }
+        };
+        let length = wanted.min(limit.unwrap_or(u32::MAX)).max(1);
+        (length, length < wanted)
+    }
+}
+
+/// Tokens of a prompt.
+pub(super) fn prompt_tokens(prompt: &[u8]) -> u32 {
+    u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+}
+
+/// Which of the two calls was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    Chat,
+    Text,
+}
+
+/// Writes one answer in the model API's form.
+#[derive(Clone, Debug)]
+pub(super) struct Writer {
+    kind: Kind,
+    id: String,
+    created_s: u64,
+    /// Model's name as a JSON string.
+    model_json: String,
+    /// Tag's text, escaped for use inside a JSON string.
+    tag_json: String,
+    was_cut: bool,
+    has_timing: bool,
+}
+
+impl Writer {
+    pub(super) fn new(
+        kind: Kind,
+        id: String,
+        created_s: u64,
+        request: &Completion,
+        was_cut: bool,
+    ) -> Writer {
+        let tag = request.user.as_deref().map_or("t".to_owned(), |user| format!("{user}:"));
+        let tag_json = json_string(&tag);
+        Writer {
+            kind,
+            id,
+            created_s,
+            model_json: json_string(&request.model),
+            tag_json: tag_json[1..tag_json.len() - 1].to_owned(),
+            was_cut,
+            has_timing: request.standin_timing,
+        }
+    }
+
+    fn finish_reason(&self) -> &'static str {
+        if self.was_cut { "length" } else { "stop" }
+    }
+
+    fn head(&self, out: &mut String, object: &str) {
+        let Writer { id, created_s, model_json, .. } = self;
+        let _ = write!(
+            out,
+            r#"{{"id":"{id}","object":"{object}","created":{created_s},"model":{model_json},"#
+        );
+    }
+
+    fn chunk_object(&self) -> &'static str {
+        match self.kind {
+            Kind::Chat => "chat.completion.chunk",
+            Kind::Text => "text_completion",
+        }
+    }
+
+    /// Appends the event of the n-th token, counted from 1.
+    pub(super) fn token_event(&self, out: &mut String, n: u32) {
+        let tag = &self.tag_json;
+        let _ = write!(out, "id: {n}\ndata: ");
+        self.head(out, self.chunk_object());
+        if self.has_timing {
+            let _ = write!(out, r#""standin_sent_us":{},"#, unix_time().as_micros());
+        }
+        let _ = match self.kind {
+            Kind::Chat => write!(
+                out,
+                r#""choices":[{{"index":0,"delta":{{"content":"{tag}{n} "}},"finish_reason":null}}]}}"#
+            ),
+            Kind::Text => write!(
+                out,
+                r#""choices":[{{"index":0,"text":"{tag}{n} ","finish_reason":null}}]}}"#
+            ),
+        };
+        out.push_str("\n\n");
+    }
+
+    /// Appends the events that end a stream.
+    pub(super) fn end_events(&self, out: &mut String, usage: &Usage) {
+        out.push_str("data: ");
+        self.head(out, self.chunk_object());
+        let reason = self.finish_reason();
+        let _ = match self.kind {
+            Kind::Chat => {
+                write!(out, r#""choices":[{{"index":0,"delta":{{}},"finish_reason":"{reason}"}}],"#)
+            }
+            Kind::Text => {
+                write!(out, r#""choices":[{{"index":0,"text":"","finish_reason":"{reason}"}}],"#)
+            }
+        };
+        push_usage(out, usage);
+        out.push_str("}\n\ndata: [DONE]\n\n");
+    }
+
+    /// The whole answer, not streamed.
+    pub(super) fn whole(&self, usage: &Usage) -> String {
+        let mut out = String::with_capacity(512 + usage.completion_tokens as usize * 8);
+        let tag = &self.tag_json;
+        let reason = self.finish_reason();
+        let object = match self.kind {
+            Kind::Chat => "chat.completion",
+            Kind::Text => "text_completion",
+        };
+        self.head(&mut out, object);
+        out.push_str(match self.kind {
+            Kind::Chat => r#""choices":[{"index":0,"message":{"role":"assistant","content":""#,
+            Kind::Text => r#""choices":[{"index":0,"text":""#,
+        });
+        for n in 1..=usage.completion_tokens {
+            let _ = write!(out, "{tag}{n} ");
+        }
+        out.push_str(if self.kind == Kind::Chat { "\"}" } else { "\"" });
+        let _ = write!(out, r#","finish_reason":"{reason}"}}],"#);
+        push_usage(&mut out, usage);
+        out.push('}');
+        out
+    }
+}
+
+fn push_usage(out: &mut String, usage: &Usage) {
+    let Usage { prompt_tokens, completion_tokens, total_tokens, cached_tokens } = usage;
+    let _ = write!(
+        out,
+        r#""usage":{{"prompt_tokens":{prompt_tokens},"completion_tokens":{completion_tokens},"total_tokens":{total_tokens},"cached_tokens":{cached_tokens}}}"#
+    );
+}
+
+/// Time since the Unix epoch.
+pub fn unix_time() -> Duration {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+fn json_string(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
--- /dev/null
+++ b/standin/src/engine/http.rs
@@ -0,0 +1,291 @@
+//! HTTP interface of the engine.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use serde::Deserialize;
+use tokio::sync::watch;
+use tokio::time;
+
+use super::Faults;
+use super::api::{Completion, Kind};
+use super::batch::{Engine, Progress, Refusal, Stream};
+
+/// Largest request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Time for which a broken stream's last tokens travel before the connection is cut.
+const BREAK_DELAY: Duration = Duration::from_millis(10);
+/// Time between two looks at whether a stall has ended.
+const STALL_POLL: Duration = Duration::from_millis(5);
+
+static STREAM_ID: HeaderName = HeaderName::from_static("stream-id");
+
+type Shared = State<Arc<Engine>>;
+
+pub(super) fn router(engine: Arc<Engine>) -> axum::Router {
+    axum::Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/completions", post(text))
+        .route("/v1/streams/{id}/resume", post(resume))
+        .route("/v1/streams/{id}", delete(cancel))
+        .route("/load", get(load))
+        .route("/cache/events", get(cache_events))
+        .route("/faults", get(show_faults).post(set_faults))
+        .route("/stats", get(stats))
+        .route("/stats/attempts", get(attempts))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(engine)
+}
+
+async fn chat(State(engine): Shared, headers: HeaderMap, body: Bytes) -> Response {
+    complete(engine, Kind::Chat, &headers, &body).await
+}
+
+async fn text(State(engine): Shared, headers: HeaderMap, body: Bytes) -> Response {
+    complete(engine, Kind::Text, &headers, &body).await
+}
+
+async fn complete(engine: Arc<Engine>, kind: Kind, headers: &HeaderMap, body: &[u8]) -> Response {
+    let request: Completion = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => return failure(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    wait_for_stall(&engine).await;
+    let attempt = headers.get("x-attempt-id").and_then(|id| id.to_str().ok());
+    let stream = match engine.submit(&request, kind, attempt) {
+        Ok(stream) => stream,
+        Err(refusal) => return refused(refusal),
+    };
+    if engine.is_instant() {
+        return instant_answer(&engine, &stream, request.stream).await;
+    }
+    stream.attach();
+    let reader = Reader::new(engine, stream, 0);
+    if request.stream { reader.into_response() } else { reader.whole().await }
+}
+
+async fn wait_for_stall(engine: &Engine) {
+    while engine.faults().stall {
+        time::sleep(STALL_POLL).await;
+    }
+}
+
+fn refused(refusal: Refusal) -> Response {
+    match refusal {
+        Refusal::WrongModel => failure(StatusCode::NOT_FOUND, "no such model"),
+        Refusal::QueueFull => failure(StatusCode::SERVICE_UNAVAILABLE, "queue is full"),
+        Refusal::Fault(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            failure(status, "fault")
+        }
+    }
+}
+
+fn failure(status: StatusCode, message: &str) -> Response {
+    (status, Json(serde_json::json!({"error": {"message": message}}))).into_response()
+}
+
+/// The whole answer in one write, for engines whose tokens take no time.
+async fn instant_answer(engine: &Engine, stream: &Stream, is_streamed: bool) -> Response {
+    let delay = engine.instant_delay(stream);
+    if delay >= Duration::from_millis(1) {
+        time::sleep(delay).await;
+    }
+    if !is_streamed {
+        return json_response(stream.writer.whole(&stream.usage));
+    }
+    let mut events = String::new();
+    for n in 1..=stream.usage.completion_tokens {
+        stream.writer.token_event(&mut events, n);
+    }
+    stream.writer.end_events(&mut events, &stream.usage);
+    stream_response(&stream.id, Body::from(events))
+}
+
+fn json_response(body: String) -> Response {
+    ([(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
+
+fn stream_response(id: &str, body: Body) -> Response {
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(STREAM_ID.clone(), id);
+    }
+    response
+}
+
+/// One connection's view of a stream.
+struct Reader {
+    engine: Arc<Engine>,
+    stream: Arc<Stream>,
+    progress: watch::Receiver<Progress>,
+    sent_tokens: u32,
+    /// Token after which the connection is cut.
+    break_after: Option<u32>,
+    is_done: bool,
+    cancels_on_drop: bool,
+}
+
+impl Reader {
+    fn new(engine: Arc<Engine>, stream: Arc<Stream>, offset: u32) -> Reader {
+        let progress = stream.watch();
+        let break_after = engine.take_break().map(|tokens| offset.saturating_add(tokens));
+        Reader {
+            engine,
+            stream,
+            progress,
+            sent_tokens: offset,
+            break_after,
+            is_done: false,
+            cancels_on_drop: false,
+        }
+    }
+
+    fn into_response(self) -> Response {
+        let id = self.stream.id.clone();
+        let events = futures_util::stream::unfold(self, Reader::next);
+        stream_response(&id, Body::from_stream(events))
+    }
+
+    async fn next(mut self) -> Option<(io::Result<String>, Reader)> {
+        if self.is_done {
+            return None;
+        }
+        let events = self.next_events().await;
+        self.is_done |= events.is_err();
+        Some((events, self))
+    }
+
+    async fn next_events(&mut self) -> io::Result<String> {
+        let total = self.stream.usage.completion_tokens;
+        if self.break_after.is_some_and(|after| self.sent_tokens >= after) {
+            time::sleep(BREAK_DELAY).await;
+            return Err(io::Error::other("stream is broken by a fault"));
+        }
+        let sent = self.sent_tokens;
+        let progress = self
+            .progress
+            .wait_for(|progress| {
+                progress.was_cancelled || progress.token_count > sent || sent >= total
+            })
+            .await
+            .map(|progress| *progress)
+            .map_err(io::Error::other)?;
+        if progress.was_cancelled {
+            return Err(io::Error::other("stream is cancelled"));
+        }
+        let mut until = progress.token_count.min(total);
+        if let Some(after) = self.break_after {
+            until = until.min(after.max(sent));
+        }
+        let mut events = String::with_capacity(512);
+        for n in sent + 1..=until {
+            self.stream.writer.token_event(&mut events, n);
+        }
+        self.sent_tokens = until.max(sent);
+        if self.sent_tokens >= total {
+            self.stream.writer.end_events(&mut events, &self.stream.usage);
+            self.is_done = true;
+        }
+        Ok(events)
+    }
+
+    /// Waits for the whole answer. A caller that leaves can't resume it, so it is cancelled.
+    async fn whole(mut self) -> Response {
+        self.cancels_on_drop = true;
+        let total = self.stream.usage.completion_tokens;
+        let progress = self
+            .progress
+            .wait_for(|progress| progress.was_cancelled || progress.token_count >= total)
+            .await
+            .map(|progress| *progress);
+        self.cancels_on_drop = false;
+        match progress {
+            Ok(progress) if !progress.was_cancelled => {
+                json_response(self.stream.writer.whole(&self.stream.usage))
+            }
+            _ => failure(StatusCode::INTERNAL_SERVER_ERROR, "stream is cancelled"),
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.stream.detach();
+        if self.cancels_on_drop {
+            self.engine.cancel(&self.stream.id);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ResumeQuery {
+    #[serde(default)]
+    offset: u32,
+}
+
+async fn resume(
+    State(engine): Shared,
+    Path(id): Path<String>,
+    Query(query): Query<ResumeQuery>,
+) -> Response {
+    wait_for_stall(&engine).await;
+    match engine.resume(&id) {
+        Some(stream) if query.offset <= stream.watch().borrow().token_count => {
+            Reader::new(engine, stream, query.offset).into_response()
+        }
+        Some(stream) => {
+            stream.detach();
+            failure(StatusCode::RANGE_NOT_SATISFIABLE, "no token has this number yet")
+        }
+        None => failure(StatusCode::NOT_FOUND, "no such stream"),
+    }
+}
+
+async fn cancel(State(engine): Shared, Path(id): Path<String>) -> Response {
+    if engine.cancel(&id) {
+        StatusCode::NO_CONTENT.into_response()
+    } else {
+        failure(StatusCode::NOT_FOUND, "no such stream")
+    }
+}
+
+async fn load(State(engine): Shared) -> Response {
+    Json(engine.load()).into_response()
+}
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn cache_events(State(engine): Shared, Query(query): Query<EventsQuery>) -> Response {
+    Json(engine.cache_events(query.from)).into_response()
+}
+
+async fn show_faults(State(engine): Shared) -> Response {
+    Json(engine.faults()).into_response()
+}
+
+async fn set_faults(State(engine): Shared, Json(faults): Json<Faults>) -> Response {
+    engine.set_faults(faults.clone());
+    Json(faults).into_response()
+}
+
+async fn stats(State(engine): Shared) -> Response {
+    Json(engine.stats()).into_response()
+}
+
+async fn attempts(State(engine): Shared) -> Response {
+    Json(engine.attempts()).into_response()
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,2 +1,51 @@
-//! x
-fn main() {}
+//! Starts a stand-in as a process of its own.
+//!
+//! The first line on standard output is `listening on ADDR`.
+
+mod args;
+
+use std::future;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use gentianhinge_standin::{engine, service};
+
+fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    match runtime.block_on(run(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("gentianhinge-standin: {error}");
+    ExitCode::FAILURE
+}
+
+async fn run(matches: &ArgMatches) -> io::Result<()> {
+    match matches.subcommand() {
+        Some(("engine", options)) => {
+            let handle = engine::spawn(args::engine_config(options)).await?;
+            serve_forever(handle.addr()).await
+        }
+        Some(("service", options)) => {
+            let handle = service::spawn(args::service_config(options)).await?;
+            serve_forever(handle.addr()).await
+        }
+        _ => Ok(()),
+    }
+}
+
+async fn serve_forever(addr: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout();
+    writeln!(out, "listening on {addr}")?;
+    out.flush()?;
+    future::pending().await
+}
--- /dev/null
+++ b/standin/src/server.rs
@@ -0,0 +1,123 @@
+//! An HTTP server that can be dropped with all its connections.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::response::Response;
+use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time;
+
+/// A running server. Dropping it closes the listener and cuts every connection.
+#[derive(Debug)]
+pub struct Handle {
+    addr: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Handle {
+    /// Address on which the server listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes the listener and cuts every connection.
+    pub fn shutdown(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
+
+/// Marks a response that isn't sent: the connection is cut in its place.
+#[derive(Clone, Copy, Debug)]
+struct Cut;
+
+/// A response in whose place the connection is cut.
+pub fn cut_connection() -> Response {
+    let mut response = Response::default();
+    response.extensions_mut().insert(Cut);
+    response
+}
+
+/// Whether new connections are closed before anything is read from them.
+#[derive(Debug, Default)]
+pub struct Gate {
+    closed_until: Mutex<Option<time::Instant>>,
+}
+
+impl Gate {
+    /// Closes the gate for a while; zero opens it.
+    pub fn close_for(&self, duration: Duration) {
+        let until = time::Instant::now() + duration;
+        *self.closed_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    fn is_closed(&self) -> bool {
+        let until = *self.closed_until.lock().unwrap_or_else(PoisonError::into_inner);
+        until.is_some_and(|until| time::Instant::now() < until)
+    }
+}
+
+/// Serves `router` on `listen`.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn spawn(
+    listen: SocketAddr,
+    router: axum::Router,
+    gate: Arc<Gate>,
+) -> io::Result<Handle> {
+    let listener = TcpListener::bind(listen).await?;
+    let addr = listener.local_addr()?;
+    let task = tokio::spawn(accept(listener, router, gate)).abort_handle();
+    Ok(Handle { addr, task })
+}
+
+/// Owns the connections, so that aborting this task cuts them.
+async fn accept(listener: TcpListener, router: axum::Router, gate: Arc<Gate>) -> Infallible {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if !gate.is_closed() => {
+                    connections.spawn(serve(stream, router.clone()));
+                }
+                Ok(_) => {}
+                // Out of descriptors: give connections time to close.
+                Err(_) => time::sleep(Duration::from_millis(10)).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, router: axum::Router) {
+    // Tokens are small writes; coalescing them would distort their timing.
+    let _ = stream.set_nodelay(true);
+    let router = TowerToHyperService::new(router);
+    let service = hyper::service::service_fn(move |request| {
+        let answer = router.call(request);
+        async move {
+            let Ok(response) = answer.await;
+            if response.extensions().get::<Cut>().is_some() {
+                return Err(io::Error::other("connection is cut by a fault"));
+            }
+            Ok(response)
+        }
+    });
+    // An error here is a peer that left, or a fault that cut the connection on purpose.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
