Settings: checks beyond the schema, examples, table records, gentianhinge check

Now all mistakes are reported at once, each with line and key; testdata/settings holds nine texts with their mistakes. Two whole examples (20 model targets, 3 service targets, 16 teams).

--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,33 @@
+//! The operators' tool: checks settings and edits the fleet's table.
+//!
+//! ```
+//! let args = ["gentianhinge", "check", "no-such-file"].map(Into::into).to_vec();
+//! assert_eq!(gentianhinge::run(args), gentianhinge::exit::Exit::Unreadable);
+//! ```
+//!
+//! # Exit codes
+//!
+//! Each way to fail has its own code; see [`exit::Exit`].
+
+use std::ffi;
+
+pub mod check;
+pub mod command;
+pub mod exit;
+pub mod hash;
+
+/// Runs the command line and returns how it went.
+pub fn run(args: Vec<ffi::OsString>) -> exit::Exit {
+    let matches = match command::command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(err) => {
+            let _ = err.print();
+            return if err.use_stderr() { exit::Exit::Usage } else { exit::Exit::Ok };
+        }
+    };
+    match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("key-hash", _)) => hash::run(),
+        _ => exit::Exit::Usage,
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,2 +1,9 @@
-//! CLI.
-fn main() {}
+//! The operators' command line.
+
+use std::env;
+use std::process;
+
+fn main() -> process::ExitCode {
+    let args = env::args_os().collect();
+    gentianhinge::run(args).into()
+}
--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -1,10 +1,20 @@
-//! The operators' table: teams' weights and limits, and the price list.
+//! The operators' table: teams' weights and limits, the price list, and targets' policy.
+//!
+//! # Layout
+//!
+//! - [`row`] takes the table apart into rows, each with a key and a version.
+//! - [`record`] holds what the log's stream `config` is made of: edits and snapshots.
+//! - [`replica`] applies these records in offset order, the same way in every router.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::Name;
 
+pub mod record;
+pub mod replica;
+pub mod row;
+
 /// Length of a key's hash in bytes.
 pub const KEY_HASH_BYTES: usize = 32;
 
@@ -61,6 +71,15 @@
     pub max_wait: Duration,
 }
 
+/// What operators say about one target.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TargetPolicy {
+    /// Whether the target gets no new work.
+    pub is_leaving: bool,
+    /// Most requests in progress at once, if other than in the settings.
+    pub max_slots: Option<u32>,
+}
+
 /// The whole table.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Table {
@@ -70,6 +89,10 @@
     pub classes: BTreeMap<Name, Class>,
     /// Hashes of the operators' keys.
     pub operator_key_hashes: Vec<KeyHash>,
+    /// Class of requests that name none; see [`Table::default_class`].
+    pub default_class: Option<Name>,
+    /// Policy by target; a target without a line has none.
+    pub targets: BTreeMap<Name, TargetPolicy>,
 }
 
 impl Table {
@@ -82,4 +105,20 @@
     pub fn price_ratio(&self, class: &str) -> f64 {
         self.classes.get(class).map_or(1.0, |line| line.price_ratio)
     }
+
+    /// Class of requests that name none: the one set, or else the first by name.
+    pub fn default_class(&self) -> Option<&Name> {
+        let set = self.default_class.as_ref().filter(|class| self.classes.contains_key(*class));
+        set.or_else(|| self.classes.keys().next())
+    }
+
+    /// Team with a key of this hash; the first by name if several have it.
+    pub fn team_of_key(&self, hash: &KeyHash) -> Option<&Team> {
+        self.teams.values().find(|team| team.key_hashes.contains(hash))
+    }
+
+    /// Whether an operator has a key of this hash.
+    pub fn is_operator_key(&self, hash: &KeyHash) -> bool {
+        self.operator_key_hashes.contains(hash)
+    }
 }
--- a/wire/generator/src/main.rs
+++ b/wire/generator/src/main.rs
@@ -6,12 +6,13 @@
 
 const SCHEMA_DIR: &str = "schema";
 const OUT_DIR: &str = "src/generated";
-const BOUNDS: [&str; 6] =
-    ["minLength", "maxLength", "minimum", "maximum", "exclusiveMinimum", "minItems"];
+const BOUNDS: [&str; 7] =
+    ["minLength", "maxLength", "minimum", "maximum", "exclusiveMinimum", "minItems", "maxItems"];
 
 fn main() -> Result<(), Box<dyn error::Error>> {
     generate_messages()?;
-    generate_settings()
+    generate_json("settings")?;
+    generate_json("record")
 }
 
 /// Generates one module for each Cap'n Proto schema.
@@ -29,16 +30,16 @@
     Ok(())
 }
 
-/// Generates the settings' types from their JSON schema.
-fn generate_settings() -> Result<(), Box<dyn error::Error>> {
-    let text = fs::read_to_string(path::Path::new(SCHEMA_DIR).join("settings.schema.json"))?;
+/// Generates the types of one JSON schema.
+fn generate_json(name: &str) -> Result<(), Box<dyn error::Error>> {
+    let text = fs::read_to_string(path::Path::new(SCHEMA_DIR).join(format!("{name}.schema.json")))?;
     let mut json = serde_json::from_str::<serde_json::Value>(&text)?;
     strip_bounds(&mut json);
     let schema = serde_json::from_value::<schemars::schema::RootSchema>(json)?;
     let mut space = typify::TypeSpace::new(typify::TypeSpaceSettings::default().with_struct_builder(false));
     space.add_root_schema(schema)?;
     let code = prettyplease::unparse(&syn::parse2(space.to_stream())?);
-    fs::write(path::Path::new(OUT_DIR).join("settings.rs"), code)?;
+    fs::write(path::Path::new(OUT_DIR).join(format!("{name}.rs")), code)?;
     Ok(())
 }
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! `schema/` holds the schemas, `src/generated/` what `regenerate.sh` makes of them. The generated
 //! code is committed, so that a build needs no generator.
 
+pub mod record;
 pub mod settings;
 
 /// Code generated from the schemas; not edited by hand.
@@ -17,6 +18,7 @@
 #[rustfmt::skip]
 pub mod generated {
     pub mod peer_capnp;
+    pub mod record;
     pub mod settings;
 }
 
--- /dev/null
+++ b/wire/tests/settings.rs
@@ -0,0 +1,106 @@
+//! Settings texts and the mistakes that they hold.
+
+use std::fs;
+use std::path;
+
+use gentianhinge_wire::{record, settings};
+
+/// Reads a file below the workspace's root.
+fn read(name: &str) -> String {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    fs::read_to_string(root.join(name)).unwrap()
+}
+
+fn mistakes_of(text: &str) -> String {
+    let mistakes = settings::parse(text).err().unwrap_or_default();
+    mistakes.iter().map(|mistake| format!("{mistake}\n")).collect()
+}
+
+fn many_unknown_keys() -> String {
+    let keys = (0..100_000).map(|i| format!("\"k{i}\": 1,\n")).collect::<String>();
+    format!("{{{keys}}}")
+}
+
+/// Names a case of `testdata/settings`: the text and, in a file next to it, all its mistakes.
+macro_rules! mistakes {
+    ($($case:ident: $file:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let text = read(concat!("testdata/settings/", $file, ".jsonc"));
+            let expected = read(concat!("testdata/settings/", $file, ".mistakes"));
+            assert_eq!(mistakes_of(&text), expected);
+        }
+    )*};
+}
+
+mistakes! {
+    smallest_text_has_no_mistake: "smallest";
+    types_bounds_and_keys: "types-and-keys";
+    addresses: "addresses";
+    names: "names";
+    table: "table";
+    missing_comma: "missing-comma";
+    cut_off: "cut-off";
+    empty: "empty";
+    other_dialect: "other-dialect";
+}
+
+/// Names an example that is whole: 20 targets of one model, 3 of one service, 16 teams.
+macro_rules! examples {
+    ($($case:ident: $file:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let settings = settings::parse(&read($file)).unwrap();
+            assert_eq!(settings.models[0].targets.len(), 20);
+            assert_eq!(settings.services[0].targets.len(), 3);
+            assert!(settings.services[0].routes.iter().any(|route| !route.repeatable));
+            let table = record::table_of_settings(&settings);
+            assert_eq!(table.teams.len(), 16);
+            assert_eq!(table.classes.len(), 3);
+            assert_eq!(table.operator_key_hashes.len(), 1);
+            assert_eq!(table.default_class().unwrap().as_ref(), settings.table.classes[0].name);
+        }
+    )*};
+}
+
+examples! {
+    quebec_example_is_whole: "examples/quebec.jsonc";
+    dakar_example_is_whole: "examples/dakar.jsonc";
+}
+
+/// Names a hostile text that must be refused without harm.
+macro_rules! hostile {
+    ($($case:ident: $text:expr, $message:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let mistakes = mistakes_of(&String::from($text));
+            assert!(mistakes.contains($message), "{}", &mistakes[..mistakes.len().min(500)]);
+            assert!(mistakes.len() < 1 << 20, "{} bytes of mistakes", mistakes.len());
+        }
+    )*};
+}
+
+hostile! {
+    deep_arrays: "[".repeat(1 << 20), "Maximum nesting depth exceeded";
+    deep_objects: "{\"a\":".repeat(1 << 20), "Maximum nesting depth exceeded";
+    deepest_that_is_parsed: format!("{}{}", "[".repeat(500), "]".repeat(500)), "line 1";
+    too_long: " ".repeat(settings::MAX_SETTINGS_BYTES + 1), "longer than";
+    long_string: format!("{{\"router\": \"{}\"}}", "x".repeat(1 << 20)), "is not of type";
+    many_mistakes: many_unknown_keys(), "unknown key";
+    not_text: "\u{0}\u{feff}{", "line 1";
+}
+
+#[test]
+fn cuts_of_an_example_never_panic() {
+    let text = read("examples/quebec.jsonc");
+    let mut at = 0;
+    while at < text.len() {
+        if text.is_char_boundary(at) {
+            let (before, after) = text.split_at(at);
+            assert!(settings::parse(before).is_err());
+            let rest = after.char_indices().nth(7).map_or("", |(skip, _)| &after[skip..]);
+            let _ = settings::parse(&format!("{before}{rest}"));
+        }
+        at += 97;
+    }
+}
