--- a/core/src/table/replica.rs
+++ b/core/src/table/replica.rs
@@ -280,9 +280,8 @@
     fn try_snapshot(&mut self, snapshot: Snapshot) {
         let Some(gap) = self.gap.as_ref() else { return };
         let as_of = snapshot.as_of_offset;
-        let is_whole = as_of >= gap.start_offset && as_of < gap.end_offset();
-        let is_forward = self.base.as_ref().is_none_or(|base| as_of > base.next_offset);
-        if is_whole && is_forward {
+        // A gap starts behind the base, so a snapshot that closes it is further than the base.
+        if as_of >= gap.start_offset && as_of < gap.end_offset() {
             self.counts.taken_snapshots += 1;
             self.rebase(snapshot);
             self.close_gap();
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -1,11 +1,10 @@
 //! Settings turned into the types that the router works with.
 
 use std::net;
-use std::sync;
 use std::time::Duration;
 
+use gentianhinge_core::dispatch;
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::{dispatch, table};
 use gentianhinge_wire::settings;
 
 /// A model or a plain service, with its targets.
@@ -97,50 +96,3 @@
     let addr = target.addr.parse().map_err(|_| target.addr.clone())?;
     Ok(Target { spec, addr })
 }
-
-/// The table that is in force until the log holds another.
-///
-/// # Errors
-///
-/// The text of the first key hash that isn't hexadecimal.
-pub fn table(settings: &settings::TableSettings) -> Result<sync::Arc<table::Table>, String> {
-    let teams = settings.teams.iter().map(|row| team(row).map(|team| (team.name.clone(), team)));
-    let classes = settings.classes.iter().map(|line| {
-        let class = table::Class {
-            name: line.name.as_str().into(),
-            price_ratio: line.price_ratio,
-            max_wait: Duration::from_millis(line.max_wait_ms),
-        };
-        (class.name.clone(), class)
-    });
-    let operator_keys = settings.operator_key_hashes.iter().map(|text| key_hash(text));
-    Ok(sync::Arc::new(table::Table {
-        teams: teams.collect::<Result<_, _>>()?,
-        classes: classes.collect(),
-        operator_key_hashes: operator_keys.collect::<Result<_, _>>()?,
-    }))
-}
-
-fn team(row: &settings::Team) -> Result<table::Team, String> {
-    Ok(table::Team {
-        name: row.name.as_str().into(),
-        weight: row.weight,
-        key_hashes: row.key_hashes.iter().map(|text| key_hash(text)).collect::<Result<_, _>>()?,
-        classes: row.classes.iter().map(|class| class.as_str().into()).collect(),
-        limits: table::Limits {
-            max_concurrent_requests: limit(row.max_concurrent_requests),
-            max_tokens_per_s: limit(row.max_tokens_per_s),
-            max_waiting_requests: row.max_waiting_requests,
-            max_waiting_bytes: row.max_waiting_bytes,
-        },
-    })
-}
-
-/// Settings write "no limit" as 0.
-fn limit(value: u32) -> Option<u32> {
-    (value > 0).then_some(value)
-}
-
-fn key_hash(text: &str) -> Result<table::KeyHash, String> {
-    blake3::Hash::from_hex(text).map(table::KeyHash::from).map_err(|_| text.to_string())
-}
--- a/daemon/src/directory.rs
+++ b/daemon/src/directory.rs
@@ -46,7 +46,7 @@
         Directory {
             keys,
             operator_keys: table.operator_key_hashes.clone(),
-            default_class: default_class(table),
+            default_class: table.default_class().cloned(),
             classes: table.classes.keys().cloned().collect(),
         }
     }
@@ -98,10 +98,3 @@
     });
     TeamEntry { name: team.name.clone(), flows: flows.collect() }
 }
-
-/// The dearest class: a caller who names none hasn't offered to wait.
-fn default_class(table: &table::Table) -> Option<Name> {
-    let classes = table.classes.values();
-    let dearest = classes.max_by(|a, b| a.price_ratio.total_cmp(&b.price_ratio));
-    dearest.map(|class| class.name.clone())
-}
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::ids::RouterId;
-use gentianhinge_wire::settings;
+use gentianhinge_wire::{record, settings};
 use quick_error::quick_error;
 use tokio::runtime;
 use tokio::sync as tokio_sync;
@@ -119,7 +119,7 @@
 /// threads.
 pub fn start(settings: settings::Settings) -> Result<Server, StartError> {
     let pools = config::pools(&settings).map_err(StartError::Settings)?;
-    let table = config::table(&settings.table).map_err(StartError::Settings)?;
+    let table = sync::Arc::new(record::table_of_settings(&settings.table));
     let callers = bind(&settings.listen.callers_addr)?;
     let operators = bind(&settings.listen.operators_addr)?;
     let callers_addr = local_addr(&callers)?;
--- a/wire/src/record.rs
+++ b/wire/src/record.rs
@@ -3,6 +3,7 @@
 //! Types of the core don't follow the log's format: the generated types stand at the border, and
 //! this module converts between the two.
 
+use std::collections::BTreeMap;
 use std::sync;
 use std::time::Duration;
 
@@ -207,11 +208,10 @@
 /// use gentianhinge_wire::{record, settings};
 ///
 /// let text = include_str!("../../examples/quebec.jsonc");
-/// let table = record::table_of_settings(&settings::parse(text).unwrap());
+/// let table = record::table_of_settings(&settings::parse(text).unwrap().table);
 /// assert_eq!(table.default_class().unwrap().as_ref(), "now");
 /// ```
-pub fn table_of_settings(settings: &settings::Settings) -> Table {
-    let source = &settings.table;
+pub fn table_of_settings(source: &settings::TableSettings) -> Table {
     let decode = settings::check::decode_key_hash;
     let hashes = |texts: &[String]| texts.iter().filter_map(|text| decode(text)).collect();
     let classes = source.classes.iter().map(|class| Class {
@@ -236,6 +236,6 @@
         default_class: source.classes.first().map(|class| class.name.as_str().into()),
         classes: classes.map(|class| (class.name.clone(), class)).collect(),
         operator_key_hashes: hashes(&source.operator_key_hashes),
-        targets: std::collections::BTreeMap::new(),
+        targets: BTreeMap::new(),
     }
 }
