--- a/wire/src/settings/check.rs
+++ b/wire/src/settings/check.rs
@@ -177,9 +177,11 @@
     }
 
     fn targets(&mut self) {
-        let (mut names, mut addrs) = (Vec::new(), Vec::new());
+        let mut names = Vec::new();
         let backends = [self.items("/models"), self.items("/services")].concat();
         for (backend, _) in backends {
+            // One process may serve several services, but within one its slots would count twice.
+            let mut addrs = Vec::new();
             for (pointer, _) in self.items(&format!("{backend}/targets")) {
                 names.extend(self.name(format!("{pointer}/name")));
                 self.name(format!("{pointer}/zone"));
@@ -187,9 +189,9 @@
                 let addr = self.addr(&at, false);
                 addrs.extend(addr.map(|addr| (at, addr.to_string())));
             }
+            self.unique("address", addrs);
         }
         self.unique("target", names);
-        self.unique("address", addrs);
     }
 
     fn routes(&mut self) {
