Add membership by probes, and cells with rendezvous for roles

Cause: routers need to agree on who lives and who holds a role, without a coordination service. Membership is a state machine after SWIM: a shuffled round of probes, indirect probes, suspicion, refutation by version within an incarnation, news with bounded bytes per datagram, pages for those who join. Cells are filled by rendezvous in hash order; a role goes to the greatest hash.

Tried: believing deaths that others tell took over the other group's dead after a rejoin (two_groups_meet_again); now the member is probed at once and told the claim.

Shown to fail first, one mutation each: belief in told deaths (two_groups_meet_again); no excuse after a pause (a_paused_router_blames_nobody); dead ones taken on by those who didn't know them (the_dead_are_forgotten); one pass only (all_routers_find_each_other); no indirect probes (probes_through_others...); old claims accepted (a_replayed_datagram...); no refutation (a_suspected_router_refutes); lesser incarnation of a leaving target accepted (a_leaving_target_is_known...); no bound on a cell (every_target_is_in_one_cell...); no order of filling (the_order_of_the_list_doesnt_matter).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,11 +18,13 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod cell;
 pub mod code;
 pub mod dispatch;
 pub mod estimate;
 pub mod fair;
 pub mod ids;
+pub mod membership;
 pub mod message;
 pub mod router;
 pub mod table;
