--- /dev/null
+++ b/bench/src/fleet.rs
@@ -0,0 +1,466 @@
+//! Routers, dispatchers and targets on a synthetic clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_core::ids::{Flow, Name, RequestId, RouterId};
+use gentianhinge_core::message::{GrantBatch, Report};
+use gentianhinge_core::{dispatch, router, table};
+use tokio::time;
+
+use crate::engine;
+use crate::settings::{Policy, Settings};
+use crate::size;
+use crate::stats::{self, Gap, Outcome};
+use crate::workload::Workload;
+
+/// Time between samples of the gap.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait of a new dispatcher for its routers.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Longest wait of a request; beyond any run, so that none expires.
+const MAX_WAIT: Duration = Duration::from_secs(1 << 20);
+
+enum Event {
+    Report(usize, Box<Report>),
+    Grants(usize, Box<GrantBatch>),
+    Finish(u64),
+    Wake(usize),
+    Sample,
+}
+
+struct Request {
+    team: usize,
+    router: usize,
+    target: usize,
+    cost: f64,
+    started_at: Option<time::Instant>,
+}
+
+#[derive(Default)]
+struct Control {
+    message_count: u64,
+    bytes: u64,
+    router_time: Duration,
+    dispatcher_time: Duration,
+}
+
+/// All parts of one run.
+struct Fleet {
+    settings: Settings,
+    workload: Workload,
+    now: time::Instant,
+    events: BinaryHeap<Reverse<(time::Instant, u64)>>,
+    payloads: BTreeMap<u64, Event>,
+    next_event: u64,
+    routers: Vec<router::Router>,
+    router_wakes: Vec<Option<time::Instant>>,
+    router_running: Vec<BTreeMap<u64, ()>>,
+    dispatchers: Vec<dispatch::Dispatcher>,
+    cells: Vec<Name>,
+    targets: Vec<engine::Target>,
+    target_index: BTreeMap<Name, usize>,
+    requests: BTreeMap<u64, Request>,
+    next_request: u64,
+    finished_cost: Vec<f64>,
+    control: Control,
+    request_count: u64,
+}
+
+fn router_id(index: usize) -> RouterId {
+    RouterId::new(format!("router-{index:03}"), 1)
+}
+
+fn team_name(index: usize) -> Name {
+    format!("team-{index:04}").into()
+}
+
+fn make_table(settings: &Settings) -> sync::Arc<table::Table> {
+    let class = table::Class { name: "now".into(), price_ratio: 1.0, max_wait: MAX_WAIT };
+    let limits = table::Limits {
+        max_waiting_requests: u32::MAX,
+        max_waiting_bytes: u64::MAX,
+        ..Default::default()
+    };
+    let team = |index| {
+        let name = team_name(index);
+        let row = table::Team {
+            name: name.clone(),
+            weight: settings.weight(index),
+            key_hashes: Vec::new(),
+            classes: Vec::new(),
+            limits: limits.clone(),
+        };
+        (name, row)
+    };
+    sync::Arc::new(table::Table {
+        teams: (0..settings.team_count).map(team).collect(),
+        classes: [(class.name.clone(), class)].into(),
+        ..table::Table::default()
+    })
+}
+
+/// Runs a fleet for the whole time and returns what was measured.
+pub fn run(settings: &Settings) -> Outcome {
+    let memory_mb = stats::resident_mb();
+    Fleet::new(settings.clone()).run(memory_mb)
+}
+
+impl Fleet {
+    /// Builds the parts and the first backlog.
+    fn new(settings: Settings) -> Fleet {
+        let now = time::Instant::now();
+        let table = make_table(&settings);
+        let cell_count = match settings.policy {
+            Policy::RouterAlone => settings.router_count,
+            _ => settings.cell_count,
+        };
+        let cells = (0..cell_count).map(|cell| Name::from(format!("assistant-{cell}")));
+        let cells = cells.collect::<Vec<_>>();
+        let dispatchers = cells.iter().enumerate().map(|(index, cell)| {
+            let id = router_id(index % settings.router_count);
+            dispatch::Dispatcher::new(id, cell.clone(), table.clone())
+        });
+        let routers = (0..settings.router_count).map(|index| {
+            let mut router = router::Router::new(router_id(index), table.clone());
+            router.set_report_interval(settings.report_interval);
+            router
+        });
+        let mut fleet = Fleet {
+            workload: Workload::new(&settings),
+            now,
+            events: BinaryHeap::new(),
+            payloads: BTreeMap::new(),
+            next_event: 0,
+            routers: routers.collect(),
+            router_wakes: vec![None; settings.router_count],
+            router_running: vec![BTreeMap::new(); settings.router_count],
+            dispatchers: dispatchers.collect(),
+            cells,
+            targets: Vec::new(),
+            target_index: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            next_request: 0,
+            finished_cost: vec![0.0; settings.team_count],
+            control: Control::default(),
+            request_count: 0,
+            settings,
+        };
+        fleet.add_targets();
+        fleet.add_sessions();
+        fleet.add_backlog();
+        fleet
+    }
+
+    fn add_targets(&mut self) {
+        let (slots, lookahead_slots) = (self.settings.slots, self.settings.lookahead_slots);
+        let mut specs = vec![Vec::new(); self.cells.len()];
+        let (count, slots) = match self.settings.policy {
+            // Single slots are dealt to the routers in turn.
+            Policy::RouterAlone => (self.settings.total_slots(), 1),
+            _ => (self.settings.cell_count * self.settings.target_count, slots),
+        };
+        let lookahead_slots =
+            if self.settings.policy == Policy::RouterAlone { 0 } else { lookahead_slots };
+        for index in 0..count {
+            let name = Name::from(format!("target-{index:03}"));
+            self.target_index.insert(name.clone(), index);
+            self.targets.push(engine::Target::new(slots as usize, self.now));
+            let zone = Name::from("a");
+            let cells = specs.len();
+            let spec = dispatch::TargetSpec { name, zone, max_slots: slots, lookahead_slots };
+            specs[index % cells].push(spec);
+        }
+        for (dispatcher, specs) in self.dispatchers.iter_mut().zip(specs) {
+            dispatcher.set_targets(&specs);
+        }
+    }
+
+    fn add_sessions(&mut self) {
+        let all = (0..self.routers.len()).map(router_id).collect::<Vec<_>>();
+        for (cell, dispatcher) in self.dispatchers.iter_mut().enumerate() {
+            let alone = self.settings.policy == Policy::RouterAlone;
+            let expected = if alone { &all[cell..=cell] } else { &all[..] };
+            dispatcher.settle(expected, self.now + SETTLE_TIME);
+        }
+        for router in 0..self.routers.len() {
+            for cell in 0..self.cells.len() {
+                if self.settings.policy == Policy::RouterAlone && cell != router {
+                    continue;
+                }
+                self.dispatchers[cell].join(router_id(router));
+                let id = router_id(cell % self.settings.router_count);
+                self.routers[router].set_dispatcher(&self.cells[cell], id);
+            }
+        }
+    }
+
+    fn add_backlog(&mut self) {
+        for team in 0..self.settings.team_count {
+            for _ in 0..self.settings.backlog(team) {
+                self.submit(team);
+            }
+        }
+        for router in 0..self.routers.len() {
+            self.send_report(router);
+        }
+        self.schedule(self.now + SAMPLE_INTERVAL, Event::Sample);
+    }
+
+    /// Runs the whole time and returns what was measured.
+    fn run(mut self, memory_mb: f64) -> Outcome {
+        let start = self.now + self.settings.warm_up;
+        let end = start + self.settings.measured;
+        self.run_until(start, &mut None);
+        let count = self.request_count;
+        self.control = Control::default();
+        for target in &mut self.targets {
+            target.start_measuring(start);
+        }
+        let mut gap = Some(Gap::new(self.service()));
+        self.run_until(end, &mut gap);
+        for target in &mut self.targets {
+            target.end_measuring(end);
+        }
+        let requests = self.request_count - count;
+        let gap = gap.unwrap_or_else(|| Gap::new(Vec::new()));
+        self.outcome(&gap, requests, stats::resident_mb() - memory_mb)
+    }
+
+    fn outcome(&self, gap: &Gap, requests: u64, memory_mb: f64) -> Outcome {
+        let idle_s = self.targets.iter().map(|target| target.idle_s).sum::<f64>();
+        let longest = self.targets.iter().map(|target| target.longest_idle_s);
+        let measured_s = self.settings.measured.as_secs_f64();
+        let idle_slots = idle_s / measured_s;
+        let (least, most) = gap.extremes();
+        let per_request = |value: f64| value / (requests as f64).max(1.0);
+        let bytes = self.control.bytes as f64;
+        Outcome {
+            gap: gap.largest() / self.settings.max_cost,
+            most_to_least: most / least,
+            utilisation: 1.0 - idle_slots / self.settings.total_slots() as f64,
+            longest_idle_s: longest.fold(0.0, f64::max),
+            request_count: requests,
+            messages_per_request: per_request(self.control.message_count as f64),
+            bytes_per_request: per_request(bytes),
+            bytes_per_s: bytes / measured_s / self.settings.router_count as f64,
+            router_us_per_request: per_request(self.control.router_time.as_secs_f64() * 1e6),
+            dispatcher_us_per_request: per_request(
+                self.control.dispatcher_time.as_secs_f64() * 1e6,
+            ),
+            moved_ratio: 0.0,
+            memory_mb,
+            service: gap.service().to_vec(),
+        }
+    }
+
+    fn run_until(&mut self, end: time::Instant, gap: &mut Option<Gap>) {
+        while let Some(Reverse((at, number))) = self.events.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            let Some(event) = self.payloads.remove(&number) else { continue };
+            match event {
+                Event::Sample => {
+                    let service = self.service();
+                    if let Some(gap) = gap {
+                        gap.sample(&service);
+                    }
+                    self.schedule(self.now + SAMPLE_INTERVAL, Event::Sample);
+                }
+                event => self.handle(event),
+            }
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Report(cell, report) => self.report(cell, *report),
+            Event::Grants(router, batch) => self.take_grants(router, &batch),
+            Event::Finish(request) => self.finish(request),
+            Event::Wake(router) => {
+                self.router_wakes[router] = None;
+                self.send_report(router);
+            }
+            Event::Sample => {}
+        }
+    }
+
+    fn schedule(&mut self, at: time::Instant, event: Event) {
+        let number = self.next_event;
+        self.next_event += 1;
+        self.payloads.insert(number, event);
+        self.events.push(Reverse((at, number)));
+    }
+
+    /// Makes a team's next request; returns its router.
+    fn submit(&mut self, team: usize) -> usize {
+        let id = self.next_request;
+        self.next_request += 1;
+        let (cost, router) = (self.workload.cost(team), self.workload.router(team));
+        let request = Request { team, router, target: 0, cost, started_at: None };
+        self.requests.insert(id, request);
+        if self.settings.policy == Policy::FirstCome {
+            let target = self.workload.below(self.targets.len());
+            self.arrive(id, target);
+            return router;
+        }
+        let cell = self.cells[router % self.cells.len()].clone();
+        let submit = router::Submit {
+            id: RequestId(id),
+            cell,
+            flow: Flow::new(team_name(team), "now"),
+            size_bytes: 1,
+            preferred_targets: Default::default(),
+        };
+        let timer = std::time::Instant::now();
+        self.routers[router].submit(submit, self.now).expect("no limit is set");
+        self.control.router_time += timer.elapsed();
+        router
+    }
+
+    fn send_report(&mut self, router: usize) {
+        if self.settings.policy == Policy::FirstCome {
+            return;
+        }
+        self.update_progress(router);
+        let timer = std::time::Instant::now();
+        let cells = &self.cells;
+        let used = match self.settings.policy {
+            Policy::RouterAlone => router..router + 1,
+            _ => 0..cells.len(),
+        };
+        let now = self.now;
+        let state = &mut self.routers[router];
+        let reports = used.filter_map(|cell| Some((cell, state.take_report(&cells[cell], now)?)));
+        let reports = reports.collect::<Vec<_>>();
+        let wake = state.next_wake();
+        self.control.router_time += timer.elapsed();
+        for (cell, report) in reports {
+            self.control.message_count += 1;
+            self.control.bytes += size::report(&report) as u64;
+            self.schedule(self.now + self.delay(), Event::Report(cell, Box::new(report)));
+        }
+        let wake = wake.map(|at| at.max(self.now + Duration::from_millis(1)));
+        if let Some(at) = wake.filter(|at| self.router_wakes[router].is_none_or(|old| *at < old)) {
+            self.router_wakes[router] = Some(at);
+            self.schedule(at, Event::Wake(router));
+        }
+    }
+
+    /// Tells the router what its requests have delivered, if it is about to report it.
+    fn update_progress(&mut self, router: usize) {
+        if self.routers[router].next_wake().is_none_or(|at| at > self.now) {
+            return;
+        }
+        let timer = std::time::Instant::now();
+        for id in self.router_running[router].keys() {
+            let request = &self.requests[id];
+            let cost = self.delivered(request);
+            self.routers[router].progress(RequestId(*id), cost);
+        }
+        self.control.router_time += timer.elapsed();
+    }
+
+    fn delay(&self) -> Duration {
+        if self.settings.policy == Policy::RouterAlone {
+            Duration::ZERO
+        } else {
+            self.settings.delay
+        }
+    }
+
+    fn report(&mut self, cell: usize, report: Report) {
+        let timer = std::time::Instant::now();
+        let dispatcher = &mut self.dispatchers[cell];
+        dispatcher.report(report, self.now);
+        let batches = dispatcher.poll(self.now);
+        self.control.dispatcher_time += timer.elapsed();
+        for (id, batch) in batches {
+            self.control.message_count += 1;
+            self.control.bytes += size::batch(&batch) as u64;
+            let router = id.name.strip_prefix("router-").and_then(|text| text.parse().ok());
+            let router = router.expect("the bench named the routers");
+            self.schedule(self.now + self.delay(), Event::Grants(router, Box::new(batch)));
+        }
+    }
+
+    fn take_grants(&mut self, router: usize, batch: &GrantBatch) {
+        let timer = std::time::Instant::now();
+        let starts = self.routers[router].take_grants(batch);
+        self.control.router_time += timer.elapsed();
+        let mut touched = vec![router];
+        for start in starts {
+            let target = self.target_index[&start.target];
+            self.router_running[router].insert(start.id.0, ());
+            touched.push(self.submit(self.requests[&start.id.0].team));
+            self.arrive(start.id.0, target);
+        }
+        touched.sort_unstable();
+        touched.dedup();
+        for router in touched {
+            self.send_report(router);
+        }
+    }
+
+    fn arrive(&mut self, id: u64, target: usize) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.target = target;
+        }
+        let job = self.targets[target].arrive(id, self.now);
+        self.start(job);
+    }
+
+    fn start(&mut self, job: Option<engine::Job>) {
+        let Some(job) = job else { return };
+        let Some(request) = self.requests.get_mut(&job.request) else { return };
+        request.started_at = Some(job.started_at);
+        let team = request.team;
+        let time = self.settings.token_time.mul_f64(request.cost);
+        self.schedule(self.now + time, Event::Finish(job.request));
+        if self.settings.policy == Policy::FirstCome {
+            self.submit(team);
+        }
+    }
+
+    fn finish(&mut self, id: u64) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.finished_cost[request.team] += request.cost;
+        self.request_count += 1;
+        let next = self.targets[request.target].finish(self.now);
+        self.start(next);
+        if self.settings.policy == Policy::FirstCome {
+            return;
+        }
+        self.router_running[request.router].remove(&id);
+        let timer = std::time::Instant::now();
+        self.routers[request.router].progress(RequestId(id), request.cost);
+        self.routers[request.router].finish(RequestId(id));
+        self.control.router_time += timer.elapsed();
+        self.send_report(request.router);
+    }
+
+    fn delivered(&self, request: &Request) -> f64 {
+        let Some(started_at) = request.started_at else { return 0.0 };
+        let passed = self.now.saturating_duration_since(started_at);
+        let tokens = (passed.as_secs_f64() / self.settings.token_time.as_secs_f64()).floor();
+        tokens.min(request.cost)
+    }
+
+    /// Service of each team so far, per weight.
+    fn service(&self) -> Vec<f64> {
+        let mut service = self.finished_cost.clone();
+        for request in self.requests.values() {
+            service[request.team] += self.delivered(request);
+        }
+        for (team, cost) in service.iter_mut().enumerate() {
+            *cost /= self.settings.weight(team);
+        }
+        service
+    }
+}
--- /dev/null
+++ b/bench/src/output.rs
@@ -0,0 +1,104 @@
+//! Lines of the Markdown table.
+
+use std::fmt::Write;
+
+use crate::settings::Settings;
+use crate::stats::Outcome;
+use crate::suite::Line;
+
+/// Section that compares numbers of routers and policies.
+pub const ROUTERS: &str = "Routers and policies";
+/// Section with many teams.
+pub const TEAMS: &str = "1,200 teams";
+/// Section that compares a flood with none.
+pub const FLOOD: &str = "One team's flood";
+/// Section that compares report intervals.
+pub const REPORTS: &str = "Report intervals of 1, 3 and 10 s";
+/// Section with short calls.
+pub const SHORT_CALLS: &str = "Service calls of 5 ms; 1 and 8 slots, without and with look-ahead";
+
+const SECTIONS: [&str; 5] = [ROUTERS, TEAMS, FLOOD, REPORTS, SHORT_CALLS];
+
+/// Head of the table.
+pub const HEAD: &str = "\
+| policy | routers | teams | cells | costs | flood | seed | gap | most/least | utilisation | \
+longest idle ms | requests | messages/request | bytes/request | bytes/s and router | \
+router µs/request | dispatcher µs/request | moved | memory MB |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+/// One line of the table.
+pub fn line(settings: &Settings, outcome: &Outcome) -> String {
+    let costs = format!("{} to {}", settings.min_cost, settings.max_cost);
+    let columns = [
+        settings.policy.name().to_owned(),
+        settings.router_count.to_string(),
+        settings.team_count.to_string(),
+        settings.cell_count.to_string(),
+        costs,
+        settings.flood_ratio.to_string(),
+        settings.seed.to_string(),
+        format!("{:.2}", outcome.gap),
+        format!("{:.3}", outcome.most_to_least),
+        format!("{:.5}", outcome.utilisation),
+        format!("{:.1}", outcome.longest_idle_s * 1e3),
+        outcome.request_count.to_string(),
+        format!("{:.2}", outcome.messages_per_request),
+        format!("{:.0}", outcome.bytes_per_request),
+        format!("{:.1}", outcome.bytes_per_s),
+        format!("{:.1}", outcome.router_us_per_request),
+        format!("{:.1}", outcome.dispatcher_us_per_request),
+        format!("{:.1}%", outcome.moved_ratio * 100.0),
+        format!("{:.1}", outcome.memory_mb),
+    ];
+    format!("| {} |", columns.join(" | "))
+}
+
+/// The whole page.
+pub fn page(lines: &[Line]) -> String {
+    let mut text = String::from(
+        "# Measurements of dispatch\n\nWritten by `cargo run --release -p gentianhinge-bench -- \
+         suite`; don't edit. Columns are explained in `MEASUREMENTS-dispatch.md`.\n",
+    );
+    for section in SECTIONS {
+        let of_section = lines.iter().filter(|line| line.section == section).collect::<Vec<_>>();
+        if of_section.is_empty() {
+            continue;
+        }
+        let _ = write!(text, "\n## {section}\n\n{HEAD}\n");
+        for entry in &of_section {
+            let _ = writeln!(text, "{}", line(&entry.settings, &entry.outcome));
+        }
+        if section == FLOOD {
+            text.push_str(&flood_effect(&of_section));
+        }
+    }
+    text
+}
+
+/// What a flood changed: each pair of lines is a run without and one with it.
+fn flood_effect(lines: &[&Line]) -> String {
+    let mut text = String::new();
+    for pair in lines.chunks_exact(2) {
+        let (calm, flooded) = (&pair[0].outcome, &pair[1].outcome);
+        let bytes = flooded.bytes_per_s / calm.bytes_per_s - 1.0;
+        let _ = write!(
+            text,
+            "\n{} routers: the flood changes another team's share by at most {:.2}%, control bytes \
+             by {:+.2}%.\n",
+            pair[0].settings.router_count,
+            share_change(calm, flooded) * 100.0,
+            bytes * 100.0,
+        );
+    }
+    text
+}
+
+/// Largest relative change of a team's share, but for the first team's.
+fn share_change(calm: &Outcome, flooded: &Outcome) -> f64 {
+    let share = |outcome: &Outcome, team: usize| {
+        outcome.service[team] / outcome.service.iter().sum::<f64>()
+    };
+    let teams = 1..calm.service.len();
+    let changes = teams.map(|team| (share(flooded, team) / share(calm, team) - 1.0).abs());
+    changes.fold(0.0, f64::max)
+}
--- /dev/null
+++ b/bench/src/size.rs
@@ -0,0 +1,66 @@
+//! Size of messages by a model of packed Cap'n Proto.
+//!
+//! A word of eight bytes takes a tag byte and its bytes other than 0; a text takes its length and
+//! a tag for each word. A message takes the call's and its answer's frames beside its content.
+
+use gentianhinge_core::ids::{Flow, Name, RouterId};
+use gentianhinge_core::message::{GrantBatch, Report};
+
+/// Frames of a call and its answer, with their targets and capability tables, in bytes.
+const CALL_BYTES: usize = 48;
+/// A struct's or list's pointer, in bytes.
+const POINTER_BYTES: usize = 3;
+/// A number that fills its word, as a cost in floating point, in bytes.
+const DOUBLE_BYTES: usize = 9;
+
+fn number(value: u64) -> usize {
+    1 + (8 - value.leading_zeros() as usize / 8)
+}
+
+fn text(name: &Name) -> usize {
+    POINTER_BYTES + name.len() + name.len() / 8 + 1
+}
+
+fn flow(flow: &Flow) -> usize {
+    text(&flow.team) + text(&flow.class)
+}
+
+fn router(router: &RouterId) -> usize {
+    POINTER_BYTES + text(&router.name) + number(router.incarnation)
+}
+
+/// Bytes of a report.
+pub fn report(report: &Report) -> usize {
+    let demand = report.demand.iter().map(|line| {
+        let preferred = line.preferred_targets.iter().map(text).sum::<usize>();
+        flow(&line.flow) + preferred + 2 * number(10_000) + number(line.waiting_count.into())
+    });
+    let progress = report.progress.iter().map(|line| number(line.grant.0) + cost(line.cost));
+    let ended = report.finished.iter().chain(&report.declined).map(|id| number(id.0));
+    let in_flight = report
+        .in_flight
+        .iter()
+        .map(|line| flow(&line.flow) + text(&line.target) + number(line.grant.0) + cost(line.cost));
+    let accounts = report.accounts.iter().map(|line| text(&line.team) + DOUBLE_BYTES);
+    let virtual_times = report.virtual_times.iter().map(|line| text(&line.team) + DOUBLE_BYTES);
+    let head = router(&report.router) + text(&report.cell);
+    let head = head + number(report.seq) + number(report.acked_seq) + 7 * POINTER_BYTES;
+    let lines = demand.chain(progress).chain(ended).chain(in_flight).chain(accounts);
+    CALL_BYTES + head + lines.chain(virtual_times).sum::<usize>()
+}
+
+/// Whole numbers of tokens have a floating-point form with few bytes other than 0.
+fn cost(cost: f64) -> usize {
+    1 + cost.to_be_bytes().iter().filter(|byte| **byte != 0).count()
+}
+
+/// Bytes of a batch of grants.
+pub fn batch(batch: &GrantBatch) -> usize {
+    let grants = batch.grants.iter();
+    let grants = grants.map(|grant| number(grant.id.0) + flow(&grant.flow) + text(&grant.target));
+    let moves = batch.moves.iter().map(|order| flow(&order.flow) + text(&order.to_cell) + 2);
+    let virtual_times = batch.virtual_times.iter().map(|line| text(&line.team) + DOUBLE_BYTES);
+    let head = router(&batch.dispatcher) + text(&batch.cell) + number(batch.seq);
+    let lines = grants.chain(moves).chain(virtual_times);
+    CALL_BYTES + head + 3 * POINTER_BYTES + lines.sum::<usize>()
+}
--- /dev/null
+++ b/bench/src/suite.rs
@@ -0,0 +1,140 @@
+//! Runs of the docs.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+
+use clap::ArgMatches;
+use quick_error::quick_error;
+
+use crate::fleet;
+use crate::output;
+use crate::plot;
+use crate::settings::{Policy, Settings};
+use crate::stats::Outcome;
+
+/// Numbers of routers that runs compare.
+const ROUTER_COUNTS: [usize; 4] = [8, 32, 100, 370];
+/// Factor on the first team's backlog in most runs.
+const FLOOD_RATIO: usize = 20;
+/// Name of the table's file.
+const TABLE_FILE: &str = "bench-dispatch.md";
+/// Name of the plot's file.
+const PLOT_FILE: &str = "bench-dispatch.svg";
+
+quick_error! {
+    /// Why the bench can't write its results.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file can't be written.
+        Write(path: PathBuf, error: io::Error) {
+            display("can't write {}: {error}", path.display())
+        }
+        /// The plot can't be drawn.
+        Plot(text: String) {
+            display("can't draw the plot: {text}")
+        }
+    }
+}
+
+/// A run of the suite and what it measured.
+pub struct Line {
+    /// Section of the table.
+    pub section: &'static str,
+    /// What was run.
+    pub settings: Settings,
+    /// What was measured.
+    pub outcome: Outcome,
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// A file can't be written.
+pub fn run(matches: &ArgMatches) -> Result<(), Error> {
+    match matches.subcommand() {
+        Some(("suite", matches)) => run_suite(matches),
+        Some((_, matches)) => {
+            let settings = Settings::from_matches(matches);
+            let outcome = fleet::run(&settings);
+            println!("{}\n{}", output::HEAD, output::line(&settings, &outcome));
+            Ok(())
+        }
+        None => unreachable!("clap demands a subcommand"),
+    }
+}
+
+fn run_suite(matches: &ArgMatches) -> Result<(), Error> {
+    let measured_s = *matches.get_one::<f64>("measured-s").expect("has a default");
+    let out = PathBuf::from(matches.get_one::<String>("out").expect("has a default"));
+    let cases = cases(Duration::from_secs_f64(measured_s));
+    let lines = run_cases(cases);
+    let text = output::page(&lines);
+    print!("{text}");
+    write(&out.join(TABLE_FILE), &text)?;
+    plot::draw(&out.join(PLOT_FILE), &lines).map_err(|error| Error::Plot(error.to_string()))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    fs::write(path, text).map_err(|error| Error::Write(path.to_owned(), error))
+}
+
+/// Runs one case after another, so that processor times aren't disturbed.
+fn run_cases(cases: Vec<(&'static str, Settings)>) -> Vec<Line> {
+    let run = |(section, settings): (&'static str, Settings)| {
+        let outcome = fleet::run(&settings);
+        eprintln!("{section}: {}", output::line(&settings, &outcome));
+        Line { section, settings, outcome }
+    };
+    cases.into_iter().map(run).collect()
+}
+
+fn cases(measured: Duration) -> Vec<(&'static str, Settings)> {
+    let base = Settings { measured, min_cost: 2.0, ..Settings::standard() };
+    let base = &base;
+    let mut cases = Vec::new();
+    for policy in [Policy::Dispatch, Policy::RouterAlone, Policy::FirstCome] {
+        let seeds = if policy == Policy::Dispatch { 1..=3 } else { 1..=1 };
+        for (router_count, seed) in
+            ROUTER_COUNTS.iter().flat_map(|count| seeds.clone().map(|seed| (*count, seed)))
+        {
+            let settings =
+                Settings { policy, router_count, seed, flood_ratio: FLOOD_RATIO, ..base.clone() };
+            cases.push((output::ROUTERS, settings));
+        }
+    }
+    for router_count in ROUTER_COUNTS {
+        let settings =
+            Settings { router_count, team_count: 1_200, backlog_count: 6, ..base.clone() };
+        cases.push((output::TEAMS, settings));
+    }
+    for (router_count, flood_ratio) in [(32, 1), (32, 50), (370, 1), (370, 50)] {
+        cases.push((output::FLOOD, Settings { router_count, flood_ratio, ..base.clone() }));
+    }
+    for report_s in [1, 3, 10] {
+        let report_interval = Duration::from_secs(report_s);
+        let router_count = 370;
+        cases.push((output::REPORTS, Settings { router_count, report_interval, ..base.clone() }));
+    }
+    for (slots, lookahead_slots) in [(1, 0), (1, 1), (8, 0), (8, 1)] {
+        let settings = Settings { slots, lookahead_slots, ..short_calls(base) };
+        cases.push((output::SHORT_CALLS, settings));
+    }
+    cases
+}
+
+/// Calls of a plain service that take 5 ms each.
+fn short_calls(base: &Settings) -> Settings {
+    Settings {
+        router_count: 8,
+        target_count: 3,
+        min_cost: 1.0,
+        max_cost: 1.0,
+        token_time: Duration::from_millis(5),
+        delay: Duration::from_millis(1),
+        warm_up: Duration::from_secs(5),
+        measured: Duration::from_secs(60),
+        ..base.clone()
+    }
+}
--- /dev/null
+++ b/bench/src/workload.rs
@@ -0,0 +1,66 @@
+//! Costs of requests and the routers that they come to.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::settings::Settings;
+
+/// A quarter of the teams have requests smaller by this.
+const SMALL_RATIO: f64 = 10.0;
+/// Teams with small requests: every so many.
+const SMALL_EVERY: usize = 4;
+
+/// Draws costs and routers.
+pub struct Workload {
+    rng: SmallRng,
+    min_cost: f64,
+    max_cost: f64,
+    router_count: usize,
+    /// Cumulative weights of routers, which each team sees shifted by its own amount.
+    spread: Vec<f64>,
+    shifts: Vec<usize>,
+}
+
+impl Workload {
+    /// Prepares draws for the settings' seed.
+    pub fn new(settings: &Settings) -> Workload {
+        let mut rng = SmallRng::seed_from_u64(settings.seed);
+        let shifts =
+            (0..settings.team_count).map(|_| rng.random_range(0..settings.router_count)).collect();
+        // Skewed as 1/(rank + 3): a few routers get most of a team's requests.
+        let weights = (0..settings.router_count).map(|rank| 1.0 / (rank as f64 + 3.0));
+        let spread = weights.scan(0.0, |sum, weight| {
+            *sum += weight;
+            Some(*sum)
+        });
+        Workload {
+            min_cost: settings.min_cost,
+            max_cost: settings.max_cost,
+            router_count: settings.router_count,
+            spread: spread.collect(),
+            shifts,
+            rng,
+        }
+    }
+
+    /// Cost of a team's next request in whole tokens, even over its logarithm.
+    pub fn cost(&mut self, team: usize) -> f64 {
+        let ratio = if team % SMALL_EVERY == SMALL_EVERY - 1 { SMALL_RATIO } else { 1.0 };
+        let (least, most) = ((self.min_cost / ratio).max(1.0), (self.max_cost / ratio).max(1.0));
+        let log = self.rng.random_range(0.0..=1.0) * (most / least).ln();
+        (least * log.exp()).round().max(1.0)
+    }
+
+    /// Router that a team's next request comes to.
+    pub fn router(&mut self, team: usize) -> usize {
+        let total = self.spread.last().copied().unwrap_or(0.0);
+        let drawn = self.rng.random_range(0.0..total);
+        let rank = self.spread.partition_point(|sum| *sum <= drawn);
+        (rank + self.shifts[team]) % self.router_count
+    }
+
+    /// A number below `count`.
+    pub fn below(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+}
--- /dev/null
+++ b/core/src/dispatch/teams.rs
@@ -0,0 +1,281 @@
+//! Teams of one cell, ordered by virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tokio::time;
+
+use super::flows::FlowIndex;
+use super::session::SessionKey;
+use crate::fair;
+use crate::ids::Name;
+use crate::limits;
+use crate::table;
+
+/// Place of a team in [`Teams`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct TeamIndex(u32);
+
+/// A demand line of a team: earliest deadline first.
+pub(super) type WaitingKey = (time::Instant, SessionKey, FlowIndex);
+
+#[derive(Debug)]
+pub(super) struct Team {
+    pub(super) name: Name,
+    pub(super) account: fair::Account,
+    pub(super) waiting: BTreeSet<WaitingKey>,
+    pub(super) waiting_count: u32,
+    pub(super) running_count: u32,
+    pub(super) others: Others,
+    pub(super) told_at: Option<time::Instant>,
+    pub(super) unreported: Unreported,
+    limits: limits::TeamLimits,
+    backlogged: bool,
+    key: Option<fair::VirtualTime>,
+    ready_at: Option<time::Instant>,
+}
+
+/// What the other cells have waiting and running of a team.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Others {
+    pub(super) waiting_count: u32,
+    pub(super) running_count: u32,
+}
+
+/// Sums over a team's running requests that tell what they deliver between reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Unreported {
+    price_sum: f64,
+    /// Sum of price times the time of the last report, in seconds since the epoch.
+    price_time_sum_s: f64,
+}
+
+impl Unreported {
+    /// Adds a request whose cost is known at a time.
+    pub(super) fn add(&mut self, price_ratio: f64, at_s: f64) {
+        self.price_sum += price_ratio;
+        self.price_time_sum_s += price_ratio * at_s;
+    }
+
+    /// Takes a request out that was added with the same numbers.
+    pub(super) fn remove(&mut self, price_ratio: f64, at_s: f64) {
+        self.add(-price_ratio, at_s);
+    }
+
+    fn cost(&self, now_s: f64, rate_per_s: f64) -> f64 {
+        (rate_per_s * (self.price_sum * now_s - self.price_time_sum_s)).max(0.0)
+    }
+}
+
+impl Team {
+    fn new(name: Name, weight: f64) -> Team {
+        Team {
+            name,
+            account: fair::Account::new(weight),
+            waiting: BTreeSet::new(),
+            waiting_count: 0,
+            running_count: 0,
+            others: Others::default(),
+            told_at: None,
+            unreported: Unreported::default(),
+            limits: limits::TeamLimits::default(),
+            backlogged: false,
+            key: None,
+            ready_at: None,
+        }
+    }
+
+    /// Charges delivered service.
+    pub(super) fn charge(&mut self, cost: f64) {
+        self.account.charge(cost);
+        self.limits.take(cost);
+    }
+
+    /// Changes the expected remaining cost of what runs.
+    pub(super) fn add_pending(&mut self, cost: f64) {
+        self.account.add_pending(cost);
+        self.limits.take(cost);
+    }
+
+    /// Ends the count of a request in flight.
+    pub(super) fn end_running(&mut self) {
+        self.running_count = self.running_count.saturating_sub(1);
+        if self.running_count == 0 {
+            // Sums of small differences leave a remainder.
+            self.account.clear_pending();
+            self.unreported = Unreported::default();
+        }
+    }
+}
+
+/// Cost that one request delivers a second, learned over all requests of the cell.
+#[derive(Debug, Default)]
+pub(super) struct Rate {
+    epoch: Option<time::Instant>,
+    per_s: f64,
+}
+
+impl Rate {
+    /// Seconds since the first time asked for.
+    pub(super) fn seconds(&mut self, now: time::Instant) -> f64 {
+        let epoch = *self.epoch.get_or_insert(now);
+        now.saturating_duration_since(epoch).as_secs_f64()
+    }
+
+    /// Learns from a request that has delivered `cost` in `passed_s`.
+    pub(super) fn record(&mut self, cost: f64, passed_s: f64) {
+        if passed_s < MIN_RATE_TIME_S {
+            return;
+        }
+        let step = if self.per_s == 0.0 { 1.0 } else { RATE_STEP };
+        self.per_s += (cost / passed_s - self.per_s) * step;
+    }
+}
+
+/// Shortest time that tells a rate, in seconds.
+const MIN_RATE_TIME_S: f64 = 0.5;
+/// Part by which a new sample changes the learned rate.
+const RATE_STEP: f64 = 0.02;
+/// Time between refreshes of the order for what running requests deliver meanwhile.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// All teams, and the order in which those with work are served.
+#[derive(Debug, Default)]
+pub(super) struct Teams {
+    by_name: BTreeMap<Name, TeamIndex>,
+    list: Vec<Team>,
+    order: BTreeSet<(fair::VirtualTime, TeamIndex)>,
+    limited: BTreeSet<(time::Instant, TeamIndex)>,
+    /// Virtual time of the last grant; it never falls.
+    floor: f64,
+    pub(super) rate: Rate,
+    /// Requests of all teams in flight.
+    pub(super) running_count: u32,
+    refreshed_at: Option<time::Instant>,
+}
+
+impl Teams {
+    pub(super) fn find(&self, name: &str) -> Option<TeamIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(super) fn index(
+        &mut self,
+        name: &Name,
+        table: &table::Table,
+        now: time::Instant,
+    ) -> TeamIndex {
+        if let Some(index) = self.by_name.get(name) {
+            return *index;
+        }
+        let index = TeamIndex(u32::try_from(self.list.len()).unwrap_or(u32::MAX));
+        let mut team = Team::new(name.clone(), table.weight(name));
+        team.limits.set(table.teams.get(name).map(|row| &row.limits), now);
+        self.list.push(team);
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    pub(super) fn get(&self, index: TeamIndex) -> &Team {
+        &self.list[index.0 as usize]
+    }
+
+    pub(super) fn get_mut(&mut self, index: TeamIndex) -> &mut Team {
+        &mut self.list[index.0 as usize]
+    }
+
+    pub(super) fn indexes(&self) -> impl Iterator<Item = TeamIndex> + use<> {
+        (0..u32::try_from(self.list.len()).unwrap_or(u32::MAX)).map(TeamIndex)
+    }
+
+    pub(super) fn set_table(&mut self, table: &table::Table, now: time::Instant) {
+        for team in &mut self.list {
+            team.account.set_weight(table.weight(&team.name));
+            team.limits.set(table.teams.get(&team.name).map(|row| &row.limits), now);
+        }
+        self.refresh_all(now);
+    }
+
+    pub(super) fn refresh_all(&mut self, now: time::Instant) {
+        for index in self.indexes() {
+            self.refresh(index, now);
+        }
+    }
+
+    /// Puts a team into its place after any change.
+    ///
+    /// A team that its limits hold back isn't backlogged: it falls behind by its own doing, and is
+    /// lifted like one that returns.
+    pub(super) fn refresh(&mut self, index: TeamIndex, now: time::Instant) {
+        let now_s = self.rate.seconds(now);
+        let rate_per_s = self.rate.per_s;
+        let pending_ratio = fair::pending_ratio(self.running_count, self.order.len());
+        let team = &mut self.list[index.0 as usize];
+        team.account.set_unreported(team.unreported.cost(now_s, rate_per_s));
+        team.account.set_pending_ratio(pending_ratio);
+        if let Some(key) = team.key.take() {
+            self.order.remove(&(key, index));
+        }
+        if let Some(at) = team.ready_at.take() {
+            self.limited.remove(&(at, index));
+        }
+        let concurrent = team.running_count + team.others.running_count;
+        if team.waiting.is_empty() || !team.limits.allow_concurrent(concurrent) {
+            team.backlogged = false;
+            return;
+        }
+        if let Some(at) = team.limits.ready_at(now) {
+            team.backlogged = false;
+            team.ready_at = Some(at);
+            self.limited.insert((at, index));
+            return;
+        }
+        if !team.backlogged && team.others.waiting_count == 0 {
+            team.account.lift_to(self.floor);
+        }
+        team.backlogged = true;
+        let key = fair::VirtualTime(team.account.virtual_time());
+        team.key = Some(key);
+        self.order.insert((key, index));
+    }
+
+    /// Looks again at the teams whose rate allows work by now.
+    pub(super) fn wake(&mut self, now: time::Instant) {
+        while let Some((at, index)) = self.limited.first().copied() {
+            if at > now {
+                return;
+            }
+            self.refresh(index, now);
+            if self.get(index).ready_at.is_some_and(|at| at <= now) {
+                return;
+            }
+        }
+    }
+
+    /// Brings the order up to date with what running requests have delivered since their reports.
+    pub(super) fn refresh_running(&mut self, now: time::Instant) {
+        if self.refreshed_at.is_some_and(|at| now < at + REFRESH_INTERVAL) {
+            return;
+        }
+        self.refreshed_at = Some(now);
+        let running = self.order.iter().map(|(_, index)| *index);
+        let running = running.filter(|index| self.get(*index).running_count > 0);
+        for index in running.collect::<Vec<_>>() {
+            self.refresh(index, now);
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Option<time::Instant> {
+        self.limited.first().map(|(at, _)| *at)
+    }
+
+    /// The backlogged team with the least virtual time.
+    pub(super) fn first(&self) -> Option<(f64, TeamIndex)> {
+        self.order.first().map(|(key, index)| (key.0, *index))
+    }
+
+    /// Notes the virtual time at which a grant is made.
+    pub(super) fn raise_floor(&mut self, virtual_time: f64) {
+        self.floor = self.floor.max(virtual_time);
+    }
+}
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -1,56 +1,79 @@
 //! Expected remaining cost of a request, learned from past requests.
 //!
-//! Costs are kept in a histogram of quarter octaves whose weights decay with each new sample, so
-//! that a team's habits may change. The histogram starts with a prior.
+//! Costs are kept in histograms of quarter octaves whose older samples fade, so that habits may
+//! change. A team's own histogram is completed by one pooled over all teams, and that one by a
+//! prior that is even over the logarithm of the cost.
 
 /// Buckets for each doubling of the cost.
 const BUCKETS_PER_OCTAVE: f64 = 4.0;
 /// Number of buckets; the last one holds all greater costs.
 const BUCKET_COUNT: usize = 96;
-/// Factor on the weights of older samples for each new sample.
-const DECAY: f64 = 0.98;
-/// Weight of the prior in samples.
+/// Factor on the weights of a flow's older samples for each new one.
+const FLOW_DECAY: f64 = 0.995;
+/// Factor on the weights of older samples of all flows for each new one.
+const POOL_DECAY: f64 = 0.998;
+/// Weight of the pooled histogram beside a flow's own samples, in samples.
+const POOL_WEIGHT: f64 = 20.0;
+/// Weight of the first prior in samples.
 const PRIOR_WEIGHT: f64 = 10.0;
 
 /// Distribution of the costs of past requests.
 #[derive(Clone, Debug)]
 pub struct CostHistogram {
     weights: Vec<f64>,
+    decay: f64,
 }
 
 impl CostHistogram {
-    /// Creates a histogram whose prior is spread evenly over costs up to `max_cost`.
-    pub fn new(max_cost: f64) -> CostHistogram {
+    /// Creates the histogram of one flow, without samples.
+    pub fn flow() -> CostHistogram {
+        CostHistogram { weights: Vec::new(), decay: FLOW_DECAY }
+    }
+
+    /// Creates the pooled histogram with a prior that is spread evenly over costs up to `max_cost`.
+    pub fn pool(max_cost: f64) -> CostHistogram {
         let used = bucket_of(max_cost) + 1;
         let each = PRIOR_WEIGHT / used as f64;
         let weights = (0..BUCKET_COUNT).map(|i| if i < used { each } else { 0.0 }).collect();
-        CostHistogram { weights }
+        CostHistogram { weights, decay: POOL_DECAY }
     }
 
     /// Adds the cost of a finished request.
     pub fn record(&mut self, cost: f64) {
+        if self.weights.is_empty() {
+            self.weights = vec![0.0; BUCKET_COUNT];
+        }
         for weight in &mut self.weights {
-            *weight *= DECAY;
+            *weight *= self.decay;
         }
         self.weights[bucket_of(cost)] += 1.0;
     }
 
-    /// Expected remaining cost of a request that has cost `delivered` so far.
-    ///
-    /// A request beyond all past ones is expected to go on for as long as the last bucket is wide.
-    pub fn expected_remaining(&self, delivered: f64) -> f64 {
-        let first = bucket_of(delivered);
-        let mut weight_sum = 0.0;
-        let mut cost_sum = 0.0;
-        for (i, weight) in self.weights.iter().enumerate().skip(first) {
-            weight_sum += weight;
-            cost_sum += weight * (bucket_cost(i) - delivered).max(0.0);
-        }
-        if weight_sum < f64::EPSILON {
-            return delivered * (2f64.powf(1.0 / BUCKETS_PER_OCTAVE) - 1.0);
-        }
-        cost_sum / weight_sum
+    fn weight(&self, bucket: usize) -> f64 {
+        self.weights.get(bucket).copied().unwrap_or(0.0)
+    }
+
+    fn total_weight(&self) -> f64 {
+        self.weights.iter().sum()
+    }
+}
+
+/// Expected remaining cost of a request of a flow that has cost `delivered` so far.
+///
+/// A request beyond all past ones is expected to go on for as long as its bucket is wide.
+pub fn expected_remaining(flow: &CostHistogram, pool: &CostHistogram, delivered: f64) -> f64 {
+    let pool_ratio = POOL_WEIGHT / pool.total_weight().max(f64::MIN_POSITIVE);
+    let mut weight_sum = 0.0;
+    let mut cost_sum = 0.0;
+    for bucket in bucket_of(delivered)..BUCKET_COUNT {
+        let weight = flow.weight(bucket) + pool.weight(bucket) * pool_ratio;
+        weight_sum += weight;
+        cost_sum += weight * (bucket_cost(bucket) - delivered).max(0.0);
+    }
+    if weight_sum < f64::EPSILON {
+        return delivered * (2f64.powf(1.0 / BUCKETS_PER_OCTAVE) - 1.0);
     }
+    cost_sum / weight_sum
 }
 
 fn bucket_of(cost: f64) -> usize {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod estimate;
 pub mod fair;
 pub mod ids;
+pub mod limits;
 pub mod message;
 pub mod router;
+pub mod slots;
 pub mod table;
--- /dev/null
+++ b/core/src/router/mod.rs
@@ -0,0 +1,431 @@
+//! The router's side of dispatch: requests wait here until a grant arrives.
+//!
+//! ```
+//! use std::sync;
+//! use std::time::Duration;
+//!
+//! use gentianhinge_core::{ids, router, table};
+//! use tokio::time;
+//!
+//! let class = table::Class {
+//!     name: "now".into(),
+//!     price_ratio: 1.0,
+//!     max_wait: Duration::from_secs(10),
+//! };
+//! let mut table = table::Table::default();
+//! table.classes.insert("now".into(), class);
+//! let mut router = router::Router::new(ids::RouterId::new("r1", 1), sync::Arc::new(table));
+//! let cell = ids::Name::from("assistant-0");
+//! router.set_dispatcher(&cell, ids::RouterId::new("r2", 1));
+//! let submit = router::Submit {
+//!     id: ids::RequestId(1),
+//!     cell: cell.clone(),
+//!     flow: ids::Flow::new("lanes", "now"),
+//!     size_bytes: 100,
+//!     preferred_targets: Default::default(),
+//! };
+//! let now = time::Instant::now();
+//! router.submit(submit, now)?;
+//! let report = router.take_report(&cell, now).expect("the request is to be reported");
+//! assert_eq!(report.demand[0].waiting_count, 1);
+//! # Ok::<(), router::SubmitError>(())
+//! ```
+
+mod queue;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use tokio::time;
+
+use self::queue::CellQueue;
+use crate::code;
+use crate::ids::{Flow, GrantId, Name, RequestId, RouterId};
+use crate::message::{
+    Account, Grant, GrantBatch, InFlight, Move, PreferredTargets, Progress, Report, TeamVirtualTime,
+};
+use crate::table;
+
+/// Default time between reports of what running requests have cost.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(3);
+
+quick_error! {
+    /// Why a request can't wait at this router.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum SubmitError {
+        /// The table has no such class.
+        UnknownClass(class: Name) {
+            display("no class {class}")
+        }
+        /// The team has its most requests waiting.
+        WaitingLimit(limit_requests: u32) {
+            display("{limit_requests} requests of the team are waiting")
+        }
+        /// The team has its most bytes waiting.
+        WaitingBytesLimit(limit_bytes: u64) {
+            display("more than {limit_bytes} bytes of the team would wait")
+        }
+    }
+}
+
+impl SubmitError {
+    /// Code for the caller's answer.
+    pub fn code(&self) -> code::ResultCode {
+        match self {
+            SubmitError::UnknownClass(_) => code::ResultCode::UnknownClass,
+            SubmitError::WaitingLimit(_) => code::ResultCode::WaitingLimit,
+            SubmitError::WaitingBytesLimit(_) => code::ResultCode::WaitingBytesLimit,
+        }
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Submit {
+    /// Identifies the request.
+    pub id: RequestId,
+    /// Cell whose targets can run it.
+    pub cell: Name,
+    /// Team and class.
+    pub flow: Flow,
+    /// Bytes that the request holds while it waits.
+    pub size_bytes: u64,
+    /// Targets that hold a prefix of the request.
+    pub preferred_targets: PreferredTargets,
+}
+
+/// A request that may start now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// The request.
+    pub id: RequestId,
+    /// The target to send it to.
+    pub target: Name,
+}
+
+/// Requests of one router: waiting, running, and what was charged for them.
+#[derive(Debug)]
+pub struct Router {
+    id: RouterId,
+    table: sync::Arc<table::Table>,
+    report_interval: Duration,
+    cells: BTreeMap<Name, CellQueue>,
+    waiting: BTreeMap<RequestId, Waiting>,
+    deadlines: BTreeSet<(time::Instant, RequestId)>,
+    running: BTreeMap<RequestId, Running>,
+    teams: BTreeMap<Name, TeamState>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    submit: Submit,
+    deadline: time::Instant,
+    was_moved: bool,
+}
+
+#[derive(Debug)]
+struct Running {
+    grant: GrantId,
+    cell: Name,
+    flow: Flow,
+    target: Name,
+    /// Cost so far, before the class's price.
+    cost: f64,
+}
+
+#[derive(Debug, Default)]
+struct TeamState {
+    waiting_requests: u32,
+    waiting_bytes: u64,
+}
+
+impl Router {
+    /// Creates a router without requests.
+    pub fn new(id: RouterId, table: sync::Arc<table::Table>) -> Router {
+        Router {
+            id,
+            table,
+            report_interval: REPORT_INTERVAL,
+            cells: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            running: BTreeMap::new(),
+            teams: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a new table.
+    pub fn set_table(&mut self, table: sync::Arc<table::Table>) {
+        self.table = table;
+    }
+
+    /// Sets the time between reports of costs; [`REPORT_INTERVAL`] by default.
+    pub fn set_report_interval(&mut self, interval: Duration) {
+        self.report_interval = interval;
+    }
+
+    /// Number of requests that wait or run.
+    pub fn request_count(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    /// Number of requests that run.
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Cells for which requests wait or run, and the dispatcher that each was last told of.
+    pub fn cells(&self) -> impl Iterator<Item = (&Name, Option<&RouterId>)> {
+        let used = self.cells.iter();
+        let used = used.filter(|(_, queue)| !queue.flows.is_empty() || !queue.running.is_empty());
+        used.map(|(cell, queue)| (cell, queue.dispatcher.as_ref()))
+    }
+
+    /// Puts a request into the queue of its cell.
+    ///
+    /// # Errors
+    ///
+    /// The class is unknown or a limit of the team is reached; the request doesn't wait then.
+    pub fn submit(&mut self, submit: Submit, now: time::Instant) -> Result<(), SubmitError> {
+        let flow = &submit.flow;
+        let class = self.table.classes.get(&flow.class);
+        let max_wait = class.ok_or(SubmitError::UnknownClass(flow.class.clone()))?.max_wait;
+        let limits = self.table.teams.get(&flow.team).map(|row| row.limits.clone());
+        let limits = limits.unwrap_or_default();
+        let team = self.teams.entry(flow.team.clone()).or_default();
+        if team.waiting_requests >= limits.max_waiting_requests {
+            return Err(SubmitError::WaitingLimit(limits.max_waiting_requests));
+        }
+        if team.waiting_bytes.saturating_add(submit.size_bytes) > limits.max_waiting_bytes {
+            return Err(SubmitError::WaitingBytesLimit(limits.max_waiting_bytes));
+        }
+        team.waiting_requests += 1;
+        team.waiting_bytes += submit.size_bytes;
+        self.insert_waiting(Waiting { submit, deadline: now + max_wait, was_moved: false }, now);
+        Ok(())
+    }
+
+    /// Notes what a running request has cost so far, before the class's price.
+    pub fn progress(&mut self, id: RequestId, cost: f64) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let delta = (cost - running.cost).max(0.0);
+        running.cost += delta;
+        let price = self.table.price_ratio(&running.flow.class);
+        if let Some(queue) = self.cells.get_mut(&running.cell) {
+            *queue.delivered_cost.entry(running.flow.team.clone()).or_default() += delta * price;
+        }
+    }
+
+    /// Ends a request, whether it waits or runs.
+    pub fn finish(&mut self, id: RequestId) {
+        if self.remove_waiting(id).is_some() {
+            return;
+        }
+        let Some(running) = self.running.remove(&id) else { return };
+        let Some(queue) = self.cells.get_mut(&running.cell) else { return };
+        queue.running.remove(&id);
+        queue.finished.push(running.grant);
+        queue.ended.push(Progress { grant: running.grant, cost: running.cost });
+    }
+
+    /// Removes and returns the requests whose deadline has passed.
+    pub fn expire(&mut self, now: time::Instant) -> Vec<RequestId> {
+        let late = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now);
+        let ids = late.map(|(_, id)| *id).collect::<Vec<_>>();
+        for id in &ids {
+            self.remove_waiting(*id);
+        }
+        ids
+    }
+
+    /// When [`Router::expire`] or [`Router::take_report`] has something to do though nothing else
+    /// happens.
+    pub fn next_wake(&self) -> Option<time::Instant> {
+        let expiry = self.deadlines.first().map(|(deadline, _)| *deadline);
+        let sessions = self.cells.values().filter(|queue| queue.dispatcher.is_some());
+        let reports = sessions.filter(|queue| !queue.running.is_empty());
+        reports.map(|queue| queue.progress_due).chain(expiry).min()
+    }
+
+    /// Names the dispatcher of a cell; grants of any other are void from now on.
+    pub fn set_dispatcher(&mut self, cell: &Name, dispatcher: RouterId) {
+        let due = self.first_progress_due(time::Instant::now());
+        let queue = self.cells.entry(cell.clone()).or_insert_with(|| CellQueue::new(due));
+        queue.start_session(dispatcher);
+    }
+
+    /// Starts requests for grants; those without use are declined with the next report.
+    pub fn take_grants(&mut self, batch: &GrantBatch) -> Vec<Start> {
+        let Some(queue) = self.cells.get_mut(&batch.cell) else { return Vec::new() };
+        if queue.dispatcher.as_ref() != Some(&batch.dispatcher) || batch.seq <= queue.acked_seq {
+            return Vec::new();
+        }
+        queue.acked_seq = batch.seq;
+        for line in &batch.virtual_times {
+            queue.virtual_times.insert(line.team.clone(), line.cost);
+        }
+        let starts = batch.grants.iter().filter_map(|grant| self.take_grant(&batch.cell, grant));
+        let starts = starts.collect();
+        for order in &batch.moves {
+            self.move_waiting(&batch.cell, order);
+        }
+        starts
+    }
+
+    /// Makes the report that is due for a cell, if any is.
+    ///
+    /// Demand and ended requests are due at once, costs of running requests each report interval.
+    pub fn take_report(&mut self, cell: &Name, now: time::Instant) -> Option<Report> {
+        let queue = self.cells.get_mut(cell)?;
+        queue.dispatcher.as_ref()?;
+        let waiting = &self.waiting;
+        let preferred = |id| {
+            let request: Option<&Waiting> = waiting.get(&id);
+            request.map(|request| request.submit.preferred_targets.clone()).unwrap_or_default()
+        };
+        let demand = queue.take_demand(now, preferred);
+        let full = std::mem::take(&mut queue.full_due);
+        let mut progress = std::mem::take(&mut queue.ended);
+        let finished = std::mem::take(&mut queue.finished);
+        let declined = std::mem::take(&mut queue.declined);
+        if now >= queue.progress_due {
+            progress.extend(self.take_progress(cell, now));
+        }
+        let is_empty = demand.is_empty() && progress.is_empty() && declined.is_empty();
+        if is_empty && finished.is_empty() && !full {
+            return None;
+        }
+        let queue = self.cells.get_mut(cell)?;
+        queue.report_seq += 1;
+        let mut report = Report {
+            router: self.id.clone(),
+            cell: cell.clone(),
+            seq: queue.report_seq,
+            acked_seq: queue.acked_seq,
+            full,
+            demand,
+            progress,
+            finished,
+            declined,
+            in_flight: Vec::new(),
+            accounts: Vec::new(),
+            virtual_times: Vec::new(),
+        };
+        if full {
+            self.add_full_state(&mut report);
+        }
+        Some(report)
+    }
+
+    fn insert_waiting(&mut self, waiting: Waiting, now: time::Instant) {
+        let (submit, deadline) = (&waiting.submit, waiting.deadline);
+        let due = self.first_progress_due(now);
+        let queue = self.cells.entry(submit.cell.clone()).or_insert_with(|| CellQueue::new(due));
+        queue.insert(&submit.flow, deadline, submit.id);
+        self.deadlines.insert((deadline, submit.id));
+        self.waiting.insert(submit.id, waiting);
+    }
+
+    /// Routers that start together report at different times.
+    fn first_progress_due(&self, now: time::Instant) -> time::Instant {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        let part = (hasher.finish() >> 32) as f64 / (u64::from(u32::MAX) as f64);
+        now + self.report_interval.mul_f64(part)
+    }
+
+    fn take_progress(&mut self, cell: &Name, now: time::Instant) -> Vec<Progress> {
+        let Some(queue) = self.cells.get_mut(cell) else { return Vec::new() };
+        queue.progress_due = now + self.report_interval;
+        let mut lines = Vec::new();
+        for id in &queue.running {
+            let Some(running) = self.running.get(id) else { continue };
+            // Sent though nothing has changed: the dispatcher takes it to deliver until told.
+            lines.push(Progress { grant: running.grant, cost: running.cost });
+        }
+        lines
+    }
+
+    /// Adds what a dispatcher needs that knows nothing of this router.
+    fn add_full_state(&self, report: &mut Report) {
+        let Some(queue) = self.cells.get(&report.cell) else { return };
+        let running = queue.running.iter().filter_map(|id| self.running.get(id));
+        report.in_flight = running
+            .map(|running| InFlight {
+                grant: running.grant,
+                flow: running.flow.clone(),
+                target: running.target.clone(),
+                cost: running.cost,
+            })
+            .collect();
+        let accounts = queue.delivered_cost.iter();
+        report.accounts = accounts
+            .map(|(team, cost)| Account { team: team.clone(), delivered_cost: *cost })
+            .collect();
+        let virtual_times = queue.virtual_times.iter();
+        report.virtual_times = virtual_times
+            .map(|(team, cost)| TeamVirtualTime { team: team.clone(), cost: *cost })
+            .collect();
+    }
+
+    fn take_grant(&mut self, cell: &Name, grant: &Grant) -> Option<Start> {
+        let queue = self.cells.get_mut(cell)?;
+        let waiting = &self.waiting;
+        let prefers = |id| {
+            let request: Option<&Waiting> = waiting.get(&id);
+            request.is_some_and(|request| request.submit.preferred_targets.contains(&grant.target))
+        };
+        let picked = queue.flows.get_mut(&grant.flow).and_then(|flow| flow.pick(prefers));
+        let Some(id) = picked else {
+            queue.declined.push(grant.id);
+            return None;
+        };
+        queue.running.insert(id);
+        let waiting = self.remove_waiting(id)?;
+        let running = Running {
+            grant: grant.id,
+            cell: cell.clone(),
+            flow: waiting.submit.flow,
+            target: grant.target.clone(),
+            cost: 0.0,
+        };
+        self.running.insert(id, running);
+        Some(Start { id, target: grant.target.clone() })
+    }
+
+    /// Moves waiting requests to another cell. Each is moved at most once, so that two cells with
+    /// old sums don't send one to and fro.
+    fn move_waiting(&mut self, cell: &Name, order: &Move) {
+        let Some(queue) = self.cells.get(cell) else { return };
+        let Some(flow) = queue.flows.get(&order.flow) else { return };
+        let ids = flow.waiting.iter().map(|(_, id)| *id);
+        let unmoved = ids.filter(|id| self.waiting.get(id).is_some_and(|line| !line.was_moved));
+        let ids = unmoved.take(order.request_count as usize).collect::<Vec<_>>();
+        for id in ids {
+            let Some(mut waiting) = self.remove_waiting(id) else { continue };
+            let team = self.teams.entry(order.flow.team.clone()).or_default();
+            team.waiting_requests += 1;
+            team.waiting_bytes += waiting.submit.size_bytes;
+            waiting.submit.cell = order.to_cell.clone();
+            waiting.was_moved = true;
+            self.insert_waiting(waiting, time::Instant::now());
+        }
+    }
+
+    fn remove_waiting(&mut self, id: RequestId) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&id)?;
+        let submit = &waiting.submit;
+        self.deadlines.remove(&(waiting.deadline, id));
+        if let Some(team) = self.teams.get_mut(&submit.flow.team) {
+            team.waiting_requests = team.waiting_requests.saturating_sub(1);
+            team.waiting_bytes = team.waiting_bytes.saturating_sub(submit.size_bytes);
+        }
+        if let Some(queue) = self.cells.get_mut(&submit.cell) {
+            queue.remove(&submit.flow, waiting.deadline, id);
+        }
+        Some(waiting)
+    }
+}
