--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -167,7 +167,7 @@
     /// Starts a model engine, a service and a router; `more` goes into the router's settings.
     pub fn start(more: &str) -> Deployment {
         let listen = ["--listen", "127.0.0.1:0"];
-        let engine_args = ["engine", "--name", "m1", "--slots", "4", "--token-ms", "5"];
+        let engine_args = ["engine", "--name", "assistant", "--slots", "4", "--token-ms", "5"];
         let engine = Process::start("gentianhinge-standin", &[&engine_args[..], &listen].concat());
         let service = Process::start("gentianhinge-standin", &[&["service"][..], &listen].concat());
         let engine_addr = engine.addr("listening on ");
--- a/wire/generator/src/main.rs
+++ b/wire/generator/src/main.rs
@@ -34,6 +34,7 @@
 fn generate_json(name: &str) -> Result<(), Box<dyn error::Error>> {
     let text = fs::read_to_string(path::Path::new(SCHEMA_DIR).join(format!("{name}.schema.json")))?;
     let mut json = serde_json::from_str::<serde_json::Value>(&text)?;
+    expand_defaults(&mut json);
     strip_bounds(&mut json);
     let schema = serde_json::from_value::<schemars::schema::RootSchema>(json)?;
     let mut space = typify::TypeSpace::new(typify::TypeSpaceSettings::default().with_struct_builder(false));
@@ -43,6 +44,28 @@
     Ok(())
 }
 
+/// Writes the default of each section out in full.
+///
+/// For an empty object, typify takes each field's type's default and not the schema's.
+fn expand_defaults(schema: &mut serde_json::Value) {
+    let definitions = schema["definitions"].clone();
+    let Some(sections) = schema["properties"].as_object_mut() else { return };
+    for section in sections.values_mut() {
+        let Some(name) = section["$ref"].as_str().and_then(|at| at.rsplit('/').next()) else {
+            continue;
+        };
+        if section["default"].is_object() {
+            section["default"] = full_default(&definitions[name]["properties"]);
+        }
+    }
+}
+
+fn full_default(properties: &serde_json::Value) -> serde_json::Value {
+    let fields = properties.as_object().into_iter().flatten();
+    let defaults = fields.filter(|(_, field)| !field["default"].is_null());
+    defaults.map(|(key, field)| (key.clone(), field["default"].clone())).collect()
+}
+
 /// Removes bounds, which the validator checks, so that fields become plain types.
 fn strip_bounds(value: &mut serde_json::Value) {
     match value {
--- a/wire/tests/settings.rs
+++ b/wire/tests/settings.rs
@@ -104,3 +104,16 @@
         at += 97;
     }
 }
+
+/// A section that is left out has the same values as an empty one.
+#[test]
+fn left_out_sections_have_the_schema_defaults() {
+    let text = include_str!("../../testdata/settings/smallest.jsonc");
+    let parsed = settings::parse(text).unwrap();
+    assert_eq!(format!("{:?}", parsed.callers), format!("{:?}", settings::Callers::default()));
+    assert_eq!(format!("{:?}", parsed.control), format!("{:?}", settings::Control::default()));
+    assert_eq!(format!("{:?}", parsed.peers), format!("{:?}", settings::Peers::default()));
+    assert_eq!(format!("{:?}", parsed.platform), format!("{:?}", settings::Platform::default()));
+    assert_eq!(format!("{:?}", parsed.upstream), format!("{:?}", settings::Upstream::default()));
+    assert_eq!(format!("{:?}", parsed.log), format!("{:?}", settings::LogSettings::default()));
+}
