--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -2,18 +2,22 @@
 
 use std::sync;
 
-use axum::extract;
-use axum::routing;
-use http::StatusCode;
+use axum::{extract, response, routing};
+use http::{HeaderMap, StatusCode, header};
 
 use crate::server;
 
+/// Requests of a team that are shown at once.
+const MAX_SHOWN_REQUESTS: usize = 100;
+
 /// Routes of the operators' listener.
 pub fn routes(shared: sync::Arc<server::Shared>) -> axum::Router {
     axum::Router::new()
         .route("/healthz", routing::get(async || "ok\n"))
         .route("/readyz", routing::get(ready))
         .route("/metrics", routing::get(metrics))
+        .route("/requests/{request_id}", routing::get(request))
+        .route("/teams/{team}/requests", routing::get(team_requests))
         .with_state(shared)
 }
 
@@ -30,3 +34,49 @@
 async fn metrics(extract::State(shared): extract::State<sync::Arc<server::Shared>>) -> String {
     shared.telemetry.render()
 }
+
+/// Whether a call carries an operator's key.
+///
+/// # Errors
+///
+/// The answer to a caller who doesn't.
+pub fn authorize(
+    shared: &server::Shared,
+    headers: &HeaderMap,
+) -> Result<(), (StatusCode, &'static str)> {
+    let value = headers.get(header::AUTHORIZATION).map(|value| value.as_bytes());
+    let key = value.and_then(|value| value.strip_prefix(b"Bearer "));
+    if key.is_some_and(|key| shared.directory.borrow().is_operator(key)) {
+        return Ok(());
+    }
+    Err((StatusCode::UNAUTHORIZED, "an operator's key is needed\n"))
+}
+
+async fn request(
+    extract::State(shared): extract::State<sync::Arc<server::Shared>>,
+    extract::Path(request_id): extract::Path<String>,
+    headers: HeaderMap,
+) -> response::Response {
+    if let Err(refusal) = authorize(&shared, &headers) {
+        return response::IntoResponse::into_response(refusal);
+    }
+    match shared.journal.get(&request_id) {
+        Some(record) => response::IntoResponse::into_response(axum::Json(record)),
+        None => response::IntoResponse::into_response((
+            StatusCode::NOT_FOUND,
+            "this router doesn't remember the request\n",
+        )),
+    }
+}
+
+async fn team_requests(
+    extract::State(shared): extract::State<sync::Arc<server::Shared>>,
+    extract::Path(team): extract::Path<String>,
+    headers: HeaderMap,
+) -> response::Response {
+    if let Err(refusal) = authorize(&shared, &headers) {
+        return response::IntoResponse::into_response(refusal);
+    }
+    let records = shared.journal.latest(&team, MAX_SHOWN_REQUESTS);
+    response::IntoResponse::into_response(axum::Json(records))
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod control;
 pub mod directory;
+pub mod journal;
 pub mod listener;
 pub mod server;
 pub mod telemetry;
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -13,7 +13,7 @@
 use tokio::sync as tokio_sync;
 use tokio::time;
 
-use crate::{admin, config, control, directory, listener, telemetry, traffic};
+use crate::{admin, config, control, directory, journal, listener, telemetry, traffic};
 
 /// Time for the balancer to notice that the router isn't ready any more.
 const DRAIN_NOTICE: Duration = Duration::from_millis(1000);
@@ -56,6 +56,8 @@
     pub id: RouterId,
     /// Metrics of the router.
     pub telemetry: telemetry::Telemetry,
+    /// What became of recent requests.
+    pub journal: sync::Arc<journal::Journal>,
     /// Way to the control thread.
     pub control: control::Handle,
     /// The latest snapshot of the table.
@@ -133,6 +135,7 @@
     let shared = sync::Arc::new(Shared {
         id,
         telemetry,
+        journal: sync::Arc::default(),
         control: handle,
         directory,
         phase: atomic::AtomicU8::new(Phase::Starting as u8),
--- /dev/null
+++ b/daemon/src/traffic/arrival.rs
@@ -0,0 +1,135 @@
+//! A request from its admission to its end: who calls, what was tried, and how it ended.
+
+use std::sync;
+use std::time;
+
+use gentianhinge_core::code::ResultCode;
+use gentianhinge_core::ids::Name;
+use tokio::time::Instant;
+
+use super::failure::Failure;
+use crate::{directory, journal};
+
+/// A request whose caller is known.
+///
+/// It is closed once: by its answer, its failure, or at its drop, which means that the caller left.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Identifier told to the caller and the target.
+    pub request_id: sync::Arc<str>,
+    /// When the head arrived.
+    pub at: Instant,
+    /// Team, class and their metrics.
+    pub flow: sync::Arc<directory::FlowEntry>,
+    journal: sync::Arc<journal::Journal>,
+    state: sync::Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    pool: Option<Name>,
+    attempts: Vec<journal::Attempt>,
+    output_tokens: u64,
+    is_closed: bool,
+}
+
+impl Arrival {
+    /// Admits a request.
+    pub fn new(
+        request_id: sync::Arc<str>,
+        flow: sync::Arc<directory::FlowEntry>,
+        journal: sync::Arc<journal::Journal>,
+    ) -> Arrival {
+        let state = sync::Mutex::default();
+        Arrival { request_id, at: Instant::now(), flow, journal, state }
+    }
+
+    /// Name of the team.
+    pub fn team(&self) -> &Name {
+        &self.flow.flow.team
+    }
+
+    /// Notes the model or service.
+    pub fn set_pool(&self, pool: &Name) {
+        self.state().pool = Some(pool.clone());
+    }
+
+    /// Notes that an attempt begins.
+    pub fn begin_attempt(&self, target: &Name) {
+        let waited = self.at.elapsed();
+        self.flow.metrics.waiting.record(waited);
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        let target = target.to_string();
+        self.state().attempts.push(journal::Attempt { target, waited_ms, error: None });
+    }
+
+    /// Notes that the latest attempt failed.
+    pub fn fail_attempt(&self, message: &str) {
+        if let Some(attempt) = self.state().attempts.last_mut() {
+            attempt.error = Some(message.to_string());
+        }
+    }
+
+    /// Notes how many tokens the caller has got.
+    pub fn set_output_tokens(&self, tokens: u64) {
+        self.state().output_tokens = tokens;
+    }
+
+    /// Ends the request with a whole answer.
+    pub fn close_answered(&self) {
+        if self.close(ResultCode::Ok, None) {
+            self.flow.metrics.whole.record(self.at.elapsed());
+        }
+    }
+
+    /// Ends the request with a failure; without effect if it has ended.
+    pub fn close_failed(&self, failure: &Failure) {
+        self.close(failure.code, Some(failure.message.clone()));
+    }
+
+    fn close(&self, code: ResultCode, message: Option<String>) -> bool {
+        let mut state = self.state();
+        if state.is_closed {
+            return false;
+        }
+        state.is_closed = true;
+        let (attempts, output_tokens) = (std::mem::take(&mut state.attempts), state.output_tokens);
+        let pool = state.pool.as_ref().map(ToString::to_string);
+        drop(state);
+        self.flow.metrics.count_result(code);
+        self.flow.metrics.output_tokens.increment(output_tokens);
+        let whole = self.at.elapsed();
+        self.journal.push(journal::Record {
+            request_id: self.request_id.to_string(),
+            team: self.flow.flow.team.to_string(),
+            class: self.flow.flow.class.to_string(),
+            pool,
+            arrived_unix_ms: unix_ms(whole),
+            attempts,
+            result: code.number(),
+            result_name: code.name().to_string(),
+            ran: code.ran().as_str().to_string(),
+            message,
+            output_tokens,
+            whole_ms: u64::try_from(whole.as_millis()).unwrap_or(u64::MAX),
+        });
+        true
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Drop for Arrival {
+    fn drop(&mut self) {
+        self.close(ResultCode::CallerLeft, None);
+    }
+}
+
+/// Wall-clock time of an event that was `ago` before now.
+fn unix_ms(ago: time::Duration) -> u64 {
+    let at = time::SystemTime::now().checked_sub(ago);
+    let since = at.and_then(|at| at.duration_since(time::UNIX_EPOCH).ok());
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- a/daemon/src/traffic/intake.rs
+++ b/daemon/src/traffic/intake.rs
@@ -10,23 +10,13 @@
 use tokio::time;
 
 use super::Traffic;
+use super::arrival::Arrival;
 use super::failure::Failure;
-use crate::{directory, server};
+use crate::server;
 
 /// Header that names the class.
 pub const CLASS_HEADER: &str = "gentianhinge-class";
 
-/// A request whose caller is known.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    /// Identifier told to the caller and the target.
-    pub request_id: sync::Arc<str>,
-    /// When the head arrived.
-    pub at: time::Instant,
-    /// Team, class and their metrics.
-    pub flow: sync::Arc<directory::FlowEntry>,
-}
-
 impl Traffic {
     /// Gives a request its identifier.
     pub(super) fn request_id(&self) -> sync::Arc<str> {
@@ -39,7 +29,7 @@
         &self,
         request_id: sync::Arc<str>,
         headers: &HeaderMap,
-    ) -> Result<Arrival, Failure> {
+    ) -> Result<sync::Arc<Arrival>, Failure> {
         if self.shared.phase() == server::Phase::Starting {
             return Err(Failure::new(ResultCode::NotReady, "the router is starting"));
         }
@@ -60,7 +50,8 @@
             let class = class.unwrap_or("(default)");
             Failure::new(code, format!("class {class} for team {}", team.name))
         })?;
-        Ok(Arrival { request_id, at: time::Instant::now(), flow })
+        let journal = self.shared.journal.clone();
+        Ok(sync::Arc::new(Arrival::new(request_id, flow, journal)))
     }
 
     /// Reads a whole body.
--- a/daemon/src/traffic/mod.rs
+++ b/daemon/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The path of a request: from its caller, through the wait for a slot, to a target and back.
 
+mod arrival;
 mod failure;
 mod intake;
 mod model;
--- a/daemon/src/traffic/model.rs
+++ b/daemon/src/traffic/model.rs
@@ -9,8 +9,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time;
 
+use super::arrival::Arrival;
 use super::failure::{self, Failure};
-use super::intake::Arrival;
 use super::slot::Slot;
 use super::upstream::{self, Connection};
 use super::{PoolEntry, Traffic, prompt, retry, sse, stream};
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct ModelCall {
     /// Who calls, and since when.
-    pub arrival: Arrival,
+    pub arrival: sync::Arc<Arrival>,
     /// The model's targets.
     pub pool: sync::Arc<PoolEntry>,
     /// Path at the engine.
@@ -109,17 +109,16 @@
 ) -> Result<response::Response, Failure> {
     let (parts, body) = request.into_parts();
     let arrival = traffic.admit(request_id, &parts.headers)?;
-    let flow = arrival.flow.clone();
-    let result = take_and_run(traffic, arrival, &parts, body).await;
+    let result = take_and_run(traffic, arrival.clone(), &parts, body).await;
     if let Err(failure) = &result {
-        flow.metrics.count_result(failure.code);
+        arrival.close_failed(failure);
     }
     result
 }
 
 async fn take_and_run(
     traffic: &sync::Arc<Traffic>,
-    arrival: Arrival,
+    arrival: sync::Arc<Arrival>,
     parts: &http::request::Parts,
     body: body::Body,
 ) -> Result<response::Response, Failure> {
@@ -132,6 +131,7 @@
     let pool = traffic.models.get(prompt.model.as_str()).cloned().ok_or_else(|| {
         Failure::new(ResultCode::UnknownModel, format!("no model {}", prompt.model))
     })?;
+    arrival.set_pool(&pool.name);
     let path = match parts.uri.path() {
         "/v1/completions" => "/v1/completions",
         _ => "/v1/chat/completions",
@@ -147,13 +147,11 @@
 async fn whole(traffic: &Traffic, call: &ModelCall) -> Result<response::Response, Failure> {
     for attempt in 1_u32.. {
         let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
-        let metrics = &call.arrival.flow.metrics;
-        metrics.waiting.record(call.arrival.at.elapsed());
+        call.arrival.begin_attempt(&slot.target);
         match whole_attempt(traffic, call, &slot, attempt).await {
             Ok(answer) => {
-                metrics.whole.record(call.arrival.at.elapsed());
-                metrics.count_result(ResultCode::Ok);
-                traffic.retries.earn(&call.arrival.flow.flow.team);
+                call.arrival.close_answered();
+                traffic.retries.earn(call.arrival.team());
                 return Ok(answer);
             }
             Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
@@ -219,7 +217,7 @@
             meter.set_usage(usage);
         }
         slot.progress(meter.cost());
-        call.arrival.flow.metrics.output_tokens.increment(meter.output_tokens);
+        call.arrival.set_output_tokens(meter.output_tokens);
         let mut response = response::Response::new(body.into());
         *response.status_mut() = parts.status;
         if let Some(kind) = parts.headers.get(header::CONTENT_TYPE) {
@@ -239,10 +237,12 @@
         attempt: u32,
         err: AttemptError,
     ) -> Result<(), Failure> {
-        if attempt < retry::MAX_ATTEMPTS && self.retries.take(&arrival.flow.flow.team) {
+        let failure = err.into_failure();
+        arrival.fail_attempt(&failure.message);
+        if attempt < retry::MAX_ATTEMPTS && self.retries.take(arrival.team()) {
             return Ok(());
         }
-        Err(err.into_failure())
+        Err(failure)
     }
 }
 
--- a/daemon/src/traffic/service.rs
+++ b/daemon/src/traffic/service.rs
@@ -11,8 +11,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time;
 
+use super::arrival::Arrival;
 use super::failure::{self, Failure};
-use super::intake::{self, Arrival};
+use super::intake;
 use super::model::{self, ATTEMPT_HEADER, AttemptError};
 use super::slot::Slot;
 use super::upstream::{self, Connection};
@@ -37,7 +38,7 @@
 
 /// A service call that has been read.
 struct ServiceCall {
-    arrival: Arrival,
+    arrival: sync::Arc<Arrival>,
     pool: sync::Arc<PoolEntry>,
     method: Method,
     path_and_query: String,
@@ -67,21 +68,21 @@
 ) -> Result<response::Response, Failure> {
     let (parts, body) = request.into_parts();
     let arrival = traffic.admit(request_id, &parts.headers)?;
-    let flow = arrival.flow.clone();
     let result = async {
-        let mut call = read_call(traffic, arrival, parts)?;
+        let mut call = read_call(traffic, arrival.clone(), parts)?;
         call.body = traffic.read_body(body).await?;
         run(traffic, &call).await
     };
     let result = result.await;
-    let code = result.as_ref().map_or_else(|failure| failure.code, |_| ResultCode::Ok);
-    flow.metrics.count_result(code);
+    if let Err(failure) = &result {
+        arrival.close_failed(failure);
+    }
     result
 }
 
 fn read_call(
     traffic: &Traffic,
-    arrival: Arrival,
+    arrival: sync::Arc<Arrival>,
     parts: http::request::Parts,
 ) -> Result<ServiceCall, Failure> {
     let rest = parts.uri.path().strip_prefix("/services/").unwrap_or_default();
@@ -93,6 +94,7 @@
     let config::PoolKind::Service { call_cost, timeout, routes } = &pool.kind else {
         return Err(Failure::new(ResultCode::UnknownService, format!("no service {service}")));
     };
+    arrival.set_pool(&pool.name);
     if parts.headers.contains_key("idempotency-key") {
         let message = "no log is set up to record calls that run at most once";
         return Err(Failure::new(ResultCode::LogUnavailable, message));
@@ -139,16 +141,18 @@
 async fn run(traffic: &Traffic, call: &ServiceCall) -> Result<response::Response, Failure> {
     for attempt in 1_u32.. {
         let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
-        let metrics = &call.arrival.flow.metrics;
-        metrics.waiting.record(call.arrival.at.elapsed());
+        call.arrival.begin_attempt(&slot.target);
         match run_attempt(traffic, call, &slot, attempt).await {
             Ok(answer) => {
                 slot.progress(call.cost);
-                metrics.whole.record(call.arrival.at.elapsed());
-                traffic.retries.earn(&call.arrival.flow.flow.team);
+                call.arrival.close_answered();
+                traffic.retries.earn(call.arrival.team());
                 return Ok(answer);
             }
-            Err(AttemptError::Lost(failure)) if !call.idempotent => return Err(failure),
+            Err(AttemptError::Lost(failure)) if !call.idempotent => {
+                call.arrival.fail_attempt(&failure.message);
+                return Err(failure);
+            }
             Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
         }
     }
--- a/daemon/src/traffic/slot.rs
+++ b/daemon/src/traffic/slot.rs
@@ -8,8 +8,8 @@
 use gentianhinge_core::router;
 use tokio::sync::oneshot;
 
+use super::arrival::Arrival;
 use super::failure::Failure;
-use super::intake::Arrival;
 use super::{PoolEntry, Traffic};
 use crate::control;
 
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -117,6 +117,14 @@
     Broken(AttemptError),
 }
 
+/// How a request without a failure ended.
+enum End {
+    /// The caller has the whole answer.
+    Answered,
+    /// The caller closed its connection.
+    CallerLeft,
+}
+
 /// Runs one streamed request.
 struct Runner<'a> {
     traffic: &'a Traffic,
@@ -140,24 +148,20 @@
     }
 
     async fn run(mut self) {
-        let metrics = &self.call.arrival.flow.metrics;
-        let code = match self.attempts().await {
-            Ok(code) => code,
+        let arrival = &self.call.arrival;
+        let result = self.attempts().await;
+        arrival.set_output_tokens(self.meter.output_tokens);
+        match result {
+            Ok(End::Answered) => {
+                arrival.close_answered();
+                self.traffic.retries.earn(arrival.team());
+            }
+            // The drop of the arrival tells that the caller left.
+            Ok(End::CallerLeft) => {}
             Err(failure) => {
-                let code = failure.code;
-                // The handler counts a failure that it answers itself; one in a begun stream too,
-                // since it can't know which it will be.
+                arrival.close_failed(&failure);
                 let _ = self.items.send(Item::Failed(failure)).await;
-                code
             }
-        };
-        metrics.output_tokens.increment(self.meter.output_tokens);
-        if code == ResultCode::Ok {
-            metrics.whole.record(self.call.arrival.at.elapsed());
-            self.traffic.retries.earn(&self.call.arrival.flow.flow.team);
-            metrics.count_result(code);
-        } else if self.begun() || code == ResultCode::CallerLeft {
-            metrics.count_result(code);
         }
     }
 
@@ -166,16 +170,16 @@
         self.last_token_at.is_some()
     }
 
-    async fn attempts(&mut self) -> Result<ResultCode, Failure> {
+    async fn attempts(&mut self) -> Result<End, Failure> {
         for attempt in 1_u32.. {
             let (traffic, call) = (self.traffic, self.call);
             let slot = tokio::select! {
                 slot = traffic.slot(&call.pool, &call.arrival, call.body.len()) => slot?,
-                () = self.items.closed() => return Ok(ResultCode::CallerLeft),
+                () = self.items.closed() => return Ok(End::CallerLeft),
             };
-            call.arrival.flow.metrics.waiting.record(call.arrival.at.elapsed());
+            call.arrival.begin_attempt(&slot.target);
             match self.attempt(&slot, attempt).await {
-                Ok(code) => return Ok(code),
+                Ok(end) => return Ok(end),
                 Err(err) if self.begun() => return Err(self.interrupted(err)),
                 Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
             }
@@ -183,16 +187,16 @@
         unreachable!("the loop ends by a return")
     }
 
-    async fn attempt(&mut self, slot: &Slot, attempt: u32) -> Result<ResultCode, AttemptError> {
+    async fn attempt(&mut self, slot: &Slot, attempt: u32) -> Result<End, AttemptError> {
         let sent = self.traffic.send_model(self.call, slot, attempt);
         let answer = tokio::select! {
             answer = sent => answer?,
-            () = self.items.closed() => return Ok(ResultCode::CallerLeft),
+            () = self.items.closed() => return Ok(End::CallerLeft),
         };
         if !answer.status().is_success() {
             let answer = self.traffic.take_answer(self.call, slot, answer).await?;
             let _ = self.items.send(Item::Refused(answer)).await;
-            return Ok(ResultCode::Ok);
+            return Ok(End::Answered);
         }
         let stream_id = answer.headers().get("stream-id").cloned();
         let mut end = self.read(slot, answer.into_body()).await;
@@ -203,10 +207,10 @@
             end = self.read(slot, answer.into_body()).await;
         }
         match end {
-            ReadEnd::Done => Ok(ResultCode::Ok),
+            ReadEnd::Done => Ok(End::Answered),
             ReadEnd::CallerLeft => {
                 self.cancel(slot, stream_id);
-                Ok(ResultCode::CallerLeft)
+                Ok(End::CallerLeft)
             }
             ReadEnd::Broken(err) => Err(err),
         }
@@ -313,6 +317,7 @@
 
     fn interrupted(&self, err: AttemptError) -> Failure {
         let cause = err.into_failure().message;
+        self.call.arrival.fail_attempt(&cause);
         let delivered = self.meter.output_tokens;
         Failure::new(
             ResultCode::AnswerInterrupted,
--- a/daemon/tests/faults.rs
+++ b/daemon/tests/faults.rs
@@ -105,6 +105,23 @@
         assert_eq!((answer.result(), answer.ran()), (400, "unknown".to_string()));
         assert_eq!(fleet.effect_count().await, 1);
     },
+    the_journal_tells_of_each_attempt: {
+        let fleet = Deployment::start(UPSTREAM);
+        fleet.set_faults(fleet.service_addr, json!({"cut_body": true, "fault_count": 1})).await;
+        let answer = fleet.call_service("GET", "/lanes").await;
+        let request_id = answer.headers["gentianhinge-request-id"].to_str().unwrap();
+        let path = format!("/requests/{request_id}");
+        let refused = support::send("GET", fleet.operators, &path, &[], "").await;
+        assert_eq!(refused.status, 401);
+        let auth = format!("Bearer {}", support::OPERATOR_KEY);
+        let headers = [("authorization", auth.as_str())];
+        let record = support::send("GET", fleet.operators, &path, &headers, "").await.json();
+        assert_eq!((&record["team"], &record["result"]), (&json!("lanes"), &json!(0)));
+        let attempts = record["attempts"].as_array().unwrap();
+        assert_eq!(attempts.len(), 2, "{record}");
+        assert!(attempts[0]["error"].as_str().is_some_and(|error| error.starts_with("s1: ")));
+        assert!(attempts[1]["error"].is_null());
+    },
     a_call_told_as_not_run_had_no_effect: {
         let mut fleet = Deployment::start(UPSTREAM);
         fleet.service.signal(Signal::KILL);
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -19,6 +19,9 @@
 /// Key of the team `clubs` in [`settings`].
 pub const CLUBS_KEY: &str = "key-of-clubs";
 
+/// Key of an operator in [`settings`].
+pub const OPERATOR_KEY: &str = "key-of-an-operator";
+
 /// Longest time for a process to say where it listens.
 const START_BOUND: Duration = Duration::from_secs(10);
 
@@ -125,6 +128,7 @@
     });
     let engines = engines.collect::<Vec<_>>().join(", ");
     let lanes = blake3::hash(LANES_KEY.as_bytes()).to_hex();
+    let operator = blake3::hash(OPERATOR_KEY.as_bytes()).to_hex();
     let clubs = blake3::hash(CLUBS_KEY.as_bytes()).to_hex();
     format!(
         r#"{{
@@ -138,6 +142,7 @@
             "targets": [{{ "name": "s1", "addr": "{service}", "zone": "a" }}] }}],
         {more}
         "table": {{
+            "operator_key_hashes": ["{operator}"],
             "classes": [{{ "name": "now", "price_ratio": 1.0, "max_wait_ms": 3000 }},
                         {{ "name": "later", "price_ratio": 0.5, "max_wait_ms": 60000 }}],
             "teams": [{{ "name": "lanes", "key_hashes": ["{lanes}"] }},
