--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -209,8 +209,11 @@
         for line in &report.progress {
             self.take_progress(key, line);
         }
+        for id in &report.failed {
+            self.fail_target_of(key, *id);
+        }
         for id in &report.finished {
-            self.end_grant(key, *id, true);
+            self.end_grant(key, *id, !report.failed.contains(id));
         }
         for id in &report.declined {
             self.end_grant(key, *id, false);
@@ -334,6 +337,13 @@
         self.teams.refresh(team_index, self.now);
     }
 
+    fn fail_target_of(&mut self, key: SessionKey, id: GrantId) {
+        let session = self.sessions.get(&key);
+        if let Some(running) = session.and_then(|session| session.in_flight.get(&id)) {
+            self.targets.fail(&running.target, self.now);
+        }
+    }
+
     fn end_grant(&mut self, key: SessionKey, id: GrantId, was_run: bool) {
         let session = self.sessions.get_mut(&key);
         let Some(running) = session.and_then(|session| session.in_flight.remove(&id)) else {
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -91,6 +91,8 @@
     pub finished: Vec<GrantId>,
     /// Grants that the router had no use for.
     pub declined: Vec<GrantId>,
+    /// Those of `finished` whose target couldn't be connected to.
+    pub failed: Vec<GrantId>,
     /// Everything in flight; only if `full`.
     pub in_flight: Vec<InFlight>,
     /// What was delivered before the session; only if `full`.
--- a/core/src/router/mod.rs
+++ b/core/src/router/mod.rs
@@ -231,6 +231,16 @@
         queue.ended.push(Progress { grant: running.grant, cost: running.cost });
     }
 
+    /// Ends a running request whose target couldn't be connected to.
+    pub fn fail(&mut self, id: RequestId) {
+        if let Some(running) = self.running.get(&id)
+            && let Some(queue) = self.cells.get_mut(&running.cell)
+        {
+            queue.failed.push(running.grant);
+        }
+        self.finish(id);
+    }
+
     /// Removes and returns the requests whose deadline has passed.
     pub fn expire(&mut self, now: time::Instant) -> Vec<RequestId> {
         let late = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now);
@@ -291,6 +301,7 @@
         let mut progress = std::mem::take(&mut queue.ended);
         let finished = std::mem::take(&mut queue.finished);
         let declined = std::mem::take(&mut queue.declined);
+        let failed = std::mem::take(&mut queue.failed);
         if now >= queue.progress_due {
             progress.extend(self.take_progress(cell, now));
         }
@@ -310,6 +321,7 @@
             progress,
             finished,
             declined,
+            failed,
             in_flight: Vec::new(),
             accounts: Vec::new(),
             virtual_times: Vec::new(),
--- a/core/src/router/queue.rs
+++ b/core/src/router/queue.rs
@@ -69,6 +69,7 @@
     pub(super) finished: Vec<GrantId>,
     pub(super) ended: Vec<Progress>,
     pub(super) declined: Vec<GrantId>,
+    pub(super) failed: Vec<GrantId>,
     pub(super) delivered_cost: BTreeMap<Name, f64>,
     pub(super) virtual_times: BTreeMap<Name, f64>,
     pub(super) report_seq: u64,
@@ -87,6 +88,7 @@
             finished: Vec::new(),
             ended: Vec::new(),
             declined: Vec::new(),
+            failed: Vec::new(),
             delivered_cost: BTreeMap::new(),
             virtual_times: BTreeMap::new(),
             report_seq: 0,
@@ -105,6 +107,7 @@
         self.finished.clear();
         self.ended.clear();
         self.declined.clear();
+        self.failed.clear();
         for queue in self.flows.values_mut() {
             queue.told_count = 0;
         }
--- a/core/tests/dispatch.rs
+++ b/core/tests/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::ids::{Flow, Name, RequestId, RouterId};
-use gentianhinge_core::{dispatch, router, table};
+use gentianhinge_core::{dispatch, router, slots, table};
 use tokio::time;
 
 fn table() -> sync::Arc<table::Table> {
@@ -81,6 +81,27 @@
         router.finish(RequestId(0));
         assert_eq!(exchange(&mut router, &mut dispatcher), [9]);
     },
+    a_target_that_cannot_be_reached_gets_nothing_until_it_reports: {
+        let (mut router, mut dispatcher) = pair();
+        router.submit(submit(1, "lanes"), time::Instant::now()).unwrap();
+        assert_eq!(exchange(&mut router, &mut dispatcher), [1]);
+        router.fail(RequestId(1));
+        router.submit(submit(2, "lanes"), time::Instant::now()).unwrap();
+        assert_eq!(exchange(&mut router, &mut dispatcher).len(), 0);
+        time::advance(Duration::from_millis(500)).await;
+        let load = slots::TargetLoad {
+            at: time::Instant::now(),
+            incarnation: 1,
+            running_count: 0,
+            waiting_count: 0,
+            max_running_count: 2,
+            leaving: false,
+        };
+        dispatcher.set_target_load(&"t1".into(), load, time::Instant::now());
+        let starts = dispatcher.poll(time::Instant::now());
+        let starts = starts.iter().flat_map(|(_, batch)| router.take_grants(batch));
+        assert_eq!(starts.map(|start| start.id.0).collect::<Vec<_>>(), [2]);
+    },
     expires_what_waited_too_long: {
         let (mut router, _) = pair();
         router.submit(submit(1, "lanes"), time::Instant::now()).unwrap();
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -34,6 +34,11 @@
         /// Cost so far, before the class's price.
         cost: f64,
     },
+    /// A running request couldn't be sent, since its target didn't take the connection.
+    Fail {
+        /// The request.
+        id: RequestId,
+    },
     /// A request has ended.
     Finish {
         /// The request.
@@ -119,6 +124,7 @@
         match command {
             Command::Submit { submit, reply } => self.submit(submit, reply, now),
             Command::Progress { id, cost } => self.router.progress(id, cost),
+            Command::Fail { id } => self.router.fail(id),
             Command::Finish { id } => {
                 self.waiters.remove(&id);
                 self.router.finish(id);
--- a/daemon/src/traffic/model.rs
+++ b/daemon/src/traffic/model.rs
@@ -13,7 +13,7 @@
 use super::intake::Arrival;
 use super::slot::Slot;
 use super::upstream::{self, Connection};
-use super::{PoolEntry, Traffic, prompt, sse, stream};
+use super::{PoolEntry, Traffic, prompt, retry, sse, stream};
 use crate::config;
 
 /// Header by which a target can tell attempts apart.
@@ -156,7 +156,7 @@
                 traffic.retries.earn(&call.arrival.flow.flow.team);
                 return Ok(answer);
             }
-            Err(err) => traffic.may_retry(&call.arrival, err)?,
+            Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
         }
     }
     unreachable!("the loop ends by a return")
@@ -186,6 +186,7 @@
         let answer = match time::timeout(self.bounds.first_byte_timeout, sent).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(err)) if upstream::never_sent(&err) => {
+                slot.fail();
                 return Err(AttemptError::NotSent(format!("{}: {err}", slot.target)));
             }
             Ok(Err(err)) => return Err(lost(format!("{}: {err}", slot.target))),
@@ -232,8 +233,13 @@
     ///
     /// A request that wasn't sent is tried again too, at the cost of the same budget: each attempt
     /// is work for the fleet.
-    pub(super) fn may_retry(&self, arrival: &Arrival, err: AttemptError) -> Result<(), Failure> {
-        if self.retries.take(&arrival.flow.flow.team) {
+    pub(super) fn may_retry(
+        &self,
+        arrival: &Arrival,
+        attempt: u32,
+        err: AttemptError,
+    ) -> Result<(), Failure> {
+        if attempt < retry::MAX_ATTEMPTS && self.retries.take(&arrival.flow.flow.team) {
             return Ok(());
         }
         Err(err.into_failure())
--- a/daemon/src/traffic/retry.rs
+++ b/daemon/src/traffic/retry.rs
@@ -8,6 +8,9 @@
 
 use gentianhinge_core::ids::Name;
 
+/// Most attempts of one request, so that one that fails slowly doesn't use up its team's budget.
+pub const MAX_ATTEMPTS: u32 = 3;
+
 /// Retries that a team may save up; it starts with as many.
 const MAX_SAVED_RETRIES: f64 = 10.0;
 
--- a/daemon/src/traffic/service.rs
+++ b/daemon/src/traffic/service.rs
@@ -149,7 +149,7 @@
                 return Ok(answer);
             }
             Err(AttemptError::Lost(failure)) if !call.idempotent => return Err(failure),
-            Err(err) => traffic.may_retry(&call.arrival, err)?,
+            Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
         }
     }
     unreachable!("the loop ends by a return")
@@ -168,6 +168,7 @@
         let answer = traffic.upstream.send(connection, request).await.map_err(|err| {
             let message = format!("{}: {err}", slot.target);
             if upstream::never_sent(&err) {
+                slot.fail();
                 AttemptError::NotSent(message)
             } else {
                 model::lost(message)
--- a/daemon/src/traffic/slot.rs
+++ b/daemon/src/traffic/slot.rs
@@ -41,6 +41,11 @@
     pub fn progress(&self, cost: f64) {
         self.ticket.control.send(control::Command::Progress { id: self.ticket.id, cost });
     }
+
+    /// Tells that the target didn't take the connection.
+    pub fn fail(&self) {
+        self.ticket.control.send(control::Command::Fail { id: self.ticket.id });
+    }
 }
 
 impl Traffic {
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -177,7 +177,7 @@
             match self.attempt(&slot, attempt).await {
                 Ok(code) => return Ok(code),
                 Err(err) if self.begun() => return Err(self.interrupted(err)),
-                Err(err) => traffic.may_retry(&call.arrival, err)?,
+                Err(err) => traffic.may_retry(&call.arrival, attempt, err)?,
             }
         }
         unreachable!("the loop ends by a return")
--- a/daemon/tests/path.rs
+++ b/daemon/tests/path.rs
@@ -14,10 +14,6 @@
     )* };
 }
 
-fn lanes_auth() -> String {
-    format!("Bearer {}", support::LANES_KEY)
-}
-
 cases! {
     streams_a_whole_answer: {
         let fleet = Deployment::start("");
@@ -35,10 +31,7 @@
     },
     calls_a_plain_service: {
         let fleet = Deployment::start("");
-        let auth = lanes_auth();
-        let headers = [("authorization", auth.as_str())];
-        let path = "/services/desk/bookings?lane=3";
-        let answer = support::send("POST", fleet.callers, path, &headers, "{}").await;
+        let answer = fleet.call_service("POST", "/bookings?lane=3").await;
         assert_eq!((answer.status, answer.result()), (200, 0), "{answer:?}");
     },
     shows_health_and_histograms: {
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -118,8 +118,12 @@
     }
 }
 
-/// Settings of one router with one model engine and one service; `more` is put in as it is.
-pub fn settings(engine: net::SocketAddr, service: net::SocketAddr, more: &str) -> String {
+/// Settings of one router with model engines and one service; `more` is put in as it is.
+pub fn settings(engines: &[net::SocketAddr], service: net::SocketAddr, more: &str) -> String {
+    let engines = engines.iter().enumerate().map(|(i, addr)| {
+        format!(r#"{{ "name": "m{}", "addr": "{addr}", "zone": "a", "max_slots": 4 }}"#, i + 1)
+    });
+    let engines = engines.collect::<Vec<_>>().join(", ");
     let lanes = blake3::hash(LANES_KEY.as_bytes()).to_hex();
     let clubs = blake3::hash(CLUBS_KEY.as_bytes()).to_hex();
     format!(
@@ -127,15 +131,14 @@
         "router": {{ "name": "r1", "region": "here", "zone": "a" }},
         "listen": {{ "callers_addr": "127.0.0.1:0", "operators_addr": "127.0.0.1:0",
                     "peers_addr": "127.0.0.1:0" }},
-        "models": [{{ "name": "assistant", "targets": [
-            {{ "name": "m1", "addr": "{engine}", "zone": "a", "max_slots": 4 }}] }}],
+        "models": [{{ "name": "assistant", "targets": [{engines}] }}],
         "services": [{{ "name": "desk", "timeout_ms": 2000,
             "routes": [{{ "path_prefix": "/bookings", "method": "POST", "repeatable": false }},
                        {{ "path_prefix": "/search", "repeatable": true }}],
             "targets": [{{ "name": "s1", "addr": "{service}", "zone": "a" }}] }}],
         {more}
         "table": {{
-            "classes": [{{ "name": "now", "price_ratio": 1.0, "max_wait_ms": 10000 }},
+            "classes": [{{ "name": "now", "price_ratio": 1.0, "max_wait_ms": 3000 }},
                         {{ "name": "later", "price_ratio": 0.5, "max_wait_ms": 60000 }}],
             "teams": [{{ "name": "lanes", "key_hashes": ["{lanes}"] }},
                       {{ "name": "clubs", "key_hashes": ["{clubs}"], "classes": ["later"],
@@ -152,10 +155,10 @@
     pub callers: net::SocketAddr,
     /// Where operators reach the router.
     pub operators: net::SocketAddr,
-    /// The model engine.
-    pub engine: Process,
-    /// Where the engine listens.
-    pub engine_addr: net::SocketAddr,
+    /// The model engines.
+    pub engines: Vec<Process>,
+    /// Where the engines listen.
+    pub engine_addrs: Vec<net::SocketAddr>,
     /// The plain service.
     pub service: Process,
     /// Where the service listens.
@@ -166,13 +169,22 @@
 impl Deployment {
     /// Starts a model engine, a service and a router; `more` goes into the router's settings.
     pub fn start(more: &str) -> Deployment {
+        Deployment::with_engines(1, more)
+    }
+
+    /// Starts several model engines, a service and a router.
+    pub fn with_engines(engine_count: usize, more: &str) -> Deployment {
         let listen = ["--listen", "127.0.0.1:0"];
         let engine_args = ["engine", "--name", "assistant", "--slots", "4", "--token-ms", "5"];
-        let engine = Process::start("gentianhinge-standin", &[&engine_args[..], &listen].concat());
+        let engine_args = [&engine_args[..], &listen].concat();
+        let engines = (0..engine_count)
+            .map(|_| Process::start("gentianhinge-standin", &engine_args))
+            .collect::<Vec<_>>();
         let service = Process::start("gentianhinge-standin", &[&["service"][..], &listen].concat());
-        let engine_addr = engine.addr("listening on ");
+        let engine_addrs =
+            engines.iter().map(|engine| engine.addr("listening on ")).collect::<Vec<_>>();
         let service_addr = service.addr("listening on ");
-        let file = SettingsFile::new(&settings(engine_addr, service_addr, more));
+        let file = SettingsFile::new(&settings(&engine_addrs, service_addr, more));
         let router = Process::start("gentianhinged", &[file.path()]);
         let callers = router.addr("callers at ");
         let operators = router.addr("operators at ");
@@ -180,13 +192,33 @@
             router,
             callers,
             operators,
-            engine,
-            engine_addr,
+            engines,
+            engine_addrs,
             service,
             service_addr,
             _settings: file,
         }
     }
+
+    /// Sets faults of a stand-in.
+    pub async fn set_faults(&self, addr: net::SocketAddr, faults: serde_json::Value) {
+        let headers = [("content-type", "application/json")];
+        let answer = send("POST", addr, "/faults", &headers, &faults.to_string()).await;
+        assert!((200..300).contains(&answer.status), "{answer:?}");
+    }
+
+    /// Calls the plain service as the team `lanes`.
+    pub async fn call_service(&self, method: &str, path: &str) -> Answer {
+        let auth = format!("Bearer {LANES_KEY}");
+        let headers = [("authorization", auth.as_str())];
+        send(method, self.callers, &format!("/services/desk{path}"), &headers, "{}").await
+    }
+
+    /// Effects that the plain service has had.
+    pub async fn effect_count(&self) -> u64 {
+        let answer = send("GET", self.service_addr, "/effects", &[], "").await;
+        answer.json()["effect_count"].as_u64().unwrap()
+    }
 }
 
 /// A whole answer.
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -38,6 +38,7 @@
   inFlight @7 :List(InFlight);      # only if full
   accounts @8 :List(Account);       # changed lines only unless full
   virtualTimes @9 :List(TeamVirtualTime);  # only if full: last heard
+  failedGrants @11 :List(UInt64);   # those finished whose target couldn't be connected to
   ackedSeq @10 :UInt64;             # last grant batch that this report takes account of
 }
 
