Add log service, host list, fault relay and a checking caller

The stand-ins for the platform keep records with offsets, retention and a cap on appends, show host changes late, and cut, delay or silence TCP connections.

--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use gentianhinge_standin::{engine, service};
+use gentianhinge_standin::{engine, hosts, log, relay, service};
 
 /// The program's command.
 pub(crate) fn command() -> Command {
@@ -13,6 +13,9 @@
         .arg_required_else_help(true)
         .subcommand(engine_command())
         .subcommand(service_command())
+        .subcommand(log_command())
+        .subcommand(hosts_command())
+        .subcommand(relay_command())
 }
 
 /// An option whose default is shown in the help.
@@ -156,3 +159,76 @@
         max_running_count: get(matches, "slots"),
     }
 }
+
+fn log_command() -> Command {
+    let config = log::Config::default();
+    Command::new("log")
+        .about("The platform's append-only log service")
+        .arg(listen())
+        .arg(
+            option("appends-per-s", "Most appends a second", config.max_appends_per_s)
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            option("retention-ms", "Time for which a record is kept", config.retention_ms)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option("max-record-bytes", "Largest record", config.max_record_bytes)
+                .value_parser(value_parser!(usize)),
+        )
+        .arg(
+            option("latency-ms", "Time that each call takes", config.latency_ms)
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+/// Configuration of a log service from its options.
+pub(crate) fn log_config(matches: &ArgMatches) -> log::Config {
+    log::Config {
+        listen: get(matches, "listen"),
+        max_appends_per_s: get(matches, "appends-per-s"),
+        retention_ms: get(matches, "retention-ms"),
+        max_record_bytes: get(matches, "max-record-bytes"),
+        latency_ms: get(matches, "latency-ms"),
+    }
+}
+
+fn hosts_command() -> Command {
+    let config = hosts::Config::default();
+    Command::new("hosts").about("The platform's host list, which lags").arg(listen()).arg(
+        option("lag-ms", "Time until a change shows", config.lag_ms)
+            .value_parser(value_parser!(u64)),
+    )
+}
+
+/// Configuration of a host list from its options.
+pub(crate) fn hosts_config(matches: &ArgMatches) -> hosts::Config {
+    hosts::Config { listen: get(matches, "listen"), lag_ms: get(matches, "lag-ms") }
+}
+
+fn relay_command() -> Command {
+    Command::new("relay")
+        .about("TCP relay that cuts, delays or silences")
+        .arg(listen())
+        .arg(
+            option("control", "IP address and port for faults", "127.0.0.1:0")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("upstream")
+                .long("upstream")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("IP address and port that connections are passed on to"),
+        )
+}
+
+/// Configuration of a relay from its options.
+pub(crate) fn relay_config(matches: &ArgMatches) -> relay::Config {
+    relay::Config {
+        listen: get(matches, "listen"),
+        upstream: get(matches, "upstream"),
+        control: get(matches, "control"),
+    }
+}
--- /dev/null
+++ b/standin/src/client.rs
@@ -0,0 +1,322 @@
+//! A caller: sends requests, and checks that each answer is whole and belongs to its request.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use quick_error::quick_error;
+use serde::Deserialize;
+use tokio::time;
+
+use crate::engine::{Completion, Usage, unix_time};
+use crate::sse;
+
+quick_error! {
+    /// Why a call has no answer.
+    #[derive(Debug)]
+    pub enum CallError {
+        /// The request can't be written.
+        Request(error: http::Error) {
+            from()
+            display("request: {error}")
+        }
+        /// No answer came.
+        Send(error: legacy::Error) {
+            from()
+            display("no answer: {error}")
+        }
+        /// The answer broke off.
+        Body(error: hyper::Error) {
+            from()
+            display("answer broke off: {error}")
+        }
+    }
+}
+
+/// A caller with a pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new()
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body isn't JSON of this type.
+    pub fn json<'a, T: Deserialize<'a>>(&'a self) -> serde_json::Result<T> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+impl Client {
+    /// Creates a caller without connections.
+    pub fn new() -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Client { inner: legacy::Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no head comes.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        Ok(self.inner.request(request).await?)
+    }
+
+    /// Sends a request to a path of `addr` and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer doesn't come or breaks off.
+    pub async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, CallError> {
+        let uri = format!("http://{addr}{path}");
+        let mut request = Request::builder().method(method).uri(uri);
+        for &(name, value) in headers {
+            request = request.header(name, value);
+        }
+        let response = self.send(request.body(Full::new(body.into()))?).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(Answer { status: head.status.as_u16(), headers: head.headers, body })
+    }
+
+    /// Sends `completion` and follows its answer to the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no head comes; what goes wrong later is part of the outcome.
+    pub async fn complete(
+        &self,
+        base_url: &str,
+        headers: &[(&str, &str)],
+        completion: &Completion,
+    ) -> Result<Outcome, CallError> {
+        let body = serde_json::to_vec(completion).unwrap_or_default();
+        let uri = format!("{base_url}/v1/chat/completions");
+        let mut request = Request::post(uri).header("content-type", "application/json");
+        for &(name, value) in headers {
+            request = request.header(name, value);
+        }
+        let started_at = time::Instant::now();
+        let response = self.send(request.body(Full::new(body.into()))?).await?;
+        let mut outcome = Outcome::new(started_at, &response);
+        if completion.stream && outcome.status == 200 {
+            outcome.follow_stream(response.into_body(), completion).await;
+        } else {
+            outcome.take_whole(response.into_body(), completion).await;
+        }
+        outcome.ended_at = time::Instant::now();
+        Ok(outcome)
+    }
+}
+
+/// How an answer went.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// HTTP status.
+    pub status: u16,
+    /// Number of the result code; 0 if the answer has none.
+    pub result: u16,
+    /// When the request was sent.
+    pub started_at: time::Instant,
+    /// When the head of the answer came.
+    pub head_at: time::Instant,
+    /// When each token came.
+    pub token_at: Vec<time::Instant>,
+    /// Time from the engine's write of each token to its arrival, if the engine states it.
+    pub transit_us: Vec<u64>,
+    /// When the answer ended.
+    pub ended_at: time::Instant,
+    /// Tokens, as the answer's usage states them.
+    pub usage: Option<Usage>,
+    /// What is wrong with the answer; nothing if it is whole and belongs to the request.
+    pub fault: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+    standin_sent_us: Option<u64>,
+    error: Option<ErrorBody>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Option<Content>,
+    message: Option<Content>,
+}
+
+#[derive(Deserialize)]
+struct Content {
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    #[serde(default)]
+    code: u16,
+    #[serde(default)]
+    message: String,
+}
+
+impl Outcome {
+    fn new<B>(started_at: time::Instant, response: &Response<B>) -> Outcome {
+        let result = response.headers().get("gentianhinge-result");
+        let result = result.and_then(|value| value.to_str().ok()?.parse().ok());
+        let now = time::Instant::now();
+        Outcome {
+            status: response.status().as_u16(),
+            result: result.unwrap_or(0),
+            started_at,
+            head_at: now,
+            token_at: Vec::new(),
+            transit_us: Vec::new(),
+            ended_at: now,
+            usage: None,
+            fault: None,
+        }
+    }
+
+    /// Whether the answer is whole and belongs to its request.
+    pub fn is_whole(&self) -> bool {
+        self.status == 200 && self.fault.is_none()
+    }
+
+    fn blame(&mut self, fault: String) {
+        self.fault.get_or_insert(fault);
+    }
+
+    async fn follow_stream(&mut self, mut body: Incoming, completion: &Completion) {
+        let mut parser = sse::Parser::default();
+        let mut is_done = false;
+        while let Some(frame) = body.frame().await {
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => return self.blame(format!("answer broke off: {error}")),
+            };
+            let Some(data) = frame.data_ref() else { continue };
+            for event in parser.push(data) {
+                if is_done {
+                    self.blame("events after the end".to_owned());
+                }
+                is_done |= event.data == "[DONE]";
+                self.take_event(&event, completion);
+            }
+        }
+        if !is_done {
+            self.blame("answer ended early".to_owned());
+        }
+        self.check_length(self.token_at.len());
+    }
+
+    fn take_event(&mut self, event: &sse::Event, completion: &Completion) {
+        if event.data == "[DONE]" {
+            return;
+        }
+        let chunk: Chunk = match serde_json::from_str(&event.data) {
+            Ok(chunk) => chunk,
+            Err(error) => return self.blame(format!("event isn't JSON: {error}")),
+        };
+        if let Some(error) = chunk.error {
+            self.result = error.code;
+            return self.blame(format!("error event {}: {}", error.code, error.message));
+        }
+        self.usage = chunk.usage.or(self.usage);
+        let delta = chunk.choices.into_iter().find_map(|choice| choice.delta?.content);
+        let Some(text) = delta else { return };
+        if let Some(sent_us) = chunk.standin_sent_us {
+            let now_us = unix_time().as_micros() as u64;
+            self.transit_us.push(now_us.saturating_sub(sent_us));
+        }
+        self.token_at.push(time::Instant::now());
+        let expected = token_text(completion, self.token_at.len());
+        if text != expected {
+            self.blame(format!("token {text:?} in place of {expected:?}"));
+        }
+    }
+
+    async fn take_whole(&mut self, body: Incoming, completion: &Completion) {
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return self.blame(format!("answer broke off: {error}")),
+        };
+        let chunk: Chunk = match serde_json::from_slice(&body) {
+            Ok(chunk) => chunk,
+            Err(error) => return self.blame(format!("answer isn't JSON: {error}")),
+        };
+        if let Some(error) = chunk.error {
+            self.result = error.code;
+            return self.blame(format!("error {}: {}", error.code, error.message));
+        }
+        self.usage = chunk.usage;
+        let message = chunk.choices.into_iter().find_map(|choice| choice.message?.content);
+        let text = message.unwrap_or_default();
+        let count = text.split_whitespace().count();
+        let expected: String = (1..=count).map(|n| token_text(completion, n)).collect();
+        if text != expected {
+            self.blame("tokens with a gap, doubled, or of another request".to_owned());
+        }
+        self.check_length(count);
+    }
+
+    fn check_length(&mut self, count: usize) {
+        match self.usage {
+            None => self.blame("answer states no usage".to_owned()),
+            Some(usage) if usage.completion_tokens as usize != count => {
+                self.blame(format!("{count} tokens of {}", usage.completion_tokens));
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+/// Text of the n-th token of the answer to a request.
+fn token_text(completion: &Completion, n: usize) -> String {
+    match &completion.user {
+        Some(user) => format!("{user}:{n} "),
+        None => format!("t{n} "),
+    }
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -9,6 +9,8 @@
 mod batch;
 mod cache;
 mod http;
+mod report;
+mod stream;
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -19,8 +21,9 @@
 use crate::server;
 
 pub use api::{Completion, Message, Usage, unix_time};
-pub use batch::{Engine, Load, Stats};
+pub use batch::Engine;
 pub use cache::{BLOCK_BYTES, Event, EventKind, EventPage, prefix_hashes};
+pub use report::{Load, Stats};
 
 /// Configuration of an engine.
 #[derive(Clone, Debug)]
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
 use super::api::{self, Completion, Kind, Usage, Writer};
 use super::cache::{self, Cache, EventPage};
+use super::report::{Load, Stats};
+use super::stream::Stream;
 use super::{Config, Faults};
 use crate::server::Gate;
 
@@ -18,64 +19,6 @@
 /// Time between two looks at whether a stall has ended.
 const STALL_POLL: Duration = Duration::from_millis(5);
 
-/// Load report of a target.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Load {
-    /// When the report was made, in Unix time.
-    pub at_ms: u64,
-    /// Number of the target's life.
-    pub incarnation: u64,
-    /// Streams in the batch.
-    pub running_count: usize,
-    /// Requests that wait for the batch.
-    pub waiting_count: usize,
-    /// Most streams in the batch.
-    pub max_running_count: usize,
-    /// Blocks in the prefix cache.
-    #[serde(default)]
-    pub cached_blocks: usize,
-    /// Most blocks in the prefix cache.
-    #[serde(default)]
-    pub max_cached_blocks: usize,
-    /// Whether the target is about to leave.
-    pub leaving: bool,
-}
-
-/// What an engine has counted since its start.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Stats {
-    /// Requests that were admitted or queued.
-    pub run_count: u64,
-    /// Answers made whole.
-    pub finished_count: u64,
-    /// Streams cancelled by their callers.
-    pub cancelled_count: u64,
-    /// Streams cancelled because nobody read them.
-    pub abandoned_count: u64,
-    /// Resumptions.
-    pub resumed_count: u64,
-    /// Requests refused.
-    pub refused_count: u64,
-    /// Requests taken while leaving.
-    pub run_while_leaving_count: u64,
-    /// Attempt ids that came more than once.
-    pub repeated_attempt_count: u64,
-    /// Tokens made.
-    pub token_count: u64,
-    /// Tokens of prompts read, cached ones included.
-    pub prompt_token_count: u64,
-    /// Tokens of prompts that the cache held.
-    pub cached_token_count: u64,
-    /// Greatest number of streams in the batch.
-    pub peak_running_count: usize,
-    /// Greatest number of requests that waited for the batch.
-    pub peak_waiting_count: usize,
-    /// Time spent by streams in the batch, summed over streams.
-    pub busy_slot_ms: f64,
-    /// Time since the start.
-    pub uptime_ms: u64,
-}
-
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -84,64 +27,6 @@
     Fault(u16),
 }
 
-/// How far a stream has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Progress {
-    pub(super) token_count: u32,
-    pub(super) was_cancelled: bool,
-}
-
-/// One stream, running or kept for resumption.
-#[derive(Debug)]
-pub(super) struct Stream {
-    pub(super) id: String,
-    pub(super) writer: Writer,
-    pub(super) usage: Usage,
-    progress: watch::Sender<Progress>,
-    prefill: Duration,
-    place: Mutex<Place>,
-}
-
-#[derive(Debug, Default)]
-struct Place {
-    first_token_at: Option<time::Instant>,
-    reader_count: u32,
-    unread_since: Option<time::Instant>,
-}
-
-impl Stream {
-    pub(super) fn watch(&self) -> watch::Receiver<Progress> {
-        self.progress.subscribe()
-    }
-
-    fn has_ended(&self) -> bool {
-        let progress = self.progress.borrow();
-        progress.was_cancelled || progress.token_count >= self.usage.completion_tokens
-    }
-
-    fn place(&self) -> MutexGuard<'_, Place> {
-        self.place.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(super) fn attach(&self) {
-        let mut place = self.place();
-        place.reader_count += 1;
-        place.unread_since = None;
-    }
-
-    pub(super) fn detach(&self) {
-        let mut place = self.place();
-        place.reader_count -= 1;
-        if place.reader_count == 0 {
-            place.unread_since = Some(time::Instant::now());
-        }
-    }
-
-    fn is_unread_for(&self, window: Duration, now: time::Instant) -> bool {
-        self.place().unread_since.is_some_and(|since| now.duration_since(since) >= window)
-    }
-}
-
 #[derive(Debug)]
 struct Inner {
     waiting: VecDeque<Arc<Stream>>,
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -16,7 +16,9 @@
 
 use super::Faults;
 use super::api::{Completion, Kind};
-use super::batch::{Engine, Progress, Refusal, Stream};
+use super::batch::{Engine, Refusal};
+use super::stream::{Progress, Stream};
+use crate::server;
 
 /// Largest request body.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -277,9 +279,8 @@
     Json(engine.faults()).into_response()
 }
 
-async fn set_faults(State(engine): Shared, Json(faults): Json<Faults>) -> Response {
-    engine.set_faults(faults.clone());
-    Json(faults).into_response()
+async fn set_faults(State(engine): Shared, body: Bytes) -> Response {
+    server::with_json(&body, |faults: Faults| engine.set_faults(faults))
 }
 
 async fn stats(State(engine): Shared) -> Response {
--- /dev/null
+++ b/standin/src/hosts.rs
@@ -0,0 +1,237 @@
+//! The platform's list of live and leaving hosts, which lags.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, put};
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::server::{self, Gate};
+
+/// Time between two looks at whether a hang has ended.
+const HANG_POLL: Duration = Duration::from_millis(5);
+
+/// Configuration of a host list.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on. Default: an ephemeral port of 127.0.0.1.
+    pub listen: SocketAddr,
+    /// Time until a change shows. Default: 1,000.
+    pub lag_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), lag_ms: 1000 }
+    }
+}
+
+/// What a host is for.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A host of the fleet.
+    Router,
+    /// A back end.
+    Target,
+}
+
+/// State of a listed host.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// The host takes work.
+    Live,
+    /// The host is about to go.
+    Leaving,
+}
+
+/// One line of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Name, unique in the list.
+    pub name: String,
+    /// IP address and port.
+    pub addr: String,
+    /// Region of the host.
+    pub region: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// What the host is for.
+    pub kind: Kind,
+    /// State of the host.
+    pub state: HostState,
+}
+
+/// The list as its readers see it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct HostList {
+    /// Hosts by name.
+    pub hosts: Vec<Host>,
+}
+
+/// Faults of a host list; a field that is absent is no fault.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answers reads with status 503.
+    pub outage: bool,
+    /// Takes reads but doesn't answer them.
+    pub hang: bool,
+    /// Adds to the time that each read takes.
+    pub slow_ms: Option<u64>,
+    /// Closes new connections, before reading from them, for so long.
+    pub refuse_ms: Option<u64>,
+    /// Shows an empty list.
+    pub empty: bool,
+}
+
+#[derive(Debug)]
+struct Change {
+    visible_at: time::Instant,
+    name: String,
+    host: Option<Host>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    visible: BTreeMap<String, Host>,
+    changes: VecDeque<Change>,
+    faults: Faults,
+}
+
+/// State of a host list.
+#[derive(Debug)]
+pub struct Hosts {
+    lag: Duration,
+    gate: Arc<Gate>,
+    inner: Mutex<Inner>,
+}
+
+impl Hosts {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, name: String, host: Option<Host>) {
+        let visible_at = time::Instant::now() + self.lag;
+        self.lock().changes.push_back(Change { visible_at, name, host });
+    }
+
+    /// Adds or replaces a host; readers see it after the lag.
+    pub fn put(&self, host: Host) {
+        self.change(host.name.clone(), Some(host));
+    }
+
+    /// Removes a host; readers see it after the lag.
+    pub fn remove(&self, name: &str) {
+        self.change(name.to_owned(), None);
+    }
+
+    /// The list as readers see it now.
+    pub fn list(&self) -> HostList {
+        let now = time::Instant::now();
+        let mut inner = self.lock();
+        while inner.changes.front().is_some_and(|change| change.visible_at <= now) {
+            let Some(change) = inner.changes.pop_front() else { break };
+            match change.host {
+                Some(host) => inner.visible.insert(change.name, host),
+                None => inner.visible.remove(&change.name),
+            };
+        }
+        if inner.faults.empty {
+            return HostList::default();
+        }
+        HostList { hosts: inner.visible.values().cloned().collect() }
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.gate.close_for(Duration::from_millis(faults.refuse_ms.unwrap_or(0)));
+        self.lock().faults = faults;
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+}
+
+/// A running host list. Dropping it cuts every connection.
+#[derive(Debug)]
+pub struct Handle {
+    server: server::Handle,
+    hosts: Arc<Hosts>,
+}
+
+impl Handle {
+    /// Address on which the list listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// The list itself, for changes and faults.
+    pub fn hosts(&self) -> &Arc<Hosts> {
+        &self.hosts
+    }
+}
+
+/// Starts a host list.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn spawn(config: Config) -> io::Result<Handle> {
+    let lag = Duration::from_millis(config.lag_ms);
+    let hosts = Arc::new(Hosts { lag, gate: Arc::default(), inner: Mutex::default() });
+    let router = axum::Router::new()
+        .route("/hosts", get(list))
+        .route("/hosts/{name}", put(put_host).delete(remove_host))
+        .route("/faults", get(show_faults).post(set_faults))
+        .with_state(Arc::clone(&hosts));
+    let server = server::spawn(config.listen, router, Arc::clone(&hosts.gate)).await?;
+    Ok(Handle { server, hosts })
+}
+
+type Shared = State<Arc<Hosts>>;
+
+async fn list(State(hosts): Shared) -> Response {
+    while hosts.faults().hang {
+        time::sleep(HANG_POLL).await;
+    }
+    let faults = hosts.faults();
+    if let Some(slow_ms) = faults.slow_ms {
+        time::sleep(Duration::from_millis(slow_ms)).await;
+    }
+    if faults.outage {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    Json(hosts.list()).into_response()
+}
+
+async fn put_host(State(hosts): Shared, Path(name): Path<String>, body: Bytes) -> Response {
+    server::with_json(&body, |host: Host| hosts.put(Host { name, ..host }))
+}
+
+async fn remove_host(State(hosts): Shared, Path(name): Path<String>) -> Response {
+    hosts.remove(&name);
+    StatusCode::NO_CONTENT.into_response()
+}
+
+async fn show_faults(State(hosts): Shared) -> Response {
+    Json(hosts.faults()).into_response()
+}
+
+async fn set_faults(State(hosts): Shared, body: Bytes) -> Response {
+    server::with_json(&body, |faults: Faults| hosts.set_faults(faults))
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -18,6 +18,11 @@
 //! Each stand-in takes faults at `POST /faults` of its own port. A body replaces all faults that
 //! were set before; `{}` clears them. What each stand-in counts is read at `GET /stats`.
 
+pub mod client;
 pub mod engine;
+pub mod hosts;
+pub mod log;
+pub mod relay;
 pub mod server;
 pub mod service;
+pub mod sse;
--- /dev/null
+++ b/standin/src/log/store.rs
@@ -0,0 +1,194 @@
+//! Records of the log, their retention, and the cap on appends.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use axum::body::Bytes;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use super::AppendError;
+use crate::engine::unix_time;
+
+/// Time over which unused appends add up.
+const BURST: Duration = Duration::from_millis(250);
+/// Bytes of records in one answer; the first record is always whole.
+const MAX_PAGE_BYTES: usize = 4 << 20;
+
+/// One record as readers see it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Record {
+    /// Number of the record within its stream.
+    pub offset: u64,
+    /// When it was appended, in Unix time.
+    pub at_ms: u64,
+    /// What was appended.
+    pub data_base64: String,
+}
+
+/// Records of one read.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Page {
+    /// Oldest offset that is kept.
+    pub first_offset: u64,
+    /// Where to read on.
+    pub next_offset: u64,
+    /// Records in order of their offsets.
+    pub records: Vec<Record>,
+}
+
+/// What the service has counted since its start.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Stats {
+    /// Records appended.
+    pub append_count: u64,
+    /// Appends refused because the rate was used up.
+    pub rate_limited_count: u64,
+    /// Reads.
+    pub read_count: u64,
+    /// Counts by stream.
+    pub streams: BTreeMap<String, StreamStats>,
+}
+
+/// What was counted for one stream.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct StreamStats {
+    /// Records appended.
+    pub append_count: u64,
+    /// Bytes appended.
+    pub append_bytes: u64,
+    /// Bytes of records read, before their encoding.
+    pub read_bytes: u64,
+}
+
+#[derive(Debug)]
+struct Kept {
+    at: time::Instant,
+    at_ms: u64,
+    data: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first_offset: u64,
+    records: VecDeque<Kept>,
+}
+
+impl Stream {
+    fn next_offset(&self) -> u64 {
+        self.first_offset + self.records.len() as u64
+    }
+
+    fn drop_oldest(&mut self) {
+        if self.records.pop_front().is_some() {
+            self.first_offset += 1;
+        }
+    }
+
+    fn expire(&mut self, retention: Duration, now: time::Instant) {
+        let is_old = |kept: &Kept| now.duration_since(kept.at) >= retention;
+        while self.records.front().is_some_and(is_old) {
+            self.drop_oldest();
+        }
+    }
+}
+
+/// All streams of a service.
+#[derive(Debug)]
+pub(super) struct Store {
+    max_appends_per_s: u32,
+    retention: Duration,
+    allowance: f64,
+    allowance_at: time::Instant,
+    streams: BTreeMap<String, Stream>,
+    stats: Stats,
+}
+
+impl Store {
+    pub(super) fn new(max_appends_per_s: u32, retention: Duration, now: time::Instant) -> Store {
+        Store {
+            max_appends_per_s,
+            retention,
+            allowance: max_burst(max_appends_per_s),
+            allowance_at: now,
+            streams: BTreeMap::new(),
+            stats: Stats::default(),
+        }
+    }
+
+    pub(super) fn append(
+        &mut self,
+        name: &str,
+        data: Bytes,
+        now: time::Instant,
+    ) -> Result<u64, AppendError> {
+        let elapsed = now.duration_since(self.allowance_at).as_secs_f64();
+        let grown = self.allowance + elapsed * f64::from(self.max_appends_per_s);
+        self.allowance = grown.min(max_burst(self.max_appends_per_s));
+        self.allowance_at = now;
+        if self.allowance < 1.0 {
+            self.stats.rate_limited_count += 1;
+            return Err(AppendError::RateLimit);
+        }
+        self.allowance -= 1.0;
+        self.stats.append_count += 1;
+        let counts = self.stats.streams.entry(name.to_owned()).or_default();
+        counts.append_count += 1;
+        counts.append_bytes += data.len() as u64;
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        stream.expire(self.retention, now);
+        let offset = stream.next_offset();
+        let at_ms = unix_time().as_millis() as u64;
+        stream.records.push_back(Kept { at: now, at_ms, data });
+        Ok(offset)
+    }
+
+    pub(super) fn read(
+        &mut self,
+        name: &str,
+        from: u64,
+        max_count: usize,
+        now: time::Instant,
+    ) -> Page {
+        self.stats.read_count += 1;
+        let Some(stream) = self.streams.get_mut(name) else {
+            return Page { first_offset: 0, next_offset: from, records: Vec::new() };
+        };
+        stream.expire(self.retention, now);
+        let from = from.max(stream.first_offset);
+        let skip = usize::try_from(from - stream.first_offset).unwrap_or(usize::MAX);
+        let mut records = Vec::new();
+        let mut page_bytes = 0;
+        for (kept, offset) in stream.records.iter().skip(skip).take(max_count).zip(from..) {
+            page_bytes += kept.data.len();
+            if page_bytes > MAX_PAGE_BYTES && !records.is_empty() {
+                page_bytes -= kept.data.len();
+                break;
+            }
+            let data_base64 = STANDARD.encode(&kept.data);
+            records.push(Record { offset, at_ms: kept.at_ms, data_base64 });
+        }
+        if let Some(counts) = self.stats.streams.get_mut(name) {
+            counts.read_bytes += page_bytes as u64;
+        }
+        let next_offset = from + records.len() as u64;
+        Page { first_offset: stream.first_offset, next_offset, records }
+    }
+
+    pub(super) fn expire_before(&mut self, name: &str, offset: u64) {
+        let Some(stream) = self.streams.get_mut(name) else { return };
+        while stream.first_offset < offset && !stream.records.is_empty() {
+            stream.drop_oldest();
+        }
+    }
+
+    pub(super) fn stats(&self) -> Stats {
+        self.stats.clone()
+    }
+}
+
+fn max_burst(max_appends_per_s: u32) -> f64 {
+    (f64::from(max_appends_per_s) * BURST.as_secs_f64()).max(1.0)
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
-use gentianhinge_standin::{engine, service};
+use gentianhinge_standin::{engine, hosts, log, relay, service};
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
@@ -39,6 +39,19 @@
             let handle = service::spawn(args::service_config(options)).await?;
             serve_forever(handle.addr()).await
         }
+        Some(("log", options)) => {
+            let handle = log::spawn(args::log_config(options)).await?;
+            serve_forever(handle.addr()).await
+        }
+        Some(("hosts", options)) => {
+            let handle = hosts::spawn(args::hosts_config(options)).await?;
+            serve_forever(handle.addr()).await
+        }
+        Some(("relay", options)) => {
+            let handle = relay::spawn(args::relay_config(options)).await?;
+            eprintln!("control on {}", handle.control_addr());
+            serve_forever(handle.addr()).await
+        }
         _ => Ok(()),
     }
 }
--- /dev/null
+++ b/standin/src/relay.rs
@@ -0,0 +1,360 @@
+//! A TCP relay that cuts, delays or silences what passes through it.
+//!
+//! Faults of a direction apply to all connections, open and new. [`Relay::silence_open`] applies
+//! to the connections that are open now, for good, while new ones work.
+
+use std::future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time;
+
+use crate::server::{self, Gate};
+
+/// Largest piece that is passed on at once.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Pieces that a delayed direction holds.
+const MAX_HELD_CHUNKS: usize = 1024;
+
+/// Configuration of a relay.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Address that connections are passed on to.
+    pub upstream: SocketAddr,
+    /// Address of the HTTP interface for faults.
+    pub control: SocketAddr,
+}
+
+impl Config {
+    /// Passes connections on to `upstream`, from an ephemeral port of 127.0.0.1.
+    pub fn to(upstream: SocketAddr) -> Config {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Config { listen: any, upstream, control: any }
+    }
+}
+
+/// Faults of one direction.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Direction {
+    /// Swallows all bytes; they are lost also after this ends.
+    pub silent: bool,
+    /// Time for which each piece is held.
+    pub delay_ms: u64,
+}
+
+/// Faults of a relay; a field that is absent is no fault.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// From the side that connects.
+    pub up: Direction,
+    /// Towards the side that connects.
+    pub down: Direction,
+    /// Closes new connections at once.
+    pub refuse: bool,
+    /// Cuts so many connections at the first byte of an answer, which is lost.
+    pub drop_reply_count: u32,
+}
+
+/// What a relay has counted since its start.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Stats {
+    /// Connections accepted.
+    pub connection_count: u64,
+    /// Bytes passed on from the side that connects.
+    pub up_bytes: u64,
+    /// Bytes passed on towards the side that connects.
+    pub down_bytes: u64,
+    /// Answers lost on purpose.
+    pub dropped_reply_count: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Up,
+    Down,
+}
+
+/// What befalls the connections that were open at some time. Connections count from 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Fate {
+    /// Connections up to this number are cut.
+    cut_until: u64,
+    /// Connections up to this number are silent for good.
+    silent_until: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    stats: Stats,
+}
+
+/// State of a relay.
+#[derive(Debug)]
+pub struct Relay {
+    upstream: SocketAddr,
+    inner: Mutex<Inner>,
+    fate: watch::Sender<Fate>,
+}
+
+impl Relay {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    /// What was counted so far.
+    pub fn stats(&self) -> Stats {
+        self.lock().stats.clone()
+    }
+
+    /// Cuts all open connections.
+    pub fn cut_open(&self) {
+        let last = self.lock().stats.connection_count;
+        self.fate.send_modify(|fate| fate.cut_until = last);
+    }
+
+    /// Silences all open connections for good, in both directions; new ones work.
+    pub fn silence_open(&self) {
+        let last = self.lock().stats.connection_count;
+        self.fate.send_modify(|fate| fate.silent_until = last);
+    }
+
+    fn direction(&self, way: Way) -> Direction {
+        let inner = self.lock();
+        match way {
+            Way::Up => inner.faults.up.clone(),
+            Way::Down => inner.faults.down.clone(),
+        }
+    }
+
+    fn count_bytes(&self, way: Way, bytes: usize) {
+        let stats = &mut self.lock().stats;
+        match way {
+            Way::Up => stats.up_bytes += bytes as u64,
+            Way::Down => stats.down_bytes += bytes as u64,
+        }
+    }
+
+    fn take_dropped_reply(&self) -> bool {
+        let mut inner = self.lock();
+        if inner.faults.drop_reply_count == 0 {
+            return false;
+        }
+        inner.faults.drop_reply_count -= 1;
+        inner.stats.dropped_reply_count += 1;
+        true
+    }
+}
+
+/// A running relay. Dropping it cuts every connection.
+#[derive(Debug)]
+pub struct Handle {
+    addr: SocketAddr,
+    control: server::Handle,
+    task: AbortHandle,
+    relay: Arc<Relay>,
+}
+
+impl Handle {
+    /// Address on which the relay listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Address of the HTTP interface for faults.
+    pub fn control_addr(&self) -> SocketAddr {
+        self.control.addr()
+    }
+
+    /// The relay's state, for faults and counts.
+    pub fn relay(&self) -> &Arc<Relay> {
+        &self.relay
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a relay.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub async fn spawn(config: Config) -> io::Result<Handle> {
+    let listener = TcpListener::bind(config.listen).await?;
+    let addr = listener.local_addr()?;
+    let relay = Arc::new(Relay {
+        upstream: config.upstream,
+        inner: Mutex::default(),
+        fate: watch::Sender::default(),
+    });
+    let router = axum::Router::new()
+        .route("/faults", get(show_faults).post(set_faults))
+        .route("/cut", post(cut_open))
+        .route("/silence", post(silence_open))
+        .route("/stats", get(stats))
+        .with_state(Arc::clone(&relay));
+    let control = server::spawn(config.control, router, Arc::new(Gate::default())).await?;
+    let task = tokio::spawn(accept(listener, Arc::clone(&relay))).abort_handle();
+    Ok(Handle { addr, control, task, relay })
+}
+
+/// Owns the connections, so that aborting this task cuts them.
+async fn accept(listener: TcpListener, relay: Arc<Relay>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((client, _)) = accepted else { continue };
+                if relay.faults().refuse {
+                    continue;
+                }
+                let number = {
+                    let stats = &mut relay.lock().stats;
+                    stats.connection_count += 1;
+                    stats.connection_count
+                };
+                connections.spawn(pass(client, number, Arc::clone(&relay)));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn pass(client: TcpStream, number: u64, relay: Arc<Relay>) {
+    let Ok(upstream) = TcpStream::connect(relay.upstream).await else { return };
+    let _ = client.set_nodelay(true);
+    let _ = upstream.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (upstream_read, upstream_write) = upstream.into_split();
+    let mut fate = relay.fate.subscribe();
+    let both = async {
+        tokio::try_join!(
+            pass_one_way(&relay, number, Way::Up, client_read, upstream_write),
+            pass_one_way(&relay, number, Way::Down, upstream_read, client_write),
+        )
+    };
+    tokio::select! {
+        _ = both => {}
+        _ = fate.wait_for(|fate| fate.cut_until >= number) => {}
+    }
+}
+
+/// The connection is to be cut in both directions.
+struct Cut;
+
+struct Chunk {
+    due_at: time::Instant,
+    data: Vec<u8>,
+}
+
+/// Passes one direction on until its end; dropping `to` passes the end on, too.
+async fn pass_one_way(
+    relay: &Relay,
+    number: u64,
+    way: Way,
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+) -> Result<(), Cut> {
+    let (sender, chunks) = mpsc::channel(MAX_HELD_CHUNKS);
+    tokio::try_join!(
+        read_chunks(relay, number, way, from, sender),
+        write_chunks(relay, way, to, chunks)
+    )?;
+    Ok(())
+}
+
+async fn read_chunks(
+    relay: &Relay,
+    number: u64,
+    way: Way,
+    mut from: OwnedReadHalf,
+    sender: mpsc::Sender<Chunk>,
+) -> Result<(), Cut> {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await.map_err(|_| Cut)?;
+        let direction = relay.direction(way);
+        let is_silent = direction.silent || relay.fate.borrow().silent_until >= number;
+        match (count, is_silent) {
+            (0, false) => return Ok(()),
+            // On a silent connection the end is lost as well.
+            (0, true) => return future::pending().await,
+            (_, true) => continue,
+            (_, false) => {}
+        }
+        if way == Way::Down && relay.take_dropped_reply() {
+            return Err(Cut);
+        }
+        let due_at = time::Instant::now() + Duration::from_millis(direction.delay_ms);
+        let chunk = Chunk { due_at, data: buffer[..count].to_vec() };
+        sender.send(chunk).await.map_err(|_| Cut)?;
+    }
+}
+
+async fn write_chunks(
+    relay: &Relay,
+    way: Way,
+    mut to: OwnedWriteHalf,
+    mut chunks: mpsc::Receiver<Chunk>,
+) -> Result<(), Cut> {
+    while let Some(chunk) = chunks.recv().await {
+        time::sleep_until(chunk.due_at).await;
+        to.write_all(&chunk.data).await.map_err(|_| Cut)?;
+        relay.count_bytes(way, chunk.data.len());
+    }
+    Ok(())
+}
+
+async fn show_faults(State(relay): State<Arc<Relay>>) -> Response {
+    Json(relay.faults()).into_response()
+}
+
+async fn set_faults(State(relay): State<Arc<Relay>>, body: Bytes) -> Response {
+    server::with_json(&body, |faults: Faults| relay.set_faults(faults))
+}
+
+async fn cut_open(State(relay): State<Arc<Relay>>) -> StatusCode {
+    relay.cut_open();
+    StatusCode::NO_CONTENT
+}
+
+async fn silence_open(State(relay): State<Arc<Relay>>) -> StatusCode {
+    relay.silence_open();
+    StatusCode::NO_CONTENT
+}
+
+async fn stats(State(relay): State<Arc<Relay>>) -> Response {
+    Json(relay.stats()).into_response()
+}
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -6,11 +6,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use axum::response::Response;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time;
@@ -51,6 +53,17 @@
     response
 }
 
+/// Answers a call whose body is JSON of type `T`, whatever the content type says.
+pub(crate) fn with_json<T: DeserializeOwned>(body: &[u8], act: impl FnOnce(T)) -> Response {
+    match serde_json::from_slice(body) {
+        Ok(value) => {
+            act(value);
+            StatusCode::NO_CONTENT.into_response()
+        }
+        Err(error) => (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+    }
+}
+
 /// Whether new connections are closed before anything is read from them.
 #[derive(Debug, Default)]
 pub struct Gate {
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -324,9 +324,8 @@
     Json(service.faults()).into_response()
 }
 
-async fn set_faults(State(service): Shared, Json(faults): Json<Faults>) -> Response {
-    service.set_faults(faults.clone());
-    Json(faults).into_response()
+async fn set_faults(State(service): Shared, body: Bytes) -> Response {
+    server::with_json(&body, |faults: Faults| service.set_faults(faults))
 }
 
 async fn effects(State(service): Shared) -> Response {
--- /dev/null
+++ b/standin/tests/common/mod.rs
@@ -0,0 +1,63 @@
+//! What the tests of the stand-ins share.
+
+#![allow(dead_code, unused_macros)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gentianhinge_standin::client::{Answer, Client};
+use gentianhinge_standin::engine::{Completion, Message};
+use http::Method;
+use tokio::time;
+
+/// Names each case; its body runs on a runtime of its own and must end within a bound.
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:block)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test]
+            async fn $name() {
+                let case = async { $body };
+                tokio::time::timeout(common::CASE_BOUND, case).await.expect("case ends in time");
+            }
+        )*
+    };
+}
+
+/// Longest time that a case may take.
+pub const CASE_BOUND: Duration = Duration::from_secs(30);
+
+/// Longest time that a test waits for a condition.
+pub const BOUND: Duration = Duration::from_secs(10);
+
+pub fn chat(prompt: &str, tokens: u32) -> Completion {
+    Completion {
+        model: "m1".to_owned(),
+        messages: vec![Message { role: "user".to_owned(), content: prompt.to_owned() }],
+        max_tokens: Some(tokens),
+        stream: true,
+        ..Completion::default()
+    }
+}
+
+pub fn base_url(addr: SocketAddr) -> String {
+    format!("http://{addr}")
+}
+
+pub async fn get(addr: SocketAddr, path: &str) -> Answer {
+    Client::new().call(Method::GET, addr, path, &[], "").await.expect("answer")
+}
+
+pub async fn post(addr: SocketAddr, path: &str, body: &str) -> Answer {
+    let body = body.to_owned();
+    Client::new().call(Method::POST, addr, path, &[], body).await.expect("answer")
+}
+
+/// Polls until `is_true` holds.
+pub async fn until(what: &str, is_true: impl Fn() -> bool) {
+    let give_up_at = time::Instant::now() + BOUND;
+    while !is_true() {
+        assert!(time::Instant::now() < give_up_at, "not in time: {what}");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
