Prefer the targets that hold a prompt's prefix, by rendezvous hashing

Weighed: cache events (exact, but late, with gaps, and each router would have to hear each engine); what this router sent where (finds little when a balancer spreads a prefix over all routers); rendezvous of the prefix over the targets (all routers agree without a message). Chosen: the last.

--- a/daemon/src/traffic/mod.rs
+++ b/daemon/src/traffic/mod.rs
@@ -1,14 +1,15 @@
 //! The path of a request: from its caller, through the wait for a slot, to a target and back.
 
+pub mod affinity;
 mod arrival;
-mod failure;
+pub mod failure;
 mod intake;
 mod model;
-mod prompt;
-mod retry;
+pub mod prompt;
+pub mod retry;
 mod service;
 mod slot;
-mod sse;
+pub mod sse;
 mod stream;
 mod upstream;
 
@@ -41,6 +42,7 @@
     name: Name,
     kind: config::PoolKind,
     addrs: HashMap<Name, net::SocketAddr>,
+    affinity: affinity::Affinity,
 }
 
 /// State of the request path, shared by all traffic threads.
@@ -63,12 +65,14 @@
     ) -> Traffic {
         let (mut models, mut services) = (HashMap::new(), HashMap::new());
         for pool in pools {
+            let names = pool.targets.iter().map(|target| &target.spec.name);
+            let affinity = affinity::Affinity::new(names);
             let addrs = pool.targets.iter().map(|t| (t.spec.name.clone(), t.addr)).collect();
             let map = match &pool.kind {
                 config::PoolKind::Model { .. } => &mut models,
                 config::PoolKind::Service { .. } => &mut services,
             };
-            let entry = PoolEntry { name: pool.name.clone(), kind: pool.kind, addrs };
+            let entry = PoolEntry { name: pool.name.clone(), kind: pool.kind, addrs, affinity };
             map.insert(pool.name, sync::Arc::new(entry));
         }
         Traffic {
--- a/daemon/src/traffic/model.rs
+++ b/daemon/src/traffic/model.rs
@@ -5,13 +5,14 @@
 use axum::{body, extract, response};
 use bytes::Bytes;
 use gentianhinge_core::code::ResultCode;
+use gentianhinge_core::message::PreferredTargets;
 use http::{HeaderValue, Method, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time;
 
 use super::arrival::Arrival;
 use super::failure::{self, Failure};
-use super::slot::Slot;
+use super::slot::{self, Slot};
 use super::upstream::{self, Connection};
 use super::{PoolEntry, Traffic, prompt, retry, sse, stream};
 use crate::config;
@@ -33,6 +34,20 @@
     pub path: &'static str,
     /// The body, passed on as it came.
     pub body: Bytes,
+    /// Targets that may hold the prompt's prefix.
+    pub preferred: PreferredTargets,
+}
+
+impl ModelCall {
+    /// What the wait for a slot depends on.
+    pub fn wish(&self) -> slot::Wish<'_> {
+        slot::Wish {
+            pool: &self.pool,
+            arrival: &self.arrival,
+            size_bytes: self.body.len(),
+            preferred: &self.preferred,
+        }
+    }
 }
 
 /// Cost of one request as it grows.
@@ -136,7 +151,9 @@
         "/v1/completions" => "/v1/completions",
         _ => "/v1/chat/completions",
     };
-    let call = ModelCall { arrival, pool, path, body };
+    let preferred = prompt.prefix().map(|prefix| pool.affinity.preferred(prefix));
+    let preferred = preferred.unwrap_or_default();
+    let call = ModelCall { arrival, pool, path, body, preferred };
     if prompt.stream {
         return stream::respond(traffic.clone(), call).await;
     }
@@ -146,7 +163,7 @@
 /// Runs a request whose answer isn't streamed, with retries.
 async fn whole(traffic: &Traffic, call: &ModelCall) -> Result<response::Response, Failure> {
     for attempt in 1_u32.. {
-        let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
+        let slot = traffic.slot(call.wish()).await?;
         call.arrival.begin_attempt(&slot.target);
         match whole_attempt(traffic, call, &slot, attempt).await {
             Ok(answer) => {
--- a/daemon/src/traffic/service.rs
+++ b/daemon/src/traffic/service.rs
@@ -6,6 +6,7 @@
 use axum::{extract, response};
 use bytes::Bytes;
 use gentianhinge_core::code::ResultCode;
+use gentianhinge_core::message::PreferredTargets;
 use gentianhinge_wire::settings;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,7 +16,7 @@
 use super::failure::{self, Failure};
 use super::intake;
 use super::model::{self, ATTEMPT_HEADER, AttemptError};
-use super::slot::Slot;
+use super::slot::{self, Slot};
 use super::upstream::{self, Connection};
 use super::{PoolEntry, Traffic};
 use crate::config;
@@ -140,7 +141,13 @@
 
 async fn run(traffic: &Traffic, call: &ServiceCall) -> Result<response::Response, Failure> {
     for attempt in 1_u32.. {
-        let slot = traffic.slot(&call.pool, &call.arrival, call.body.len()).await?;
+        let wish = slot::Wish {
+            pool: &call.pool,
+            arrival: &call.arrival,
+            size_bytes: call.body.len(),
+            preferred: &PreferredTargets::new(),
+        };
+        let slot = traffic.slot(wish).await?;
         call.arrival.begin_attempt(&slot.target);
         match run_attempt(traffic, call, &slot, attempt).await {
             Ok(answer) => {
--- a/daemon/src/traffic/slot.rs
+++ b/daemon/src/traffic/slot.rs
@@ -13,6 +13,19 @@
 use super::{PoolEntry, Traffic};
 use crate::control;
 
+/// What the wait for a slot depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The model or service.
+    pub pool: &'a PoolEntry,
+    /// The request.
+    pub arrival: &'a Arrival,
+    /// Bytes held while the request waits.
+    pub size_bytes: usize,
+    /// Targets to prefer among the free ones.
+    pub preferred: &'a PreferredTargets,
+}
+
 /// A slot at a target; given back when dropped.
 #[derive(Debug)]
 pub struct Slot {
@@ -52,12 +65,8 @@
     /// Waits until the request may start.
     ///
     /// Dropping the future takes the request out of the queue.
-    pub(super) async fn slot(
-        &self,
-        pool: &PoolEntry,
-        arrival: &Arrival,
-        size_bytes: usize,
-    ) -> Result<Slot, Failure> {
+    pub(super) async fn slot(&self, wish: Wish<'_>) -> Result<Slot, Failure> {
+        let Wish { pool, arrival, size_bytes, preferred } = wish;
         let id = RequestId(self.next_request());
         let control = self.shared.control.clone();
         let submit = router::Submit {
@@ -65,7 +74,7 @@
             cell: pool.name.clone(),
             flow: arrival.flow.flow.clone(),
             size_bytes: size_bytes as u64,
-            preferred_targets: PreferredTargets::new(),
+            preferred_targets: preferred.clone(),
         };
         let (reply, granted) = oneshot::channel();
         control.send(control::Command::Submit { submit, reply });
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -174,7 +174,7 @@
         for attempt in 1_u32.. {
             let (traffic, call) = (self.traffic, self.call);
             let slot = tokio::select! {
-                slot = traffic.slot(&call.pool, &call.arrival, call.body.len()) => slot?,
+                slot = traffic.slot(call.wish()) => slot?,
                 () = self.items.closed() => return Ok(End::CallerLeft),
             };
             call.arrival.begin_attempt(&slot.target);
