dispatch: order teams by the fleet's virtual time over several cells

Cause: a dispatcher saw its own cell only. Summaries now go cell, zone, fleet and back; a dispatcher adds what the others served (sums less its own part in them, and what their running requests deliver since), lifts no team that waits elsewhere, and orders moves: to cells that will have slots and nobody waiting, and for teams behind all teams of another cell by half the largest request.

What counts is the age of what waits where, and the share charged ahead (four times that of one cell).

Batch numbers go on over sessions, so that a late batch of an ended session can't hide the next.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet/mod.rs
@@ -1,13 +1,14 @@
 //! Routers, dispatchers and targets on a synthetic clock.
 
+mod setup;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::sync;
 use std::time::Duration;
 
 use gentianhinge_core::ids::{Flow, Name, RequestId, RouterId};
-use gentianhinge_core::message::{GrantBatch, Report};
-use gentianhinge_core::{dispatch, router, table};
+use gentianhinge_core::message::{GrantBatch, GroupSummary, Report};
+use gentianhinge_core::{aggregate, dispatch, router};
 use tokio::time;
 
 use crate::engine;
@@ -18,16 +19,18 @@
 
 /// Time between samples of the gap.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait of a new dispatcher for its routers.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
-/// Longest wait of a request; beyond any run, so that none expires.
-const MAX_WAIT: Duration = Duration::from_secs(1 << 20);
+/// Zones whose aggregators add up the cells.
+const ZONE_COUNT: usize = 4;
+/// Time for sums to go up and down the tree.
+const TREE_TIME: Duration = Duration::from_millis(50);
 
 enum Event {
     Report(usize, Box<Report>),
     Grants(usize, Box<GrantBatch>),
     Finish(u64),
     Wake(usize),
+    Summary,
+    Fleet(Box<GroupSummary>),
     Sample,
 }
 
@@ -47,6 +50,13 @@
     dispatcher_time: Duration,
 }
 
+impl Control {
+    fn count(&mut self, bytes: usize) {
+        self.message_count += 1;
+        self.bytes += bytes as u64;
+    }
+}
+
 /// All parts of one run.
 struct Fleet {
     settings: Settings,
@@ -67,6 +77,10 @@
     finished_cost: Vec<f64>,
     control: Control,
     request_count: u64,
+    moved_count: u64,
+    fleet_seq: u64,
+    zones: Vec<aggregate::Aggregator>,
+    top: aggregate::Aggregator,
 }
 
 fn router_id(index: usize) -> RouterId {
@@ -77,31 +91,6 @@
     format!("team-{index:04}").into()
 }
 
-fn make_table(settings: &Settings) -> sync::Arc<table::Table> {
-    let class = table::Class { name: "now".into(), price_ratio: 1.0, max_wait: MAX_WAIT };
-    let limits = table::Limits {
-        max_waiting_requests: u32::MAX,
-        max_waiting_bytes: u64::MAX,
-        ..Default::default()
-    };
-    let team = |index| {
-        let name = team_name(index);
-        let row = table::Team {
-            name: name.clone(),
-            weight: settings.weight(index),
-            key_hashes: Vec::new(),
-            classes: Vec::new(),
-            limits: limits.clone(),
-        };
-        (name, row)
-    };
-    sync::Arc::new(table::Table {
-        teams: (0..settings.team_count).map(team).collect(),
-        classes: [(class.name.clone(), class)].into(),
-        ..table::Table::default()
-    })
-}
-
 /// Runs a fleet for the whole time and returns what was measured.
 pub fn run(settings: &Settings) -> Outcome {
     let memory_mb = stats::resident_mb();
@@ -109,106 +98,6 @@
 }
 
 impl Fleet {
-    /// Builds the parts and the first backlog.
-    fn new(settings: Settings) -> Fleet {
-        let now = time::Instant::now();
-        let table = make_table(&settings);
-        let cell_count = match settings.policy {
-            Policy::RouterAlone => settings.router_count,
-            _ => settings.cell_count,
-        };
-        let cells = (0..cell_count).map(|cell| Name::from(format!("assistant-{cell}")));
-        let cells = cells.collect::<Vec<_>>();
-        let dispatchers = cells.iter().enumerate().map(|(index, cell)| {
-            let id = router_id(index % settings.router_count);
-            dispatch::Dispatcher::new(id, cell.clone(), table.clone())
-        });
-        let routers = (0..settings.router_count).map(|index| {
-            let mut router = router::Router::new(router_id(index), table.clone());
-            router.set_report_interval(settings.report_interval);
-            router
-        });
-        let mut fleet = Fleet {
-            workload: Workload::new(&settings),
-            now,
-            events: BinaryHeap::new(),
-            payloads: BTreeMap::new(),
-            next_event: 0,
-            routers: routers.collect(),
-            router_wakes: vec![None; settings.router_count],
-            router_running: vec![BTreeMap::new(); settings.router_count],
-            dispatchers: dispatchers.collect(),
-            cells,
-            targets: Vec::new(),
-            target_index: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            next_request: 0,
-            finished_cost: vec![0.0; settings.team_count],
-            control: Control::default(),
-            request_count: 0,
-            settings,
-        };
-        fleet.add_targets();
-        fleet.add_sessions();
-        fleet.add_backlog();
-        fleet
-    }
-
-    fn add_targets(&mut self) {
-        let (slots, lookahead_slots) = (self.settings.slots, self.settings.lookahead_slots);
-        let mut specs = vec![Vec::new(); self.cells.len()];
-        let (count, slots) = match self.settings.policy {
-            // Single slots are dealt to the routers in turn.
-            Policy::RouterAlone => (self.settings.total_slots(), 1),
-            _ => (self.settings.cell_count * self.settings.target_count, slots),
-        };
-        let lookahead_slots =
-            if self.settings.policy == Policy::RouterAlone { 0 } else { lookahead_slots };
-        for index in 0..count {
-            let name = Name::from(format!("target-{index:03}"));
-            self.target_index.insert(name.clone(), index);
-            self.targets.push(engine::Target::new(slots as usize, self.now));
-            let zone = Name::from("a");
-            let cells = specs.len();
-            let spec = dispatch::TargetSpec { name, zone, max_slots: slots, lookahead_slots };
-            specs[index % cells].push(spec);
-        }
-        for (dispatcher, specs) in self.dispatchers.iter_mut().zip(specs) {
-            dispatcher.set_targets(&specs);
-        }
-    }
-
-    fn add_sessions(&mut self) {
-        let all = (0..self.routers.len()).map(router_id).collect::<Vec<_>>();
-        for (cell, dispatcher) in self.dispatchers.iter_mut().enumerate() {
-            let alone = self.settings.policy == Policy::RouterAlone;
-            let expected = if alone { &all[cell..=cell] } else { &all[..] };
-            dispatcher.settle(expected, self.now + SETTLE_TIME);
-        }
-        for router in 0..self.routers.len() {
-            for cell in 0..self.cells.len() {
-                if self.settings.policy == Policy::RouterAlone && cell != router {
-                    continue;
-                }
-                self.dispatchers[cell].join(router_id(router));
-                let id = router_id(cell % self.settings.router_count);
-                self.routers[router].set_dispatcher(&self.cells[cell], id);
-            }
-        }
-    }
-
-    fn add_backlog(&mut self) {
-        for team in 0..self.settings.team_count {
-            for _ in 0..self.settings.backlog(team) {
-                self.submit(team);
-            }
-        }
-        for router in 0..self.routers.len() {
-            self.send_report(router);
-        }
-        self.schedule(self.now + SAMPLE_INTERVAL, Event::Sample);
-    }
-
     /// Runs the whole time and returns what was measured.
     fn run(mut self, memory_mb: f64) -> Outcome {
         let start = self.now + self.settings.warm_up;
@@ -216,6 +105,7 @@
         self.run_until(start, &mut None);
         let count = self.request_count;
         self.control = Control::default();
+        self.moved_count = 0;
         for target in &mut self.targets {
             target.start_measuring(start);
         }
@@ -250,7 +140,7 @@
             dispatcher_us_per_request: per_request(
                 self.control.dispatcher_time.as_secs_f64() * 1e6,
             ),
-            moved_ratio: 0.0,
+            moved_ratio: per_request(self.moved_count as f64),
             memory_mb,
             service: gap.service().to_vec(),
         }
@@ -287,6 +177,8 @@
                 self.router_wakes[router] = None;
                 self.send_report(router);
             }
+            Event::Summary => self.sum_up(),
+            Event::Fleet(summary) => self.tell_fleet(&summary),
             Event::Sample => {}
         }
     }
@@ -310,7 +202,7 @@
             self.arrive(id, target);
             return router;
         }
-        let cell = self.cells[router % self.cells.len()].clone();
+        let cell = self.cells[self.home_cell(router)].clone();
         let submit = router::Submit {
             id: RequestId(id),
             cell,
@@ -324,6 +216,11 @@
         router
     }
 
+    /// Neighbouring routers share a cell, so that a team's skewed spread falls on few cells.
+    fn home_cell(&self, router: usize) -> usize {
+        router * self.cells.len() / self.routers.len()
+    }
+
     fn send_report(&mut self, router: usize) {
         if self.settings.policy == Policy::FirstCome {
             return;
@@ -342,8 +239,7 @@
         let wake = state.next_wake();
         self.control.router_time += timer.elapsed();
         for (cell, report) in reports {
-            self.control.message_count += 1;
-            self.control.bytes += size::report(&report) as u64;
+            self.control.count(size::report(&report));
             self.schedule(self.now + self.delay(), Event::Report(cell, Box::new(report)));
         }
         let wake = wake.map(|at| at.max(self.now + Duration::from_millis(1)));
@@ -379,22 +275,59 @@
         let timer = std::time::Instant::now();
         let dispatcher = &mut self.dispatchers[cell];
         dispatcher.report(report, self.now);
-        let batches = dispatcher.poll(self.now);
+        self.control.dispatcher_time += timer.elapsed();
+        self.poll(cell);
+    }
+
+    fn poll(&mut self, cell: usize) {
+        let timer = std::time::Instant::now();
+        let batches = self.dispatchers[cell].poll(self.now);
         self.control.dispatcher_time += timer.elapsed();
         for (id, batch) in batches {
-            self.control.message_count += 1;
-            self.control.bytes += size::batch(&batch) as u64;
+            self.control.count(size::batch(&batch));
             let router = id.name.strip_prefix("router-").and_then(|text| text.parse().ok());
             let router = router.expect("the bench named the routers");
             self.schedule(self.now + self.delay(), Event::Grants(router, Box::new(batch)));
         }
     }
 
+    /// Sends each cell's numbers up the tree and the fleet's sums down.
+    fn sum_up(&mut self) {
+        let timer = std::time::Instant::now();
+        for (cell, dispatcher) in self.dispatchers.iter_mut().enumerate() {
+            let summary = dispatcher.summary(self.fleet_seq == 0, self.now);
+            self.control.count(size::cell_summary(&summary));
+            self.zones[cell % ZONE_COUNT].take_cell(summary);
+        }
+        for zone in &mut self.zones {
+            let summary = zone.summary(self.fleet_seq == 0);
+            self.control.count(size::group_summary(&summary));
+            self.top.take_group(summary);
+        }
+        let summary = self.top.summary(false);
+        self.control.dispatcher_time += timer.elapsed();
+        self.fleet_seq += 1;
+        self.schedule(self.now + TREE_TIME, Event::Fleet(Box::new(summary)));
+        self.schedule(self.now + self.settings.summary_interval, Event::Summary);
+    }
+
+    fn tell_fleet(&mut self, summary: &GroupSummary) {
+        for cell in 0..self.dispatchers.len() {
+            self.control.count(size::group_summary(summary));
+            let timer = std::time::Instant::now();
+            self.dispatchers[cell].set_fleet(summary, self.now);
+            self.control.dispatcher_time += timer.elapsed();
+            self.poll(cell);
+        }
+    }
+
     fn take_grants(&mut self, router: usize, batch: &GrantBatch) {
         let timer = std::time::Instant::now();
         let starts = self.routers[router].take_grants(batch);
         self.control.router_time += timer.elapsed();
         let mut touched = vec![router];
+        let is_away = self.cells[self.home_cell(router)] != batch.cell;
+        self.moved_count += if is_away { starts.len() as u64 } else { 0 };
         for start in starts {
             let target = self.target_index[&start.target];
             self.router_running[router].insert(start.id.0, ());
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,9 +15,14 @@
 
 use std::process;
 
+use tokio::runtime::Builder;
+
 fn main() -> process::ExitCode {
     let matches = settings::command().get_matches();
-    match suite::run(&matches) {
+    // The paused clock keeps what the core takes for the present from differing between runs.
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let result = runtime.map_err(suite::Error::from);
+    match result.and_then(|runtime| runtime.block_on(async { suite::run(&matches) })) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("gentianhinge-bench: {error}");
--- a/bench/src/output.rs
+++ b/bench/src/output.rs
@@ -14,17 +14,22 @@
 pub const FLOOD: &str = "One team's flood";
 /// Section that compares report intervals.
 pub const REPORTS: &str = "Report intervals of 1, 3 and 10 s";
+/// Section with several cells.
+pub const CELLS: &str = "Cells of 20 slots each, sums every 0 (none), 1 or 3 s";
+/// Section with cells and rates as at full size.
+pub const SLOPE: &str = "One cell as at full size";
 /// Section with short calls.
 pub const SHORT_CALLS: &str = "Service calls of 5 ms; 1 and 8 slots, without and with look-ahead";
 
-const SECTIONS: [&str; 5] = [ROUTERS, TEAMS, FLOOD, REPORTS, SHORT_CALLS];
+const SECTIONS: [&str; 7] = [ROUTERS, TEAMS, FLOOD, REPORTS, CELLS, SLOPE, SHORT_CALLS];
 
 /// Head of the table.
 pub const HEAD: &str = "\
-| policy | routers | teams | cells | costs | flood | seed | gap | most/least | utilisation | \
+| policy | routers | teams | cells | sums s | costs | small | slots | reports s | flood | seed | gap | \
+most/least | utilisation | \
 longest idle ms | requests | messages/request | bytes/request | bytes/s and router | \
 router µs/request | dispatcher µs/request | moved | memory MB |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 /// One line of the table.
 pub fn line(settings: &Settings, outcome: &Outcome) -> String {
@@ -34,7 +39,11 @@
         settings.router_count.to_string(),
         settings.team_count.to_string(),
         settings.cell_count.to_string(),
+        settings.summary_interval.as_secs_f64().to_string(),
         costs,
+        settings.small_every.to_string(),
+        settings.slots.to_string(),
+        settings.report_interval.as_secs_f64().to_string(),
         settings.flood_ratio.to_string(),
         settings.seed.to_string(),
         format!("{:.2}", outcome.gap),
--- a/bench/src/settings.rs
+++ b/bench/src/settings.rs
@@ -47,12 +47,16 @@
     pub min_cost: f64,
     /// Greatest cost of a request in tokens.
     pub max_cost: f64,
+    /// Every so many teams have requests ten times smaller; 0 for none.
+    pub small_every: usize,
     /// Time a token.
     pub token_time: Duration,
     /// Time of a message between routers, one way.
     pub delay: Duration,
     /// Time between reports of costs.
     pub report_interval: Duration,
+    /// Time between sums over the cells.
+    pub summary_interval: Duration,
     /// Waiting requests that each team keeps up.
     pub backlog_count: usize,
     /// Factor on the backlog of the first team.
@@ -88,9 +92,11 @@
         .arg(count("lookahead", "1"))
         .arg(number("min-cost-tokens", "20"))
         .arg(number("max-cost-tokens", "2000"))
+        .arg(count("small-every", "4").help("One team in so many has ten times smaller requests"))
         .arg(number("token-ms", "45"))
         .arg(number("delay-ms", "1.5"))
         .arg(number("report-s", "3"))
+        .arg(number("summary-s", "3").help("Time between sums over the cells; 0 for none"))
         .arg(count("backlog", "40").help("Waiting requests that each team keeps up"))
         .arg(count("flood", "1").help("Factor on the first team's backlog"))
         .arg(Arg::new("mixed-weights").long("mixed-weights").num_args(0))
@@ -149,9 +155,11 @@
             lookahead_slots: count("lookahead"),
             min_cost: number("min-cost-tokens"),
             max_cost: number("max-cost-tokens"),
+            small_every: count("small-every") as usize,
             token_time: millis("token-ms"),
             delay: millis("delay-ms"),
             report_interval: secs("report-s"),
+            summary_interval: secs("summary-s"),
             backlog_count: count("backlog") as usize,
             flood_ratio: count("flood") as usize,
             mixed_weights: matches.get_flag("mixed-weights"),
--- a/bench/src/size.rs
+++ b/bench/src/size.rs
@@ -4,7 +4,7 @@
 //! a tag for each word. A message takes the call's and its answer's frames beside its content.
 
 use gentianhinge_core::ids::{Flow, Name, RouterId};
-use gentianhinge_core::message::{GrantBatch, Report};
+use gentianhinge_core::message::{CellSummary, GrantBatch, GroupSummary, Report};
 
 /// Frames of a call and its answer, with their targets and capability tables, in bytes.
 const CALL_BYTES: usize = 48;
@@ -64,3 +64,19 @@
     let lines = grants.chain(moves).chain(virtual_times);
     CALL_BYTES + head + 3 * POINTER_BYTES + lines.sum::<usize>()
 }
+
+/// Bytes of a cell's summary.
+pub fn cell_summary(summary: &CellSummary) -> usize {
+    let line = text(&summary.line.cell) + router(&summary.line.dispatcher) + DOUBLE_BYTES + 6;
+    let teams = summary.teams.iter().map(|team| text(&team.team) + 2 * DOUBLE_BYTES + 3);
+    CALL_BYTES + line + teams.sum::<usize>()
+}
+
+/// Bytes of a group's summary.
+pub fn group_summary(summary: &GroupSummary) -> usize {
+    let cells = summary.cells.iter();
+    let cells = cells.map(|line| text(&line.cell) + router(&line.dispatcher) + DOUBLE_BYTES + 6);
+    let teams = summary.teams.iter().map(|team| text(&team.team) + 2 * DOUBLE_BYTES + 3);
+    let head = text(&summary.group) + router(&summary.aggregator) + number(summary.seq);
+    CALL_BYTES + head + cells.chain(teams).sum::<usize>()
+}
--- a/bench/src/suite.rs
+++ b/bench/src/suite.rs
@@ -30,6 +30,11 @@
         Write(path: PathBuf, error: io::Error) {
             display("can't write {}: {error}", path.display())
         }
+        /// The clock can't be set up.
+        Clock(error: io::Error) {
+            from()
+            display("can't set up the clock: {error}")
+        }
         /// The plot can't be drawn.
         Plot(text: String) {
             display("can't draw the plot: {text}")
@@ -112,6 +117,16 @@
     for (router_count, flood_ratio) in [(32, 1), (32, 50), (370, 1), (370, 50)] {
         cases.push((output::FLOOD, Settings { router_count, flood_ratio, ..base.clone() }));
     }
+    for (cell_count, small_every) in [(4, 0), (10, 0), (20, 0), (4, 4), (10, 4), (20, 4)] {
+        for (seed, summary_s) in [(1, 0), (1, 3), (2, 3), (3, 3), (1, 1)] {
+            let summary_interval = Duration::from_secs(summary_s);
+            let settings = Settings { cell_count, small_every, seed, ..cells(base) };
+            cases.push((output::CELLS, Settings { summary_interval, ..settings }));
+        }
+    }
+    for router_count in [2, 4, 8] {
+        cases.push((output::SLOPE, Settings { router_count, ..full_size(base) }));
+    }
     for report_s in [1, 3, 10] {
         let report_interval = Duration::from_secs(report_s);
         let router_count = 370;
@@ -124,6 +139,27 @@
     cases
 }
 
+/// Cells of 20 slots each; every team has work at all routers, but most at a few.
+fn cells(base: &Settings) -> Settings {
+    let (router_count, target_count, slots) = (100, 5, 4);
+    let backlog_count = 200;
+    Settings { router_count, target_count, slots, backlog_count, ..base.clone() }
+}
+
+/// A cell as at full size: 16 targets and 9.7 requests a second, of 500 tokens on average, from the
+/// routers of its neighbourhood.
+fn full_size(base: &Settings) -> Settings {
+    Settings {
+        target_count: 16,
+        slots: 14,
+        team_count: 100,
+        small_every: 0,
+        min_cost: 50.0,
+        max_cost: 2_000.0,
+        ..base.clone()
+    }
+}
+
 /// Calls of a plain service that take 5 ms each.
 fn short_calls(base: &Settings) -> Settings {
     Settings {
--- a/bench/src/workload.rs
+++ b/bench/src/workload.rs
@@ -5,16 +5,15 @@
 
 use crate::settings::Settings;
 
-/// A quarter of the teams have requests smaller by this.
+/// Teams with small requests have them smaller by this.
 const SMALL_RATIO: f64 = 10.0;
-/// Teams with small requests: every so many.
-const SMALL_EVERY: usize = 4;
 
 /// Draws costs and routers.
 pub struct Workload {
     rng: SmallRng,
     min_cost: f64,
     max_cost: f64,
+    small_every: usize,
     router_count: usize,
     /// Cumulative weights of routers, which each team sees shifted by its own amount.
     spread: Vec<f64>,
@@ -36,6 +35,7 @@
         Workload {
             min_cost: settings.min_cost,
             max_cost: settings.max_cost,
+            small_every: settings.small_every,
             router_count: settings.router_count,
             spread: spread.collect(),
             shifts,
@@ -43,9 +43,13 @@
         }
     }
 
+    fn is_small(&self, team: usize) -> bool {
+        self.small_every > 0 && team % self.small_every == self.small_every - 1
+    }
+
     /// Cost of a team's next request in whole tokens, even over its logarithm.
     pub fn cost(&mut self, team: usize) -> f64 {
-        let ratio = if team % SMALL_EVERY == SMALL_EVERY - 1 { SMALL_RATIO } else { 1.0 };
+        let ratio = if self.is_small(team) { SMALL_RATIO } else { 1.0 };
         let (least, most) = ((self.min_cost / ratio).max(1.0), (self.max_cost / ratio).max(1.0));
         let log = self.rng.random_range(0.0..=1.0) * (most / least).ln();
         (least * log.exp()).round().max(1.0)
--- /dev/null
+++ b/core/src/aggregate.rs
@@ -0,0 +1,161 @@
+//! Sums over the cells of one model, on their way up and down a tree.
+//!
+//! The dispatcher of each cell tells an aggregator of its zone what the cell has served; the
+//! aggregator of each zone tells that of the fleet; and the fleet's sums go down to all
+//! dispatchers. Any router can hold an aggregator, for its state is soft: a new one asks its
+//! children for full summaries.
+//!
+//! ```
+//! use gentianhinge_core::{aggregate, ids, message};
+//!
+//! let id = ids::RouterId::new("r1", 1);
+//! let mut zone = aggregate::Aggregator::new("zone-a".into(), id.clone());
+//! let team = message::TeamSummary {
+//!     team: "lanes".into(),
+//!     service_cost: 120.0,
+//!     lift_cost: 0.0,
+//!     waiting_count: 3,
+//!     running_count: 1,
+//! };
+//! let line = message::CellLine {
+//!     cell: "assistant-0".into(),
+//!     dispatcher: id,
+//!     seq: 1,
+//!     free_slots: 0,
+//!     waiting_count: 3,
+//!     least_virtual_time: 120.0,
+//! };
+//! let summary = message::CellSummary { line, full: true, teams: vec![team] };
+//! assert_eq!(zone.take_cell(summary), aggregate::Taken::Yes);
+//! assert_eq!(zone.summary(true).teams[0].service_cost, 120.0);
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{Name, RouterId};
+use crate::message::{CellLine, CellSummary, GroupSummary, TeamSummary};
+
+/// What became of a summary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It counts now.
+    Yes,
+    /// It is older than one that counts already.
+    Old,
+    /// It tells changes against a state that isn't known; a full one is needed.
+    NeedsFull,
+}
+
+/// Sums over the cells or groups below one node of the tree.
+#[derive(Debug)]
+pub struct Aggregator {
+    group: Name,
+    id: RouterId,
+    seq: u64,
+    children: BTreeMap<Name, Child>,
+    changed: BTreeSet<Name>,
+}
+
+/// The last state of a cell or a group. Its numbers are cumulative and replace those before, so
+/// that a summary that comes twice doesn't count twice.
+#[derive(Debug)]
+struct Child {
+    sender: RouterId,
+    seq: u64,
+    lines: Vec<CellLine>,
+    teams: BTreeMap<Name, TeamSummary>,
+}
+
+impl Aggregator {
+    /// Creates an aggregator without children.
+    pub fn new(group: Name, id: RouterId) -> Aggregator {
+        Aggregator { group, id, seq: 0, children: BTreeMap::new(), changed: BTreeSet::new() }
+    }
+
+    /// Takes the summary of a cell.
+    pub fn take_cell(&mut self, summary: CellSummary) -> Taken {
+        let CellSummary { line, full, teams } = summary;
+        let (key, sender, seq) = (line.cell.clone(), line.dispatcher.clone(), line.seq);
+        self.take(key, sender, seq, full, vec![line], teams)
+    }
+
+    /// Takes the summary of a group further down.
+    pub fn take_group(&mut self, summary: GroupSummary) -> Taken {
+        let GroupSummary { group, aggregator, seq, full, cells, teams } = summary;
+        self.take(group, aggregator, seq, full, cells, teams)
+    }
+
+    /// Forgets what waits and is free in a cell or group that is no more; its service stays
+    /// counted.
+    pub fn retire(&mut self, key: &Name) {
+        let Some(child) = self.children.get_mut(key) else { return };
+        child.lines.clear();
+        for team in child.teams.values_mut() {
+            team.waiting_count = 0;
+            team.running_count = 0;
+        }
+        self.changed.extend(child.teams.keys().cloned());
+    }
+
+    /// Makes the next summary: all teams if `full`, else those whose sums have changed.
+    pub fn summary(&mut self, full: bool) -> GroupSummary {
+        self.seq += 1;
+        let changed = std::mem::take(&mut self.changed);
+        let names = if full { self.team_names() } else { changed };
+        GroupSummary {
+            group: self.group.clone(),
+            aggregator: self.id.clone(),
+            seq: self.seq,
+            full,
+            cells: self.children.values().flat_map(|child| child.lines.iter().cloned()).collect(),
+            teams: names.iter().map(|team| self.sum(team)).collect(),
+        }
+    }
+
+    fn take(
+        &mut self,
+        key: Name,
+        sender: RouterId,
+        seq: u64,
+        full: bool,
+        lines: Vec<CellLine>,
+        teams: Vec<TeamSummary>,
+    ) -> Taken {
+        let known = self.children.get(&key).filter(|child| child.sender == sender);
+        match known {
+            Some(child) if seq <= child.seq => return Taken::Old,
+            // A change against a summary that was lost would leave a team behind for good.
+            Some(child) if !full && seq != child.seq + 1 => return Taken::NeedsFull,
+            None if !full => return Taken::NeedsFull,
+            _ => {}
+        }
+        self.changed.extend(teams.iter().map(|line| line.team.clone()));
+        let old = self.children.remove(&key).map(|child| child.teams).unwrap_or_default();
+        let mut by_name = if full { BTreeMap::new() } else { old.clone() };
+        by_name.extend(teams.into_iter().map(|line| (line.team.clone(), line)));
+        self.changed.extend(old.into_keys().filter(|team| !by_name.contains_key(team)));
+        self.children.insert(key, Child { sender, seq, lines, teams: by_name });
+        Taken::Yes
+    }
+
+    fn team_names(&self) -> BTreeSet<Name> {
+        self.children.values().flat_map(|child| child.teams.keys().cloned()).collect()
+    }
+
+    fn sum(&self, team: &Name) -> TeamSummary {
+        let mut sum = TeamSummary {
+            team: team.clone(),
+            service_cost: 0.0,
+            lift_cost: 0.0,
+            waiting_count: 0,
+            running_count: 0,
+        };
+        for line in self.children.values().filter_map(|child| child.teams.get(team)) {
+            sum.service_cost += line.service_cost;
+            sum.lift_cost = sum.lift_cost.max(line.lift_cost);
+            sum.waiting_count = sum.waiting_count.saturating_add(line.waiting_count);
+            sum.running_count = sum.running_count.saturating_add(line.running_count);
+        }
+        sum
+    }
+}
--- a/core/src/dispatch/grant.rs
+++ b/core/src/dispatch/grant.rs
@@ -38,20 +38,21 @@
         self.start_running(key, id, flow, target.clone(), 0.0);
         self.set_line(key, flow, Some(line));
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        session.unacked.push_back((session.sent_seq + 1, flow));
+        session.unacked.push_back((self.batch_seq + 1, flow));
         session.grants.push(Grant { id, flow: self.flows.get(flow).flow.clone(), target });
         self.dirty.insert(key);
     }
 
     pub(super) fn take_batches(&mut self) -> Vec<(RouterId, GrantBatch)> {
         let dirty = std::mem::take(&mut self.dirty);
+        // One number for all batches of a poll: each router gets at most one of them.
+        self.batch_seq += u64::from(!dirty.is_empty());
         dirty.into_iter().filter_map(|key| self.take_batch(key)).collect()
     }
 
     fn take_batch(&mut self, key: SessionKey) -> Option<(RouterId, GrantBatch)> {
         let session = self.sessions.get_mut(&key)?;
-        session.sent_seq += 1;
-        let seq = session.sent_seq;
+        let seq = self.batch_seq;
         let router = session.router.clone();
         let grants = std::mem::take(&mut session.grants);
         let moves = std::mem::take(&mut session.moves);
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(dispatcher.free_slots(), 4);
 //! ```
 
+mod fleet;
 mod flows;
 mod grant;
 mod session;
@@ -31,6 +32,7 @@
 
 use tokio::time;
 
+pub use self::fleet::SUMMARY_INTERVAL;
 use self::flows::FlowState;
 pub use self::flows::PRIOR_MAX_COST;
 use self::session::{Line, Running, Session, SessionKey};
@@ -60,8 +62,12 @@
     /// Sessions with something to send.
     dirty: BTreeSet<SessionKey>,
     settling: Option<Settling>,
+    fleet: fleet::FleetState,
     next_session: u32,
     next_grant: u64,
+    /// Number of the last batch. It goes on from session to session, so that a late batch of an
+    /// ended session can't hide those of the next one.
+    batch_seq: u64,
 }
 
 /// A new dispatcher's wait for the routers that the one before it served.
@@ -87,8 +93,10 @@
             departed: BTreeMap::new(),
             dirty: BTreeSet::new(),
             settling: None,
+            fleet: fleet::FleetState::new(),
             next_session: 0,
             next_grant: 1,
+            batch_seq: 0,
         }
     }
 
@@ -97,11 +105,13 @@
         self.table = table;
         self.flows.set_table(&self.table);
         self.teams.set_table(&self.table, self.now);
+        self.targets.set_policy(&self.table.targets);
     }
 
     /// Replaces the list of targets; work at removed ones is left to end.
     pub fn set_targets(&mut self, specs: &[TargetSpec]) {
         self.targets.set(specs);
+        self.targets.set_policy(&self.table.targets);
     }
 
     /// Takes the load that a target reports; one that says that the target leaves is final for the
@@ -351,6 +361,10 @@
         };
         if was_run {
             self.flows.record(running.flow, running.cost);
+            let cost = running.cost * running.price_ratio;
+            self.fleet.record(cost);
+            let team = self.flows.get(running.flow).team;
+            self.teams.get_mut(team).record(cost);
             let now_s = self.teams.rate.seconds(self.now);
             self.targets.record_time(&running.target, now_s - running.granted_at_s);
         }
--- a/core/src/dispatch/session.rs
+++ b/core/src/dispatch/session.rs
@@ -75,7 +75,6 @@
     pub(super) unacked: VecDeque<(u64, FlowIndex)>,
     pub(super) grants: Vec<Grant>,
     pub(super) moves: Vec<Move>,
-    pub(super) sent_seq: u64,
     /// Number of the last report; 0 before the first, which must be full.
     pub(super) report_seq: u64,
 }
@@ -90,7 +89,6 @@
             unacked: VecDeque::new(),
             grants: Vec::new(),
             moves: Vec::new(),
-            sent_seq: 0,
             report_seq: 0,
         }
     }
--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -1,10 +1,11 @@
 //! Teams of one cell, ordered by virtual time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use tokio::time;
 
+use super::fleet::Told;
 use super::flows::FlowIndex;
 use super::session::SessionKey;
 use crate::fair;
@@ -16,6 +17,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct TeamIndex(u32);
 
+impl TeamIndex {
+    pub(super) fn number(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// A demand line of a team: earliest deadline first.
 pub(super) type WaitingKey = (time::Instant, SessionKey, FlowIndex);
 
@@ -28,6 +35,10 @@
     pub(super) running_count: u32,
     pub(super) others: Others,
     pub(super) told_at: Option<time::Instant>,
+    /// Numbers in this cell's last summaries.
+    pub(super) told: VecDeque<Told>,
+    /// Mean cost times price of past requests.
+    pub(super) mean_cost: f64,
     pub(super) unreported: Unreported,
     limits: limits::TeamLimits,
     backlogged: bool,
@@ -36,7 +47,7 @@
 }
 
 /// What the other cells have waiting and running of a team.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Others {
     pub(super) waiting_count: u32,
     pub(super) running_count: u32,
@@ -77,6 +88,8 @@
             running_count: 0,
             others: Others::default(),
             told_at: None,
+            told: VecDeque::new(),
+            mean_cost: 0.0,
             unreported: Unreported::default(),
             limits: limits::TeamLimits::default(),
             backlogged: false,
@@ -97,6 +110,12 @@
         self.limits.take(cost);
     }
 
+    /// Learns from a request that has ended.
+    pub(super) fn record(&mut self, cost: f64) {
+        let step = if self.mean_cost == 0.0 { 1.0 } else { MEAN_COST_STEP };
+        self.mean_cost += (cost - self.mean_cost) * step;
+    }
+
     /// Ends the count of a request in flight.
     pub(super) fn end_running(&mut self) {
         self.running_count = self.running_count.saturating_sub(1);
@@ -132,6 +151,11 @@
     }
 }
 
+/// With several cells the share charged ahead is so much greater: what cells order by old sums takes
+/// longer to show.
+const FLEET_PENDING_FACTOR: f64 = 4.0;
+/// Part by which a request's cost changes its team's mean.
+const MEAN_COST_STEP: f64 = 0.02;
 /// Shortest time that tells a rate, in seconds.
 const MIN_RATE_TIME_S: f64 = 0.5;
 /// Part by which a new sample changes the learned rate.
@@ -149,6 +173,12 @@
     /// Virtual time of the last grant; it never falls.
     floor: f64,
     pub(super) rate: Rate,
+    /// Requests in flight in the other cells.
+    others_running_count: u32,
+    /// Teams with waiting work in any cell.
+    fleet_team_count: usize,
+    /// When the other cells' numbers came, in seconds of the rate's clock.
+    fleet_at_s: f64,
     /// Requests of all teams in flight.
     pub(super) running_count: u32,
     refreshed_at: Option<time::Instant>,
@@ -177,11 +207,11 @@
     }
 
     pub(super) fn get(&self, index: TeamIndex) -> &Team {
-        &self.list[index.0 as usize]
+        &self.list[index.number()]
     }
 
     pub(super) fn get_mut(&mut self, index: TeamIndex) -> &mut Team {
-        &mut self.list[index.0 as usize]
+        &mut self.list[index.number()]
     }
 
     pub(super) fn indexes(&self) -> impl Iterator<Item = TeamIndex> + use<> {
@@ -209,9 +239,15 @@
     pub(super) fn refresh(&mut self, index: TeamIndex, now: time::Instant) {
         let now_s = self.rate.seconds(now);
         let rate_per_s = self.rate.per_s;
-        let pending_ratio = fair::pending_ratio(self.running_count, self.order.len());
-        let team = &mut self.list[index.0 as usize];
-        team.account.set_unreported(team.unreported.cost(now_s, rate_per_s));
+        let running_count = self.running_count + self.others_running_count;
+        let team_count = self.order.len().max(self.fleet_team_count);
+        let mut pending_ratio = fair::pending_ratio(running_count, team_count);
+        if self.others_running_count > 0 {
+            pending_ratio = (pending_ratio * FLEET_PENDING_FACTOR).min(fair::MAX_PENDING_RATIO);
+        }
+        let team = &mut self.list[index.number()];
+        let others = f64::from(team.others.running_count) * rate_per_s * (now_s - self.fleet_at_s);
+        team.account.set_unreported(team.unreported.cost(now_s, rate_per_s), others);
         team.account.set_pending_ratio(pending_ratio);
         if let Some(key) = team.key.take() {
             self.order.remove(&(key, index));
@@ -274,6 +310,25 @@
         self.order.first().map(|(key, index)| (key.0, *index))
     }
 
+    /// Backlogged teams, least virtual time first.
+    pub(super) fn backlogged(&self) -> impl Iterator<Item = (f64, TeamIndex)> + '_ {
+        self.order.iter().map(|(key, index)| (key.0, *index))
+    }
+
+    /// Adds up what the other cells have told of each team.
+    pub(super) fn sum_others(&mut self, now: time::Instant) {
+        self.fleet_at_s = self.rate.seconds(now);
+        let running = self.list.iter().map(|team| team.others.running_count);
+        self.others_running_count = running.sum();
+        let waits = |team: &&Team| team.waiting_count + team.others.waiting_count > 0;
+        self.fleet_team_count = self.list.iter().filter(waits).count();
+    }
+
+    /// Waiting requests of all teams.
+    pub(super) fn waiting_count(&self) -> u32 {
+        self.list.iter().map(|team| team.waiting_count).sum()
+    }
+
     /// Notes the virtual time at which a grant is made.
     pub(super) fn raise_floor(&mut self, virtual_time: f64) {
         self.floor = self.floor.max(virtual_time);
--- a/core/src/fair.rs
+++ b/core/src/fair.rs
@@ -58,6 +58,7 @@
     unreported_cost: f64,
     others_service: f64,
     others_lift: f64,
+    others_unreported_cost: f64,
 }
 
 impl Account {
@@ -72,6 +73,7 @@
             unreported_cost: 0.0,
             others_service: 0.0,
             others_lift: 0.0,
+            others_unreported_cost: 0.0,
         }
     }
 
@@ -80,6 +82,11 @@
         self.weight = weight;
     }
 
+    /// Weight by which service is divided.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+
     /// Charges delivered service.
     pub fn charge(&mut self, cost: f64) {
         self.service += cost / self.weight;
@@ -100,9 +107,10 @@
         self.pending_ratio = ratio;
     }
 
-    /// Sets what is believed to be delivered and not yet reported.
-    pub fn set_unreported(&mut self, cost: f64) {
+    /// Sets what is believed to be delivered here and in the other cells and not yet reported.
+    pub fn set_unreported(&mut self, cost: f64, others_cost: f64) {
         self.unreported_cost = cost;
+        self.others_unreported_cost = others_cost;
     }
 
     /// Takes what the other cells have told.
@@ -118,7 +126,7 @@
 
     /// Virtual time.
     pub fn virtual_time(&self) -> f64 {
-        self.settled() + self.ahead()
+        self.settled() + self.ahead() + self.others_unreported_cost / self.weight
     }
 
     /// Lifts the virtual time to at least `virtual_time`.
@@ -204,5 +212,5 @@
 }
 
 /// A team's waiting work moves to another cell when it is behind the teams there by more than this
-/// many of the largest requests.
-pub const MOVE_LAG_RATIO: f64 = 2.0;
+/// part of the largest request.
+pub const MOVE_LAG_RATIO: f64 = 0.5;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,6 +18,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod aggregate;
 pub mod cell;
 pub mod code;
 pub mod dispatch;
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -134,7 +134,7 @@
     pub dispatcher: RouterId,
     /// Number of the summary within the dispatcher's incarnation.
     pub seq: u64,
-    /// Slots without a request.
+    /// Slots without a request, and those expected to end before the next summary.
     pub free_slots: u32,
     /// Requests that wait for the cell, capped by router and flow.
     pub waiting_count: u32,
--- a/core/src/router/mod.rs
+++ b/core/src/router/mod.rs
@@ -112,6 +112,8 @@
     id: RouterId,
     table: sync::Arc<table::Table>,
     report_interval: Duration,
+    /// Time of the last call that told it.
+    now: time::Instant,
     cells: BTreeMap<Name, CellQueue>,
     waiting: BTreeMap<RequestId, Waiting>,
     deadlines: BTreeSet<(time::Instant, RequestId)>,
@@ -149,6 +151,7 @@
             id,
             table,
             report_interval: REPORT_INTERVAL,
+            now: time::Instant::now(),
             cells: BTreeMap::new(),
             waiting: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -190,6 +193,7 @@
     ///
     /// The class is unknown or a limit of the team is reached; the request doesn't wait then.
     pub fn submit(&mut self, submit: Submit, now: time::Instant) -> Result<(), SubmitError> {
+        self.now = now;
         let flow = &submit.flow;
         let class = self.table.classes.get(&flow.class);
         let max_wait = class.ok_or(SubmitError::UnknownClass(flow.class.clone()))?.max_wait;
@@ -243,6 +247,7 @@
 
     /// Removes and returns the requests whose deadline has passed.
     pub fn expire(&mut self, now: time::Instant) -> Vec<RequestId> {
+        self.now = now;
         let late = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now);
         let ids = late.map(|(_, id)| *id).collect::<Vec<_>>();
         for id in &ids {
@@ -262,7 +267,7 @@
 
     /// Names the dispatcher of a cell; grants of any other are void from now on.
     pub fn set_dispatcher(&mut self, cell: &Name, dispatcher: RouterId) {
-        let due = self.first_progress_due(time::Instant::now());
+        let due = self.first_progress_due(self.now);
         let queue = self.cells.entry(cell.clone()).or_insert_with(|| CellQueue::new(due));
         queue.start_session(dispatcher);
     }
@@ -289,6 +294,7 @@
     ///
     /// Demand and ended requests are due at once, costs of running requests each report interval.
     pub fn take_report(&mut self, cell: &Name, now: time::Instant) -> Option<Report> {
+        self.now = now;
         let queue = self.cells.get_mut(cell)?;
         queue.dispatcher.as_ref()?;
         let waiting = &self.waiting;
@@ -411,8 +417,10 @@
     /// Moves waiting requests to another cell. Each is moved at most once, so that two cells with
     /// old sums don't send one to and fro.
     fn move_waiting(&mut self, cell: &Name, order: &Move) {
-        let Some(queue) = self.cells.get(cell) else { return };
-        let Some(flow) = queue.flows.get(&order.flow) else { return };
+        let Some(queue) = self.cells.get_mut(cell) else { return };
+        queue.changed.insert(order.flow.clone());
+        let Some(flow) = queue.flows.get_mut(&order.flow) else { return };
+        flow.note_moved(order.request_count);
         let ids = flow.waiting.iter().map(|(_, id)| *id);
         let unmoved = ids.filter(|id| self.waiting.get(id).is_some_and(|line| !line.was_moved));
         let ids = unmoved.take(order.request_count as usize).collect::<Vec<_>>();
@@ -423,7 +431,7 @@
             team.waiting_bytes += waiting.submit.size_bytes;
             waiting.submit.cell = order.to_cell.clone();
             waiting.was_moved = true;
-            self.insert_waiting(waiting, time::Instant::now());
+            self.insert_waiting(waiting, self.now);
         }
     }
 
--- a/core/src/router/queue.rs
+++ b/core/src/router/queue.rs
@@ -42,6 +42,11 @@
         self.told_count < EXACT_WAITING_COUNT || self.told_count * 2 <= count
     }
 
+    /// Notes that the dispatcher counts so many requests less after a move.
+    pub(super) fn note_moved(&mut self, count: u32) {
+        self.told_count = self.told_count.saturating_sub(count);
+    }
+
     /// Takes the request for a grant: the earliest deadline, but for a few that prefer the target.
     pub(super) fn pick(&mut self, prefers: impl Fn(RequestId) -> bool) -> Option<RequestId> {
         self.told_count = self.told_count.saturating_sub(1);
--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 
 use crate::ids::Name;
+use crate::table;
 
 /// Most targets whose leave is remembered after they went from the list.
 const MAX_LEFT_TARGETS: usize = 4_096;
@@ -55,6 +56,8 @@
 struct Target {
     spec: TargetSpec,
     listed: bool,
+    /// Slots that the operators allow, if other than in the settings.
+    most_slots: Option<u32>,
     busy_count: u32,
     /// Slots by load reports, at most those of the settings.
     ceiling: u32,
@@ -70,6 +73,7 @@
     fn new(spec: TargetSpec) -> Target {
         Target {
             listed: true,
+            most_slots: None,
             busy_count: 0,
             ceiling: spec.max_slots,
             found_slots: 0,
@@ -81,15 +85,25 @@
         }
     }
 
+    fn unlisted(name: Name) -> Target {
+        let zone = Name::default();
+        let spec = TargetSpec { name, zone, max_slots: 0, lookahead_slots: 0 };
+        Target { listed: false, ..Target::new(spec) }
+    }
+
     fn slots(&self, live_ratio: f64) -> u32 {
-        let share = (f64::from(self.spec.max_slots) * live_ratio).ceil() as u32;
-        self.ceiling.min(share.max(self.found_slots))
+        let share = (f64::from(self.max_slots()) * live_ratio).ceil() as u32;
+        self.ceiling.min(self.max_slots()).min(share.max(self.found_slots))
+    }
+
+    fn max_slots(&self) -> u32 {
+        self.most_slots.unwrap_or(self.spec.max_slots)
     }
 
     fn lookahead(&self) -> u32 {
         let is_short = self.mean_time_s.is_some_and(|mean_s| mean_s < SHORT_REQUEST.as_secs_f64());
         if is_short && self.spec.lookahead_slots > 0 {
-            return self.spec.lookahead_slots.max(self.spec.max_slots);
+            return self.spec.lookahead_slots.max(self.max_slots());
         }
         self.spec.lookahead_slots
     }
@@ -102,8 +116,8 @@
             return;
         }
         let most = match load.max_running_count {
-            0 => self.spec.max_slots,
-            count => self.spec.max_slots.min(count),
+            0 => self.max_slots(),
+            count => self.max_slots().min(count),
         };
         let excess = load.waiting_count.saturating_sub(self.lookahead().max(1));
         if excess > 0 {
@@ -149,6 +163,20 @@
         self.targets.retain(|_, target| target.listed || target.busy_count > 0);
     }
 
+    /// Applies what operators say about targets.
+    pub fn set_policy(&mut self, policy: &BTreeMap<Name, table::TargetPolicy>) {
+        for (name, target) in &mut self.targets {
+            let max_slots = policy.get(name).and_then(|line| line.max_slots);
+            if max_slots != target.most_slots {
+                target.most_slots = max_slots;
+                target.ceiling = target.max_slots();
+            }
+        }
+        for (name, _) in policy.iter().filter(|(_, line)| line.is_leaving) {
+            self.leave(name, self.incarnation(name));
+        }
+    }
+
     /// Sets which part of the routers this one sees; the slots are shared out by it.
     pub fn set_live_ratio(&mut self, ratio: f64) {
         self.live_ratio = ratio.clamp(0.0, 1.0);
@@ -174,7 +202,7 @@
         }
         target.adapt(&load, now);
         if live_ratio < 1.0 {
-            let most = load.max_running_count.max(target.spec.max_slots);
+            let most = load.max_running_count.max(target.max_slots());
             let free = most.saturating_sub(load.running_count + load.waiting_count);
             let found = (f64::from(free) * live_ratio) as u32;
             target.found_slots = target.busy_count + found;
@@ -234,11 +262,10 @@
         self.targets.values().map(|target| target.busy_count).sum()
     }
 
-    /// Counts a request at a target.
+    /// Counts a request at a target, also at one that isn't listed: it may be later.
     pub fn take(&mut self, name: &Name) {
-        if let Some(target) = self.targets.get_mut(name) {
-            target.busy_count += 1;
-        }
+        let entry = self.targets.entry(name.clone());
+        entry.or_insert_with(|| Target::unlisted(name.clone())).busy_count += 1;
     }
 
     /// Learns how long a request took from its grant to its end.
