Take the slot back from a caller that doesn't read its stream

Cause: a caller that left its stream unread held a slot without end. Without the bound the new test waits in vain for a slot; with it the slot is free after callers.unread_timeout_ms.

--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -272,10 +272,12 @@
             slot.progress(self.meter.cost());
         }
         let done = event.done;
-        if self.items.send(Item::Event(event.raw)).await.is_err() {
-            return Some(ReadEnd::CallerLeft);
+        let sent = self.items.send(Item::Event(event.raw));
+        match time::timeout(self.traffic.bounds.unread_timeout, sent).await {
+            Ok(Ok(())) => done.then_some(ReadEnd::Done),
+            // A caller that doesn't read holds a slot like one that does, so it has to go.
+            Ok(Err(_)) | Err(_) => Some(ReadEnd::CallerLeft),
         }
-        done.then_some(ReadEnd::Done)
     }
 
     fn note_token(&mut self) {
--- a/daemon/tests/bad_input.rs
+++ b/daemon/tests/bad_input.rs
@@ -81,6 +81,19 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Asks for a streamed answer that is larger than the socket buffers, without reading any of it.
+async fn ask_for_many_tokens(addr: std::net::SocketAddr) -> net::TcpStream {
+    let mut stream = net::TcpStream::connect(addr).await.unwrap();
+    let body = r#"{"model": "assistant", "stream": true, "max_tokens": 100000}"#;
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\
+         authorization: Bearer key-of-lanes\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
 cases! {
     a_flood_of_headers_is_cut_off: {
         let fleet = Deployment::start("");
@@ -108,15 +121,19 @@
     a_caller_that_leaves_frees_its_slot: {
         let fleet = Deployment::start("");
         for _ in 0..8 {
-            let mut stream = net::TcpStream::connect(fleet.callers).await.unwrap();
-            let body = r#"{"model": "assistant", "stream": true, "max_tokens": 100000}"#;
-            let head = format!(
-                "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\
-                 authorization: Bearer key-of-lanes\r\n\r\n{body}",
-                body.len()
-            );
-            stream.write_all(head.as_bytes()).await.unwrap();
+            let stream = ask_for_many_tokens(fleet.callers).await;
             time::sleep(Duration::from_millis(20)).await;
+            drop(stream);
+        }
+        let answer = time::timeout(MARGIN, support::chat(fleet.callers, true, 3)).await;
+        assert_eq!(answer.expect("a slot is free").result(), 0);
+    },
+    a_caller_that_does_not_read_frees_its_slot: {
+        // The engine's tokens take no time, so the buffers on the way are soon full.
+        let fleet = Deployment::with_engines(1, "0", r#""callers": {"unread_timeout_ms": 300},"#);
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            streams.push(ask_for_many_tokens(fleet.callers).await);
         }
         let answer = time::timeout(MARGIN, support::chat(fleet.callers, true, 3)).await;
         assert_eq!(answer.expect("a slot is free").result(), 0);
--- a/daemon/tests/faults.rs
+++ b/daemon/tests/faults.rs
@@ -72,7 +72,7 @@
     work_lost_before_the_first_token_goes_to_another_target: {
         // Whichever target dispatch prefers, one of the two is it.
         for killed in 0..2 {
-            let mut fleet = Deployment::with_engines(2, UPSTREAM);
+            let mut fleet = Deployment::with_engines(2, "5", UPSTREAM);
             fleet.engines[killed].signal(Signal::KILL);
             fleet.engines[killed].wait(BOUND);
             for _ in 0..6 {
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -174,13 +174,13 @@
 impl Deployment {
     /// Starts a model engine, a service and a router; `more` goes into the router's settings.
     pub fn start(more: &str) -> Deployment {
-        Deployment::with_engines(1, more)
+        Deployment::with_engines(1, "5", more)
     }
 
-    /// Starts several model engines, a service and a router.
-    pub fn with_engines(engine_count: usize, more: &str) -> Deployment {
+    /// Starts several model engines of a given speed, a service and a router.
+    pub fn with_engines(engine_count: usize, token_ms: &str, more: &str) -> Deployment {
         let listen = ["--listen", "127.0.0.1:0"];
-        let engine_args = ["engine", "--name", "assistant", "--slots", "4", "--token-ms", "5"];
+        let engine_args = ["engine", "--name", "assistant", "--slots", "4", "--token-ms", token_ms];
         let engine_args = [&engine_args[..], &listen].concat();
         let engines = (0..engine_count)
             .map(|_| Process::start("gentianhinge-standin", &engine_args))
