Take leaving and dead targets out of use by list, load report and operator

Polls of load reports and of the host list feed the dispatchers. Two faults found by the new tests: - A leave before the target's first load report was kept for incarnation 0, so the first report made the target look returned (an operator's drain failed about one time in three). The leave now means the incarnation that reports next. - A list that still showed the old incarnation as leaving took the returned one out of use, too. Only a change of the list counts now.

--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -16,6 +16,9 @@
 /// Most targets whose leave is remembered after they went from the list.
 const MAX_LEFT_TARGETS: usize = 4_096;
 
+/// Incarnation of a target that hasn't reported yet.
+pub const UNKNOWN_INCARNATION: u64 = 0;
+
 /// Requests that take less than this are short beside a round trip.
 const SHORT_REQUEST: Duration = Duration::from_millis(50);
 
@@ -187,7 +190,9 @@
 
     /// Takes a target's load; one that is older than the last is ignored.
     pub fn set_load(&mut self, name: &Name, load: TargetLoad, now: time::Instant) {
-        if load.leaving {
+        let was_unknown = self.left.get(name) == Some(&UNKNOWN_INCARNATION);
+        if load.leaving || was_unknown {
+            // A leave that came before the first report means the incarnation that now reports.
             self.leave(name, load.incarnation);
         } else if self.left.get(name).is_some_and(|left| *left < load.incarnation) {
             self.left.remove(name);
@@ -227,10 +232,10 @@
         }
     }
 
-    /// Incarnation of a target by its last load report; 0 before the first.
+    /// Incarnation of a target by its last load report; [`UNKNOWN_INCARNATION`] before the first.
     pub fn incarnation(&self, name: &Name) -> u64 {
         let load = self.targets.get(name).and_then(|target| target.load.as_ref());
-        load.map_or(0, |load| load.incarnation)
+        load.map_or(UNKNOWN_INCARNATION, |load| load.incarnation)
     }
 
     /// The target to use next: the first preferred one that is free, else that with most slots free.
--- a/core/tests/dispatch.rs
+++ b/core/tests/dispatch.rs
@@ -52,6 +52,17 @@
     starts.map(|start| start.id.0).collect()
 }
 
+fn load_of(incarnation: u64) -> slots::TargetLoad {
+    slots::TargetLoad {
+        at: time::Instant::now(),
+        incarnation,
+        running_count: 0,
+        waiting_count: 0,
+        max_running_count: 2,
+        leaving: false,
+    }
+}
+
 macro_rules! cases {
     ($($name:ident: $body:expr,)*) => { $(
         #[tokio::test(start_paused = true)]
@@ -89,19 +100,23 @@
         router.submit(submit(2, "lanes"), time::Instant::now()).unwrap();
         assert_eq!(exchange(&mut router, &mut dispatcher).len(), 0);
         time::advance(Duration::from_millis(500)).await;
-        let load = slots::TargetLoad {
-            at: time::Instant::now(),
-            incarnation: 1,
-            running_count: 0,
-            waiting_count: 0,
-            max_running_count: 2,
-            leaving: false,
-        };
-        dispatcher.set_target_load(&"t1".into(), load, time::Instant::now());
+        dispatcher.set_target_load(&"t1".into(), load_of(1), time::Instant::now());
         let starts = dispatcher.poll(time::Instant::now());
         let starts = starts.iter().flat_map(|(_, batch)| router.take_grants(batch));
         assert_eq!(starts.map(|start| start.id.0).collect::<Vec<_>>(), [2]);
     },
+    a_leave_before_the_first_load_report_holds_for_the_incarnation_that_reports: {
+        let (mut router, mut dispatcher) = pair();
+        let target = Name::from("t1");
+        let now = time::Instant::now();
+        dispatcher.target_leaving(&target, dispatcher.target_incarnation(&target));
+        dispatcher.set_target_load(&target, load_of(7), now);
+        router.submit(submit(1, "lanes"), now).unwrap();
+        assert_eq!(exchange(&mut router, &mut dispatcher).len(), 0);
+        dispatcher.set_target_load(&target, load_of(8), now);
+        let batches = dispatcher.poll(now);
+        assert_eq!(batches.iter().map(|(_, batch)| batch.grants.len()).sum::<usize>(), 1);
+    },
     expires_what_waited_too_long: {
         let (mut router, _) = pair();
         router.submit(submit(1, "lanes"), time::Instant::now()).unwrap();
--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -5,7 +5,7 @@
 use axum::{extract, response, routing};
 use http::{HeaderMap, StatusCode, header};
 
-use crate::server;
+use crate::{control, server};
 
 /// Requests of a team that are shown at once.
 const MAX_SHOWN_REQUESTS: usize = 100;
@@ -17,6 +17,7 @@
         .route("/readyz", routing::get(ready))
         .route("/metrics", routing::get(metrics))
         .route("/requests/{request_id}", routing::get(request))
+        .route("/targets/{target}/drain", routing::post(drain_target))
         .route("/teams/{team}/requests", routing::get(team_requests))
         .with_state(shared)
 }
@@ -80,3 +81,15 @@
     let records = shared.journal.latest(&team, MAX_SHOWN_REQUESTS);
     response::IntoResponse::into_response(axum::Json(records))
 }
+
+async fn drain_target(
+    extract::State(shared): extract::State<sync::Arc<server::Shared>>,
+    extract::Path(target): extract::Path<String>,
+    headers: HeaderMap,
+) -> (StatusCode, &'static str) {
+    if let Err(refusal) = authorize(&shared, &headers) {
+        return refusal;
+    }
+    shared.control.send(control::Command::DrainTarget { target: target.into() });
+    (StatusCode::ACCEPTED, "the target gets no new work\n")
+}
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -131,7 +131,7 @@
     let snapshot = sync::Arc::new(directory::Directory::new(&table, &telemetry));
     let (_directory_sender, directory) = tokio_sync::watch::channel(snapshot);
     let (handle, commands) = control::Handle::channel();
-    let state = control::Control::new(id.clone(), &table, &pools, commands);
+    let state = control::Control::new(id.clone(), &table, &pools, platform(&settings)?, commands);
     let shared = sync::Arc::new(Shared {
         id,
         telemetry,
@@ -162,6 +162,19 @@
     Ok(Server { callers_addr, operators_addr, stop, threads })
 }
 
+fn platform(settings: &settings::Settings) -> Result<control::Platform, StartError> {
+    let platform = &settings.platform;
+    let hosts_url = platform.hosts_url.as_deref().map(str::parse).transpose();
+    let hosts_url =
+        hosts_url.map_err(|err| StartError::Settings(format!("platform.hosts_url: {err}")))?;
+    Ok(control::Platform {
+        hosts_url,
+        hosts_interval: Duration::from_millis(platform.hosts_interval_ms),
+        load_interval: Duration::from_millis(platform.load_interval_ms),
+        timeout: Duration::from_millis(platform.timeout_ms),
+    })
+}
+
 async fn serve(
     shared: sync::Arc<Shared>,
     traffic: traffic::Traffic,
--- /dev/null
+++ b/daemon/tests/leaving.rs
@@ -0,0 +1,110 @@
+//! Targets that leave, by the host list, by their own report or by an operator.
+
+mod support;
+
+use std::net;
+use std::time::Duration;
+
+use serde_json::json;
+use support::{Deployment, Process};
+use tokio::time;
+
+/// Longest time until a leaving target gets no new work.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+
+/// Requests sent after the bound, to see where they run.
+const PROBE_COUNT: u64 = 20;
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[tokio::test]
+        async fn $name() { $body }
+    )* };
+}
+
+/// Requests that an engine has begun to run.
+async fn run_count(engine: net::SocketAddr) -> u64 {
+    support::send("GET", engine, "/stats", &[], "").await.json()["run_count"].as_u64().unwrap()
+}
+
+/// Sends more requests at once than one engine has slots.
+async fn probe(fleet: &Deployment) {
+    let calls = (0..PROBE_COUNT).map(|_| support::chat(fleet.callers, true, 20));
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().all(|answer| answer.result() == 0), "{answers:?}");
+}
+
+/// Checks that the first engine gets no new work from the bound on, and the second gets all.
+async fn check_left(fleet: &Deployment) {
+    time::sleep(LEAVE_BOUND).await;
+    let before = [run_count(fleet.engine_addrs[0]).await, run_count(fleet.engine_addrs[1]).await];
+    probe(fleet).await;
+    assert_eq!(run_count(fleet.engine_addrs[0]).await, before[0]);
+    assert_eq!(run_count(fleet.engine_addrs[1]).await, before[1] + PROBE_COUNT);
+}
+
+/// Starts two engines and a host list that is behind by `lag_ms`.
+async fn start(lag_ms: &str) -> (Deployment, Process, net::SocketAddr) {
+    let args = ["hosts", "--listen", "127.0.0.1:0", "--lag-ms", lag_ms];
+    let hosts = Process::start("gentianhinge-standin", &args);
+    let hosts_addr = hosts.addr("listening on ");
+    let platform = format!(
+        r#""platform": {{"hosts_url": "http://{hosts_addr}/hosts", "hosts_interval_ms": 500}},"#
+    );
+    let fleet = Deployment::with_engines(2, "5", &platform);
+    for engine in 0..2 {
+        list(&fleet, hosts_addr, engine, "live").await;
+    }
+    (fleet, hosts, hosts_addr)
+}
+
+async fn list(fleet: &Deployment, hosts: net::SocketAddr, engine: usize, state: &str) {
+    let name = format!("m{}", engine + 1);
+    let host = json!({"name": name, "addr": fleet.engine_addrs[engine].to_string(),
+        "region": "here", "zone": "a", "kind": "target", "state": state});
+    let headers = [("content-type", "application/json")];
+    let answer =
+        support::send("PUT", hosts, &format!("/hosts/{name}"), &headers, &host.to_string()).await;
+    assert!((200..300).contains(&answer.status), "{answer:?}");
+}
+
+cases! {
+    the_host_list_tells_that_a_target_leaves: {
+        let (fleet, _hosts, hosts_addr) = start("1000").await;
+        list(&fleet, hosts_addr, 0, "leaving").await;
+        check_left(&fleet).await;
+    },
+    the_engine_reports_that_it_leaves_though_the_list_says_it_lives: {
+        let (fleet, _hosts, _) = start("0").await;
+        fleet.set_faults(fleet.engine_addrs[0], json!({"leaving": true})).await;
+        check_left(&fleet).await;
+        // A leave is final for an incarnation, whatever the target says later.
+        fleet.set_faults(fleet.engine_addrs[0], json!({})).await;
+        check_left(&fleet).await;
+    },
+    an_operator_drains_a_target: {
+        let fleet = Deployment::with_engines(2, "5", "");
+        let refused = support::send("POST", fleet.operators, "/targets/m1/drain", &[], "").await;
+        assert_eq!(refused.status, 401);
+        let auth = format!("Bearer {}", support::OPERATOR_KEY);
+        let headers = [("authorization", auth.as_str())];
+        let path = "/targets/m1/drain";
+        assert_eq!(support::send("POST", fleet.operators, path, &headers, "").await.status, 202);
+        check_left(&fleet).await;
+    },
+    a_target_that_died_and_returned_gets_work_again: {
+        // The list goes on showing the old incarnation as leaving.
+        let (mut fleet, _hosts, hosts_addr) = start("0").await;
+        list(&fleet, hosts_addr, 0, "leaving").await;
+        check_left(&fleet).await;
+        fleet.engines[0].signal(rustix::process::Signal::KILL);
+        fleet.engines[0].wait(LEAVE_BOUND);
+        probe(&fleet).await;
+        let addr = fleet.engine_addrs[0].to_string();
+        let args = ["engine", "--name", "assistant", "--slots", "4", "--listen", &addr];
+        fleet.engines[0] = Process::start("gentianhinge-standin", &args);
+        time::sleep(LEAVE_BOUND).await;
+        probe(&fleet).await;
+        assert!(run_count(fleet.engine_addrs[0]).await > 0);
+    },
+}
