--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -1,10 +1,14 @@
 //! Command line of the program.
 
+mod load;
+
 use std::net::SocketAddr;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use gentianhinge_standin::{engine, hosts, log, relay, service};
 
+pub(crate) use load::{demo_config, latency_config, load_config};
+
 /// The program's command.
 pub(crate) fn command() -> Command {
     Command::new("gentianhinge-standin")
@@ -16,6 +20,9 @@
         .subcommand(log_command())
         .subcommand(hosts_command())
         .subcommand(relay_command())
+        .subcommand(load::load_command())
+        .subcommand(load::latency_command())
+        .subcommand(load::demo_command())
 }
 
 /// An option whose default is shown in the help.
--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -16,6 +16,9 @@
 use crate::engine::{Completion, Usage, unix_time};
 use crate::sse;
 
+/// Header with the number of the result code.
+const RESULT_HEADER: &str = "gentianhinge-result";
+
 quick_error! {
     /// Why a call has no answer.
     #[derive(Debug)]
@@ -67,6 +70,11 @@
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
+    /// Number of the result code, if the answer states one.
+    pub fn result(&self) -> Option<u16> {
+        self.headers.get(RESULT_HEADER)?.to_str().ok()?.parse().ok()
+    }
+
     /// The body as JSON.
     ///
     /// # Errors
@@ -110,8 +118,22 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<Answer, CallError> {
-        let uri = format!("http://{addr}{path}");
-        let mut request = Request::builder().method(method).uri(uri);
+        self.call_url(method, &format!("http://{addr}{path}"), headers, body).await
+    }
+
+    /// Sends a request and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer doesn't come or breaks off.
+    pub async fn call_url(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, CallError> {
+        let mut request = Request::builder().method(method).uri(url);
         for &(name, value) in headers {
             request = request.header(name, value);
         }
@@ -131,6 +153,21 @@
         base_url: &str,
         headers: &[(&str, &str)],
         completion: &Completion,
+    ) -> Result<Outcome, CallError> {
+        self.complete_with(base_url, headers, completion, |_| {}).await
+    }
+
+    /// Like [`Client::complete`], and tells of each part as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::complete`].
+    pub async fn complete_with(
+        &self,
+        base_url: &str,
+        headers: &[(&str, &str)],
+        completion: &Completion,
+        on_progress: impl Fn(Progress),
     ) -> Result<Outcome, CallError> {
         let body = serde_json::to_vec(completion).unwrap_or_default();
         let uri = format!("{base_url}/v1/chat/completions");
@@ -141,16 +178,26 @@
         let started_at = time::Instant::now();
         let response = self.send(request.body(Full::new(body.into()))?).await?;
         let mut outcome = Outcome::new(started_at, &response);
+        let body = response.into_body();
         if completion.stream && outcome.status == 200 {
-            outcome.follow_stream(response.into_body(), completion).await;
+            outcome.follow_stream(body, completion, on_progress).await;
         } else {
-            outcome.take_whole(response.into_body(), completion).await;
+            outcome.take_whole(body, completion, on_progress).await;
         }
         outcome.ended_at = time::Instant::now();
         Ok(outcome)
     }
 }
 
+/// A part of an answer that has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// The prompt was read; its tokens by the stand-ins' measure.
+    Prompt(u32),
+    /// Tokens of the answer.
+    Tokens(u32),
+}
+
 /// How an answer went.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -204,7 +251,7 @@
 
 impl Outcome {
     fn new<B>(started_at: time::Instant, response: &Response<B>) -> Outcome {
-        let result = response.headers().get("gentianhinge-result");
+        let result = response.headers().get(RESULT_HEADER);
         let result = result.and_then(|value| value.to_str().ok()?.parse().ok());
         let now = time::Instant::now();
         Outcome {
@@ -229,7 +276,12 @@
         self.fault.get_or_insert(fault);
     }
 
-    async fn follow_stream(&mut self, mut body: Incoming, completion: &Completion) {
+    async fn follow_stream(
+        &mut self,
+        mut body: Incoming,
+        completion: &Completion,
+        on_progress: impl Fn(Progress),
+    ) {
         let mut parser = sse::Parser::default();
         let mut is_done = false;
         while let Some(frame) = body.frame().await {
@@ -243,7 +295,14 @@
                     self.blame("events after the end".to_owned());
                 }
                 is_done |= event.data == "[DONE]";
+                let count_before = self.token_at.len();
                 self.take_event(&event, completion);
+                if self.token_at.len() > count_before {
+                    if count_before == 0 {
+                        on_progress(Progress::Prompt(completion.prompt_token_count()));
+                    }
+                    on_progress(Progress::Tokens(1));
+                }
             }
         }
         if !is_done {
@@ -278,7 +337,12 @@
         }
     }
 
-    async fn take_whole(&mut self, body: Incoming, completion: &Completion) {
+    async fn take_whole(
+        &mut self,
+        body: Incoming,
+        completion: &Completion,
+        on_progress: impl Fn(Progress),
+    ) {
         let body = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => return self.blame(format!("answer broke off: {error}")),
@@ -292,6 +356,10 @@
             return self.blame(format!("error {}: {}", error.code, error.message));
         }
         self.usage = chunk.usage;
+        if let Some(usage) = chunk.usage {
+            on_progress(Progress::Prompt(usage.prompt_tokens));
+            on_progress(Progress::Tokens(usage.completion_tokens));
+        }
         let message = chunk.choices.into_iter().find_map(|choice| choice.message?.content);
         let text = message.unwrap_or_default();
         let count = text.split_whitespace().count();
--- a/standin/src/engine/api.rs
+++ b/standin/src/engine/api.rs
@@ -75,6 +75,11 @@
         text
     }
 
+    /// Tokens of the prompt, by the engine's measure.
+    pub fn prompt_token_count(&self) -> u32 {
+        prompt_tokens(self.prompt_text().as_bytes())
+    }
+
     /// Length of the answer, and whether `max_tokens` cuts it off.
     ///
     /// A request that states no length gets one that depends on its prompt alone.
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -124,6 +124,11 @@
         stats
     }
 
+    /// Streams in the batch now.
+    pub fn running_count(&self) -> usize {
+        self.lock().running.len()
+    }
+
     /// How often each attempt id came.
     pub fn attempts(&self) -> HashMap<String, u32> {
         self.lock().attempts.clone()
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -19,8 +19,12 @@
 //! were set before; `{}` clears them. What each stand-in counts is read at `GET /stats`.
 
 pub mod client;
+pub mod demo;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
+pub mod latency;
+pub mod load;
 pub mod log;
 pub mod relay;
 pub mod server;
--- /dev/null
+++ b/standin/src/load/gap.rs
@@ -0,0 +1,45 @@
+//! The fairness gap, from samples of what each team has received.
+
+/// Tracks the difference between each two teams.
+///
+/// The gap of two teams is the largest amount by which their difference changes between any two
+/// samples, so that it covers every interval and not only those since the first sample.
+///
+/// ```
+/// use gentianhinge_standin::load::Gap;
+///
+/// let mut gap = Gap::new(2);
+/// for services in [[0.0, 0.0], [30.0, 10.0], [40.0, 50.0]] {
+///     gap.sample(&services);
+/// }
+/// assert_eq!(gap.largest(), 30.0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Gap {
+    team_count: usize,
+    /// Smallest and greatest difference of each pair.
+    ranges: Vec<(f64, f64)>,
+}
+
+impl Gap {
+    /// Starts without samples.
+    pub fn new(team_count: usize) -> Gap {
+        let pairs = team_count * team_count.saturating_sub(1) / 2;
+        Gap { team_count, ranges: vec![(f64::INFINITY, f64::NEG_INFINITY); pairs] }
+    }
+
+    /// Takes the service that each team has received so far.
+    pub fn sample(&mut self, services: &[f64]) {
+        let pairs = (0..self.team_count).flat_map(|i| (0..i).map(move |j| (i, j)));
+        for (range, (i, j)) in self.ranges.iter_mut().zip(pairs) {
+            let difference = services[i] - services[j];
+            range.0 = range.0.min(difference);
+            range.1 = range.1.max(difference);
+        }
+    }
+
+    /// The largest gap of two teams; 0 without samples.
+    pub fn largest(&self) -> f64 {
+        self.ranges.iter().map(|range| range.1 - range.0).fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/standin/src/load/meter.rs
@@ -0,0 +1,197 @@
+//! What one team has received.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::client::Outcome;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 2;
+/// Units in which service is counted while answers arrive.
+const UNITS_PER_COST: f64 = 1000.0;
+/// Faults whose text is kept.
+const MAX_FAULT_TEXTS: usize = 3;
+
+/// Counts of one team.
+#[derive(Clone, Debug, Default)]
+pub struct Totals {
+    /// Requests sent.
+    pub request_count: u64,
+    /// Whole answers.
+    pub whole_count: u64,
+    /// Requests that weren't sent because too many were in progress.
+    pub skipped_count: u64,
+    /// Requests without an answer in time.
+    pub unanswered_count: u64,
+    /// Tokens received.
+    pub token_count: u64,
+    /// Errors by result code.
+    pub errors: BTreeMap<u16, u64>,
+    /// Answers that weren't whole or belonged to another request, without an error that says so.
+    pub broken_count: u64,
+    /// What was wrong with the first few.
+    pub broken_texts: Vec<String>,
+}
+
+/// Percentiles of one duration.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Percentiles {
+    /// Half of all are shorter.
+    pub p50_ms: f64,
+    /// 95 in 100 are shorter.
+    pub p95_ms: f64,
+    /// 99 in 100 are shorter.
+    pub p99_ms: f64,
+}
+
+#[derive(Debug)]
+struct Inner {
+    totals: Totals,
+    head_us: Histogram<u64>,
+    first_us: Histogram<u64>,
+    between_us: Histogram<u64>,
+    whole_us: Histogram<u64>,
+}
+
+/// Meter of one team.
+#[derive(Debug)]
+pub struct Meter {
+    service_units: AtomicU64,
+    charged_units: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+impl Default for Meter {
+    fn default() -> Meter {
+        let inner = Inner {
+            totals: Totals::default(),
+            head_us: histogram(),
+            first_us: histogram(),
+            between_us: histogram(),
+            whole_us: histogram(),
+        };
+        Meter {
+            service_units: AtomicU64::new(0),
+            charged_units: AtomicU64::new(0),
+            inner: Mutex::new(inner),
+        }
+    }
+}
+
+impl Meter {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds service at the moment when it arrives.
+    pub(super) fn add_service(&self, cost: f64, price_ratio: f64) {
+        let units = cost * UNITS_PER_COST;
+        self.service_units.fetch_add(units as u64, Ordering::Relaxed);
+        self.charged_units.fetch_add((units * price_ratio) as u64, Ordering::Relaxed);
+    }
+
+    /// Service received so far: tokens at their cost.
+    pub fn service_cost(&self) -> f64 {
+        self.service_units.load(Ordering::Relaxed) as f64 / UNITS_PER_COST
+    }
+
+    /// Service received so far, times the price of each request's class.
+    pub fn charged_cost(&self) -> f64 {
+        self.charged_units.load(Ordering::Relaxed) as f64 / UNITS_PER_COST
+    }
+
+    /// Counts so far.
+    pub fn totals(&self) -> Totals {
+        self.lock().totals.clone()
+    }
+
+    /// Time to the head of the answer, to the first token, between tokens, and of the whole.
+    pub fn percentiles(&self) -> [Percentiles; 4] {
+        let inner = self.lock();
+        [&inner.head_us, &inner.first_us, &inner.between_us, &inner.whole_us].map(percentiles)
+    }
+
+    pub(super) fn sent(&self) {
+        self.lock().totals.request_count += 1;
+    }
+
+    pub(super) fn skipped(&self) {
+        self.lock().totals.skipped_count += 1;
+    }
+
+    pub(super) fn unanswered(&self) {
+        self.lock().totals.unanswered_count += 1;
+    }
+
+    /// Records an answer of a plain service.
+    pub(super) fn service_answer(&self, status: u16, result: u16, whole: Duration) {
+        let mut inner = self.lock();
+        if status == 200 {
+            inner.totals.whole_count += 1;
+            record(&mut inner.whole_us, whole);
+        } else {
+            *inner.totals.errors.entry(result).or_default() += 1;
+        }
+    }
+
+    /// Records a request that had no answer at all.
+    pub(super) fn lost(&self, text: String) {
+        self.lock().totals.blame(text);
+    }
+
+    /// Records a model's answer.
+    pub(super) fn answer(&self, outcome: &Outcome) {
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        inner.totals.token_count += outcome
+            .usage
+            .map_or(outcome.token_at.len() as u64, |usage| u64::from(usage.completion_tokens));
+        if !outcome.is_whole() {
+            if outcome.result != 0 {
+                *inner.totals.errors.entry(outcome.result).or_default() += 1;
+                return;
+            }
+            let text = outcome.fault.clone();
+            inner.totals.blame(text.unwrap_or_else(|| format!("status {}", outcome.status)));
+            return;
+        }
+        inner.totals.whole_count += 1;
+        record(&mut inner.whole_us, outcome.ended_at - outcome.started_at);
+        // The head of an answer that isn't streamed says nothing about the wait.
+        if let Some(&first_at) = outcome.token_at.first() {
+            record(&mut inner.head_us, outcome.head_at - outcome.started_at);
+            record(&mut inner.first_us, first_at - outcome.started_at);
+        }
+        for pair in outcome.token_at.windows(2) {
+            record(&mut inner.between_us, pair[1] - pair[0]);
+        }
+    }
+}
+
+impl Totals {
+    fn blame(&mut self, text: String) {
+        self.broken_count += 1;
+        if self.broken_texts.len() < MAX_FAULT_TEXTS {
+            self.broken_texts.push(text);
+        }
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(DIGITS).expect("number of digits is valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, duration: Duration) {
+    // A histogram that resizes itself takes any value.
+    let _ = histogram.record(duration.as_micros() as u64);
+}
+
+/// Percentiles of a histogram of microseconds.
+pub(crate) fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    Percentiles { p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+}
--- /dev/null
+++ b/standin/src/load/report.rs
@@ -0,0 +1,106 @@
+//! Report of a load.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentianhinge_core::code::ResultCode;
+
+use super::Config;
+use super::meter::{Meter, Percentiles, Totals};
+use super::workload::Team;
+
+/// What each team has received.
+#[derive(Debug)]
+pub struct Report {
+    /// The teams, in the order of the configuration.
+    pub teams: Vec<Team>,
+    /// Their meters.
+    pub meters: Vec<Arc<Meter>>,
+    /// Time from the start to the last answer.
+    pub elapsed: Duration,
+}
+
+impl Report {
+    pub(super) fn new(config: &Config, meters: Vec<Arc<Meter>>, elapsed: Duration) -> Report {
+        Report { teams: config.teams.clone(), meters, elapsed }
+    }
+
+    /// Counts of all teams together.
+    pub fn totals(&self) -> Totals {
+        let mut sum = Totals::default();
+        for totals in self.meters.iter().map(|meter| meter.totals()) {
+            sum.request_count += totals.request_count;
+            sum.whole_count += totals.whole_count;
+            sum.skipped_count += totals.skipped_count;
+            sum.unanswered_count += totals.unanswered_count;
+            sum.token_count += totals.token_count;
+            sum.broken_count += totals.broken_count;
+            sum.broken_texts.extend(totals.broken_texts);
+            for (code, count) in totals.errors {
+                *sum.errors.entry(code).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// A line for each team, and one for all, as a Markdown table; times in ms, as p50/p95/p99.
+    pub fn table(&self) -> String {
+        let mut out = String::from(
+            "| team | weight | requests | whole | tokens | service ÷ weight | errors | waiting \
+             | first token | between tokens | whole time |\n\
+             |---|--:|--:|--:|--:|--:|---|--:|--:|--:|--:|\n",
+        );
+        for (team, meter) in self.teams.iter().zip(&self.meters) {
+            let totals = meter.totals();
+            let [head, first, between, whole] = meter.percentiles().map(format_percentiles);
+            let _ = writeln!(
+                out,
+                "| {} | {} | {} | {} | {} | {:.0} | {} | {head} | {first} | {between} | {whole} |",
+                team.name,
+                team.weight,
+                totals.request_count,
+                totals.whole_count,
+                totals.token_count,
+                meter.charged_cost() / team.weight,
+                format_errors(&totals),
+            );
+        }
+        let totals = self.totals();
+        let _ = writeln!(
+            out,
+            "| all | | {} | {} | {} | | {} | | | | |",
+            totals.request_count,
+            totals.whole_count,
+            totals.token_count,
+            format_errors(&totals),
+        );
+        for text in totals.broken_texts.iter().take(5) {
+            let _ = writeln!(out, "\nbroken: {text}");
+        }
+        out
+    }
+}
+
+fn format_percentiles(percentiles: Percentiles) -> String {
+    let Percentiles { p50_ms, p95_ms, p99_ms } = percentiles;
+    format!("{p50_ms:.0}/{p95_ms:.0}/{p99_ms:.0}")
+}
+
+fn format_errors(totals: &Totals) -> String {
+    let mut parts: BTreeMap<String, u64> = BTreeMap::new();
+    for (&number, &count) in &totals.errors {
+        let code = ResultCode::ALL.iter().find(|code| code.number() == number);
+        let name = code.map_or_else(|| number.to_string(), |code| code.name().to_owned());
+        parts.insert(name, count);
+    }
+    let others = [
+        ("broken", totals.broken_count),
+        ("skipped", totals.skipped_count),
+        ("unanswered", totals.unanswered_count),
+    ];
+    parts.extend(others.into_iter().filter(|part| part.1 > 0).map(|(n, c)| (n.to_owned(), c)));
+    let parts: Vec<_> = parts.into_iter().map(|(name, count)| format!("{name} {count}")).collect();
+    if parts.is_empty() { "none".to_owned() } else { parts.join(", ") }
+}
--- /dev/null
+++ b/standin/src/load/run.rs
@@ -0,0 +1,207 @@
+//! Sends the load.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use tokio::sync::Semaphore;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time;
+
+use super::meter::Meter;
+use super::report::Report;
+use super::workload::{Request, Source, Work};
+use super::{Arrivals, Config};
+use crate::client::{Client, Progress};
+
+/// Pause of a closed loop after an error, so that refusals don't turn it into a flood.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
+
+/// Runs a load to its end.
+pub async fn run(config: &Config) -> Report {
+    Load::start(config).finish().await
+}
+
+/// A load that runs.
+#[derive(Debug)]
+pub struct Load {
+    config: Arc<Config>,
+    meters: Vec<Arc<Meter>>,
+    teams: Vec<JoinHandle<()>>,
+    started_at: time::Instant,
+}
+
+impl Load {
+    /// Begins to send.
+    pub fn start(config: &Config) -> Load {
+        let config = Arc::new(config.clone());
+        let started_at = time::Instant::now();
+        let meters: Vec<_> = config.teams.iter().map(|_| Arc::new(Meter::default())).collect();
+        let teams = (0..config.teams.len()).map(|index| {
+            let caller = Arc::new(Caller {
+                client: Client::new(),
+                config: Arc::clone(&config),
+                meter: Arc::clone(&meters[index]),
+                authorization: format!("Bearer {}", config.teams[index].key),
+            });
+            let source = Source::new(&config, index);
+            tokio::spawn(run_team(caller, source, index, started_at))
+        });
+        let teams = teams.collect();
+        Load { config, meters, teams, started_at }
+    }
+
+    /// The meters, in the order of the teams.
+    pub fn meters(&self) -> &[Arc<Meter>] {
+        &self.meters
+    }
+
+    /// Waits for the last answer and reports.
+    pub async fn finish(self) -> Report {
+        for team in self.teams {
+            // A team's task that panicked shows as requests without an answer.
+            let _ = team.await;
+        }
+        Report::new(&self.config, self.meters, self.started_at.elapsed())
+    }
+}
+
+#[derive(Debug)]
+struct Caller {
+    client: Client,
+    config: Arc<Config>,
+    meter: Arc<Meter>,
+    authorization: String,
+}
+
+async fn run_team(caller: Arc<Caller>, source: Source, index: usize, started_at: time::Instant) {
+    let end_at = started_at + caller.config.duration;
+    let give_up_at = end_at + caller.config.drain_timeout;
+    let mut requests = JoinSet::new();
+    let share = caller.config.teams[index].load_share;
+    match caller.config.arrivals {
+        Arrivals::Open { requests_per_s } => {
+            let shares: f64 = caller.config.teams.iter().map(|team| team.load_share).sum();
+            let rate = requests_per_s * share / shares;
+            send_open(&caller, source, rate, end_at, &mut requests).await;
+        }
+        Arrivals::Closed { concurrency } => {
+            let concurrency = (concurrency as f64 * share).round().max(1.0) as usize;
+            send_closed(&caller, source, concurrency, end_at, &mut requests).await;
+        }
+    }
+    while let Ok(Some(_)) = time::timeout_at(give_up_at, requests.join_next()).await {}
+    for _ in 0..requests.len() {
+        caller.meter.unanswered();
+    }
+}
+
+async fn send_open(
+    caller: &Arc<Caller>,
+    mut source: Source,
+    rate: f64,
+    end_at: time::Instant,
+    requests: &mut JoinSet<bool>,
+) {
+    // From the load's start and not from now, so that the number of requests is the seed's alone.
+    let mut next_at = end_at - caller.config.duration;
+    loop {
+        next_at += Duration::from_secs_f64(source.gap_s(rate));
+        if next_at >= end_at {
+            return;
+        }
+        time::sleep_until(next_at).await;
+        while requests.try_join_next().is_some() {}
+        // Drawn in any case, so that later requests don't depend on what was skipped.
+        let request = source.next();
+        if requests.len() >= caller.config.max_in_progress_count {
+            caller.meter.skipped();
+            continue;
+        }
+        let caller = Arc::clone(caller);
+        requests.spawn(async move { caller.send(request).await });
+    }
+}
+
+async fn send_closed(
+    caller: &Arc<Caller>,
+    mut source: Source,
+    concurrency: usize,
+    end_at: time::Instant,
+    requests: &mut JoinSet<bool>,
+) {
+    let places = Arc::new(Semaphore::new(concurrency));
+    loop {
+        let place = time::timeout_at(end_at, Arc::clone(&places).acquire_owned()).await;
+        let Ok(Ok(place)) = place else { return };
+        while requests.try_join_next().is_some() {}
+        let request = source.next();
+        let caller = Arc::clone(caller);
+        requests.spawn(async move {
+            let is_whole = caller.send(request).await;
+            if !is_whole {
+                time::sleep(ERROR_PAUSE).await;
+            }
+            drop(place);
+            is_whole
+        });
+    }
+}
+
+impl Caller {
+    /// Sends one request, and says whether its answer is whole.
+    async fn send(&self, request: Request) -> bool {
+        self.meter.sent();
+        let price_ratio = request.class.as_ref().map_or(1.0, |class| class.price_ratio);
+        let mut headers = vec![("authorization", self.authorization.as_str())];
+        if let Some(class) = &request.class {
+            headers.push(("gentianhinge-class", &class.name));
+        }
+        match &request.work {
+            Work::Completion(completion) => {
+                let progress = |progress| {
+                    let cost = match progress {
+                        Progress::Prompt(tokens) => {
+                            f64::from(tokens) * self.config.prompt_token_cost
+                        }
+                        Progress::Tokens(tokens) => f64::from(tokens),
+                    };
+                    self.meter.add_service(cost, price_ratio);
+                };
+                let url = &request.router_url;
+                match self.client.complete_with(url, &headers, completion, progress).await {
+                    Ok(outcome) => {
+                        self.meter.answer(&outcome);
+                        outcome.is_whole()
+                    }
+                    Err(error) => {
+                        self.meter.lost(error.to_string());
+                        false
+                    }
+                }
+            }
+            Work::ServiceCall { path, key } => {
+                if let Some(key) = key {
+                    headers.push(("idempotency-key", key));
+                }
+                let url = format!("{}{path}", request.router_url);
+                self.call_service(&url, &headers).await
+            }
+        }
+    }
+
+    async fn call_service(&self, url: &str, headers: &[(&str, &str)]) -> bool {
+        let started_at = time::Instant::now();
+        match self.client.call_url(Method::POST, url, headers, "{}").await {
+            Ok(answer) => {
+                let result = answer.result().unwrap_or(0);
+                self.meter.service_answer(answer.status, result, started_at.elapsed());
+                answer.status == 200
+            }
+            Err(error) => {
+                self.meter.lost(error.to_string());
+                false
+            }
+        }
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,13 +4,14 @@
 
 mod args;
 
+use std::error;
 use std::future;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
-use gentianhinge_standin::{engine, hosts, log, relay, service};
+use gentianhinge_standin::{demo, engine, hosts, latency, load, log, relay, service};
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
@@ -19,17 +20,17 @@
         Err(error) => return fail(&error),
     };
     match runtime.block_on(run(&matches)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
+        Ok(code) => code,
+        Err(error) => fail(&*error),
     }
 }
 
-fn fail(error: &dyn std::error::Error) -> ExitCode {
+fn fail(error: &dyn error::Error) -> ExitCode {
     eprintln!("gentianhinge-standin: {error}");
     ExitCode::FAILURE
 }
 
-async fn run(matches: &ArgMatches) -> io::Result<()> {
+async fn run(matches: &ArgMatches) -> Result<ExitCode, Box<dyn error::Error>> {
     match matches.subcommand() {
         Some(("engine", options)) => {
             let handle = engine::spawn(args::engine_config(options)).await?;
@@ -52,11 +53,31 @@
             eprintln!("control on {}", handle.control_addr());
             serve_forever(handle.addr()).await
         }
-        _ => Ok(()),
+        Some(("load", options)) => {
+            let report = load::run(&args::load_config(options)?).await;
+            print!("{}", report.table());
+            let totals = report.totals();
+            Ok(exit_code(totals.broken_count == 0 && totals.unanswered_count == 0))
+        }
+        Some(("latency", options)) => {
+            let summary = latency::run(&args::latency_config(options)).await?;
+            print!("{}", summary.table());
+            Ok(ExitCode::SUCCESS)
+        }
+        Some(("demo", options)) => {
+            let summary = demo::run(&args::demo_config(options), &mut io::stdout()).await?;
+            print!("\n{}", summary.text());
+            Ok(exit_code(summary.is_clean()))
+        }
+        _ => Ok(ExitCode::FAILURE),
     }
 }
 
-async fn serve_forever(addr: SocketAddr) -> io::Result<()> {
+fn exit_code(is_good: bool) -> ExitCode {
+    if is_good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn serve_forever(addr: SocketAddr) -> Result<ExitCode, Box<dyn error::Error>> {
     let mut out = io::stdout();
     writeln!(out, "listening on {addr}")?;
     out.flush()?;
