--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -31,11 +31,11 @@
 }
 
 macro_rules! result_codes {
-    ($($(#[$doc:meta])* $variant:ident = $number:literal, $name:literal, $status:literal, $ran:ident;)*) => {
+    ($($(#[doc = $doc:literal])* $variant:ident = $number:literal, $name:literal, $status:literal, $ran:ident;)*) => {
         /// Result of a request, as told to its caller.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
         pub enum ResultCode {
-            $($(#[$doc])* $variant = $number,)*
+            $($(#[doc = $doc])* $variant = $number,)*
         }
 
         impl ResultCode {
@@ -47,6 +47,11 @@
                 match self { $(ResultCode::$variant => $name,)* }
             }
 
+            /// What the code means, in one sentence.
+            pub fn summary(self) -> &'static str {
+                match self { $(ResultCode::$variant => concat!($($doc),*).trim_ascii(),)* }
+            }
+
             /// HTTP status of an answer with this code.
             pub fn http_status(self) -> u16 {
                 match self { $(ResultCode::$variant => $status,)* }
--- a/standin/src/args.rs
+++ b/standin/src/args.rs
@@ -23,6 +23,7 @@
         .subcommand(load::load_command())
         .subcommand(load::latency_command())
         .subcommand(load::demo_command())
+        .subcommand(Command::new("result-codes").about("Prints docs/RESULT-CODES.md from the code"))
 }
 
 /// An option whose default is shown in the help.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod load;
 pub mod log;
 pub mod relay;
+pub mod result_codes;
 pub mod server;
 pub mod service;
 pub mod sse;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -11,7 +11,7 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
-use gentianhinge_standin::{demo, engine, hosts, latency, load, log, relay, service};
+use gentianhinge_standin::{demo, engine, hosts, latency, load, log, relay, result_codes, service};
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
@@ -69,6 +69,10 @@
             print!("\n{}", summary.text());
             Ok(exit_code(summary.is_clean()))
         }
+        Some(("result-codes", _)) => {
+            print!("{}", result_codes::page());
+            Ok(ExitCode::SUCCESS)
+        }
         _ => Ok(ExitCode::FAILURE),
     }
 }
