--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod directory;
 pub mod journal;
 pub mod listener;
+pub mod platform;
 pub mod server;
 pub mod telemetry;
 pub mod traffic;
