--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -44,6 +44,8 @@
         /// The request.
         id: RequestId,
     },
+    /// Another table is in force.
+    SetTable(sync::Arc<table::Table>),
 }
 
 /// Sends commands to the control thread.
@@ -125,6 +127,12 @@
             Command::Submit { submit, reply } => self.submit(submit, reply, now),
             Command::Progress { id, cost } => self.router.progress(id, cost),
             Command::Fail { id } => self.router.fail(id),
+            Command::SetTable(table) => {
+                self.router.set_table(table.clone());
+                for dispatcher in self.dispatchers.values_mut() {
+                    dispatcher.set_table(table.clone());
+                }
+            }
             Command::Finish { id } => {
                 self.waiters.remove(&id);
                 self.router.finish(id);
--- a/daemon/src/platform/api.rs
+++ b/daemon/src/platform/api.rs
@@ -30,9 +30,12 @@
     /// Name of the router.
     pub router: String,
     /// The live routers, this one among them, and how far each has applied the log.
-    pub live_routers: sync::Arc<dyn Fn() -> Vec<RouterOffset> + Send + Sync>,
+    pub live_routers: LiveRouters,
 }
 
+/// Lists the live routers.
+pub type LiveRouters = sync::Arc<dyn Fn() -> Vec<RouterOffset> + Send + Sync>;
+
 /// Routes to be merged into those of the operators' listener.
 pub fn routes(context: Context) -> axum::Router {
     axum::Router::new()
--- a/daemon/src/platform/log.rs
+++ b/daemon/src/platform/log.rs
@@ -60,7 +60,7 @@
 pub struct Page {
     /// Oldest offset that the log keeps.
     pub first_offset: u64,
-    /// Offset that the next record gets.
+    /// Offset to read on from; if the page is empty, the one behind the log's last record.
     pub next_offset: u64,
     /// Records in offset order.
     pub entries: Vec<Entry>,
--- a/daemon/src/platform/table.rs
+++ b/daemon/src/platform/table.rs
@@ -95,8 +95,8 @@
     replica: Replica,
     /// Oldest offset that the log keeps, as last read.
     log_first_offset: u64,
-    /// Offset behind the log's last record, as last read.
-    log_next_offset: Option<u64>,
+    /// Offset behind the log's last record, if the last read reached it.
+    log_end_offset: Option<u64>,
     last_snapshot_at: Option<time::Instant>,
     logged_malformed: u64,
     is_log_down: bool,
@@ -105,7 +105,7 @@
 impl State {
     /// Whether the log says that it never held a record.
     fn is_log_virgin(&self) -> bool {
-        self.log_next_offset == Some(0)
+        self.log_end_offset == Some(0)
     }
 }
 
@@ -236,18 +236,17 @@
 
     /// The log's end, however long the log is out of service before `end`.
     async fn log_end(&self, log: &Log, end: time::Instant) -> Option<u64> {
-        loop {
-            let from = self.state().replica.read_offset();
-            let read = log.read(STREAM, from, 1, Duration::ZERO);
+        let mut from = self.state().replica.read_offset();
+        while time::Instant::now() < end {
+            let read = log.read(STREAM, from, PAGE_RECORDS, Duration::ZERO);
             match time::timeout_at(end, read).await {
-                Ok(Ok(page)) => return Some(page.next_offset),
+                Ok(Ok(page)) if page.entries.is_empty() => return Some(page.next_offset),
+                Ok(Ok(page)) => from = page.next_offset,
                 Ok(Err(_)) => time::sleep(MIN_RETRY_PAUSE).await,
                 Err(_) => return None,
             }
-            if time::Instant::now() >= end {
-                return None;
-            }
         }
+        None
     }
 
     /// Waits until all records before an offset have been read; `false` if `end` comes first.
@@ -265,8 +264,10 @@
             let from = self.state().replica.read_offset();
             match log.read(STREAM, from, PAGE_RECORDS, wait).await {
                 Ok(page) => {
+                    // Only an empty page is the log's end: others may be cut by their size.
+                    wait = if page.entries.is_empty() { POLL_WAIT } else { Duration::ZERO };
+                    pause = MIN_RETRY_PAUSE;
                     self.take(page);
-                    (pause, wait) = (MIN_RETRY_PAUSE, POLL_WAIT);
                 }
                 Err(err) => {
                     self.note_log(true, &err.to_string());
@@ -279,6 +280,7 @@
 
     fn take(&self, page: Page) {
         self.note_log(false, "");
+        let end_offset = page.entries.is_empty().then_some(page.next_offset);
         let records = page.entries.into_iter().map(|entry| LogRecord {
             offset: entry.offset,
             at_ms: entry.at_ms,
@@ -287,7 +289,7 @@
         let records = records.collect();
         let mut state = self.state();
         state.log_first_offset = page.first_offset;
-        state.log_next_offset = Some(page.next_offset);
+        state.log_end_offset = end_offset;
         state.replica.read(page.first_offset, records);
         let malformed = state.replica.counts().malformed_records;
         if malformed > state.logged_malformed {
@@ -336,16 +338,16 @@
     /// The snapshot to write now, if one is due and this router is to write it.
     fn due_snapshot(&self, now: time::Instant, wall_now: SystemTime) -> Option<Snapshot> {
         let mut state = self.state();
-        let next_offset = state.log_next_offset?;
+        let end_offset = state.log_end_offset?;
         let is_recent = |at: time::Instant| now - at < MIN_SNAPSHOT_INTERVAL;
         if state.last_snapshot_at.is_some_and(is_recent) {
             return None;
         }
         let snapshot = match state.replica.export() {
             // A table that lacks records of the log would be of no use to others.
-            Some(snapshot) if snapshot.as_of_offset < next_offset => return None,
+            Some(snapshot) if snapshot.as_of_offset < end_offset => return None,
             Some(snapshot) => snapshot,
-            None if next_offset == 0 => {
+            None if end_offset == 0 => {
                 Snapshot { as_of_offset: 0, rows: rows_of(&self.inner.options.settings_table) }
             }
             None => return None,
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use gentianhinge_core::ids::RouterId;
+use gentianhinge_core::table;
 use gentianhinge_wire::{record, settings};
 use quick_error::quick_error;
 use tokio::runtime;
 use tokio::sync as tokio_sync;
 use tokio::time;
 
-use crate::{admin, config, control, directory, journal, listener, telemetry, traffic};
+use crate::{admin, config, control, directory, journal, listener, platform, telemetry, traffic};
 
 /// Time for the balancer to notice that the router isn't ready any more.
 const DRAIN_NOTICE: Duration = Duration::from_millis(1000);
@@ -75,6 +76,17 @@
         }
     }
 
+    /// Ends the start, unless the shutdown has begun meanwhile.
+    fn set_ready(&self) {
+        let (starting, serving) = (Phase::Starting as u8, Phase::Serving as u8);
+        let order = atomic::Ordering::AcqRel;
+        let result =
+            self.phase.compare_exchange(starting, serving, order, atomic::Ordering::Acquire);
+        if result.is_ok() {
+            tracing::info!(router = %self.id, phase = ?Phase::Serving, "phase");
+        }
+    }
+
     fn set_phase(&self, phase: Phase) {
         self.phase.store(phase as u8, atomic::Ordering::Release);
         tracing::info!(router = %self.id, ?phase, "phase");
@@ -129,7 +141,7 @@
     let id = RouterId::new(settings.router.name.as_str(), incarnation());
     let telemetry = telemetry::Telemetry::new();
     let snapshot = sync::Arc::new(directory::Directory::new(&table, &telemetry));
-    let (_directory_sender, directory) = tokio_sync::watch::channel(snapshot);
+    let (directory_sender, directory) = tokio_sync::watch::channel(snapshot);
     let (handle, commands) = control::Handle::channel();
     let state = control::Control::new(id.clone(), &table, &pools, commands);
     let shared = sync::Arc::new(Shared {
@@ -154,8 +166,21 @@
         tokio::task::LocalSet::new().block_on(&control_runtime, state.run());
     })?;
     let bounds = listener::Bounds::new(&settings.callers);
+    let table_log = table_log(&settings, table);
+    let api = platform::api::Context {
+        table: table_log.clone(),
+        router: settings.router.name.clone(),
+        live_routers: only_this_router(&settings, &table_log),
+    };
+    let followed = follow_table(shared.clone(), table_log, directory_sender);
     let traffic_thread = spawn("server", move || {
-        let served = serve(shared, traffic, callers, operators, bounds, stopped);
+        let routes = admin::routes(shared.clone()).merge(platform::api::routes(api));
+        let served = serve(shared, traffic, callers, (operators, routes), bounds, stopped);
+        let served = async {
+            let followed = tokio::spawn(followed);
+            served.await;
+            followed.abort();
+        };
         traffic_runtime.block_on(served);
     })?;
     let threads = vec![traffic_thread, control_thread];
@@ -166,22 +191,16 @@
     shared: sync::Arc<Shared>,
     traffic: traffic::Traffic,
     callers: net::TcpListener,
-    operators: net::TcpListener,
+    (operators, routes): (net::TcpListener, axum::Router),
     bounds: listener::Bounds,
     mut stopped: tokio_sync::watch::Receiver<bool>,
 ) {
     let app = traffic::routes(traffic);
     let (closed, all_closed) = tokio_sync::oneshot::channel::<()>();
-    let admin = tokio::spawn(listener::serve(
-        operators,
-        admin::routes(shared.clone()),
-        bounds.clone(),
-        async {
-            let _ = all_closed.await;
-        },
-    ));
+    let admin = tokio::spawn(listener::serve(operators, routes, bounds.clone(), async {
+        let _ = all_closed.await;
+    }));
     let upkeep = tokio::spawn(run_upkeep(shared.clone()));
-    shared.set_phase(Phase::Serving);
     let draining = shared.clone();
     let stop = async move {
         let _ = stopped.wait_for(|stop| *stop).await;
@@ -196,6 +215,60 @@
     let _ = admin.await;
 }
 
+/// The table, which follows the log if the settings name one.
+fn table_log(
+    settings: &settings::Settings,
+    settings_table: sync::Arc<table::Table>,
+) -> platform::table::TableLog {
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let url = settings.platform.log_url.as_deref();
+    platform::table::TableLog::new(platform::table::Options {
+        log: url.map(|url| platform::log::Log::new(url, timeout)),
+        settings_table,
+        retention: Duration::from_millis(settings.platform.log_retention_ms),
+        is_snapshot_writer: Box::new(|| true),
+    })
+}
+
+/// Lists the one router that a router without peers knows.
+fn only_this_router(
+    settings: &settings::Settings,
+    table: &platform::table::TableLog,
+) -> platform::api::LiveRouters {
+    let (router, zone) = (settings.router.name.clone(), settings.router.zone.clone());
+    let view = table.subscribe();
+    sync::Arc::new(move || {
+        let applied_offset = view.borrow().applied_offset;
+        vec![record::RouterOffset { router: router.clone(), zone: zone.clone(), applied_offset }]
+    })
+}
+
+/// Puts each table into force; the router is ready from the first on.
+async fn follow_table(
+    shared: sync::Arc<Shared>,
+    table: platform::table::TableLog,
+    directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
+) {
+    let mut views = table.subscribe();
+    let apply = async {
+        let mut present = None;
+        loop {
+            let table = views.borrow_and_update().table.clone();
+            if let Some(table) = table.filter(|table| present.as_ref() != Some(table)) {
+                let entries = directory::Directory::new(&table, &shared.telemetry);
+                directory.send_replace(sync::Arc::new(entries));
+                shared.control.send(control::Command::SetTable(table.clone()));
+                present = Some(table);
+                shared.set_ready();
+            }
+            if views.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(apply, table.run());
+}
+
 async fn run_upkeep(shared: sync::Arc<Shared>) {
     let mut interval = time::interval(telemetry::UPKEEP_INTERVAL);
     loop {
