--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -1,25 +1,107 @@
 //! The command line's grammar.
 
+use std::net;
 use std::path;
 
+use clap::{Arg, ArgAction, Command};
+
 /// Builds the grammar of all commands.
-pub fn command() -> clap::Command {
-    clap::Command::new("gentianhinge")
+pub fn command() -> Command {
+    Command::new("gentianhinge")
         .about("Operates a fleet of gentianhinged routers")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check())
         .subcommand(
-            clap::Command::new("key-hash")
-                .about("Reads a key from standard input, prints its hash"),
+            Command::new("key-hash").about("Reads a key from standard input, prints its hash"),
+        )
+        .subcommand(table())
+}
+
+fn check() -> Command {
+    let file = file("Settings of a router, as JSON with comments").required(true);
+    Command::new("check").about("Checks a settings file and names every mistake").arg(file)
+}
+
+fn table() -> Command {
+    let changes = Arg::new("FIELD=VALUE")
+        .help("Field to set, such as weight=2; without a value the field is taken away")
+        .required(true)
+        .num_args(1..);
+    let yes = flag("yes", "Make the edits without asking");
+    let remove_absent = flag("remove-absent", "Remove rows that the file lacks");
+    Command::new("table")
+        .about("Shows and edits the fleet's table")
+        .subcommand_required(true)
+        .subcommand(remote("show", "Prints the table").arg(flag("json", "Print the table as JSON")))
+        .subcommand(
+            remote("export", "Writes the table as CSV").arg(file("File; else standard output")),
+        )
+        .subcommand(edit("set", "Sets fields of one row").arg(changes))
+        .subcommand(edit("remove", "Removes one row"))
+        .subcommand(
+            remote("import", "Makes the rows what a CSV file says")
+                .arg(file("CSV file as `table export` writes it").required(true))
+                .args([yes, remove_absent, wait()]),
+        )
+        .subcommand(
+            remote("history", "Prints the edits that the log holds, newest first")
+                .args([kind(), name()])
+                .arg(flag("json", "Print the edits as JSON")),
         )
 }
 
-fn check() -> clap::Command {
-    let file = clap::Arg::new("FILE")
-        .help("Settings of a router, as JSON with comments")
+/// A command that changes one row.
+fn edit(command: &'static str, about: &'static str) -> Command {
+    remote(command, about).args([kind().required(true), name().required(true), wait()])
+}
+
+/// A command that calls routers.
+fn remote(name: &'static str, about: &'static str) -> Command {
+    let router = Arg::new("router")
+        .long("router")
+        .value_name("ADDR")
+        .help("Operators' address of a router; given several times, the first that answers")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(clap::value_parser!(net::SocketAddr));
+    let key_file = Arg::new("key-file")
+        .long("key-file")
+        .value_name("FILE")
+        .help("File that holds the operator's key")
         .required(true)
         .value_parser(clap::value_parser!(path::PathBuf));
-    clap::Command::new("check").about("Checks a settings file and names every mistake").arg(file)
+    Command::new(name).about(about).args([router, key_file])
+}
+
+fn kind() -> Arg {
+    Arg::new("KIND").help("Kind of the row").value_parser([
+        "team",
+        "class",
+        "target",
+        "operators",
+        "defaults",
+    ])
+}
+
+fn name() -> Arg {
+    Arg::new("NAME").help("Name of the row; - for operators and defaults")
+}
+
+fn wait() -> Arg {
+    Arg::new("wait-s")
+        .long("wait-s")
+        .value_name("SECONDS")
+        .help("Longest wait for the edit to be in force on every live router")
+        .default_value("10")
+        .value_parser(clap::value_parser!(u64).range(0..=600))
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).action(ArgAction::SetTrue)
+}
+
+fn file(help: &'static str) -> Arg {
+    Arg::new("FILE").help(help).value_parser(clap::value_parser!(path::PathBuf))
 }
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -12,9 +12,11 @@
 use std::ffi;
 
 pub mod check;
+pub mod client;
 pub mod command;
 pub mod exit;
 pub mod hash;
+pub mod table;
 
 /// Runs the command line and returns how it went.
 pub fn run(args: Vec<ffi::OsString>) -> exit::Exit {
@@ -28,6 +30,7 @@
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
         Some(("key-hash", _)) => hash::run(),
+        Some(("table", matches)) => table::run(matches),
         _ => exit::Exit::Usage,
     }
 }
