--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -53,6 +53,8 @@
         /// The request.
         id: RequestId,
     },
+    /// Another table is in force.
+    SetTable(sync::Arc<table::Table>),
 }
 
 /// Sends commands to the control thread.
@@ -222,6 +224,12 @@
             Command::Progress { id, cost } => self.router.progress(id, cost),
             Command::Fail { id } => self.router.fail(id),
             Command::DrainTarget { target } => self.target_leaving(&target),
+            Command::SetTable(table) => {
+                self.router.set_table(table.clone());
+                for dispatcher in self.dispatchers.values_mut() {
+                    dispatcher.set_table(table.clone());
+                }
+            }
             Command::Finish { id } => {
                 self.waiters.remove(&id);
                 self.router.finish(id);
