--- a/core/tests/claim.rs
+++ b/core/tests/claim.rs
@@ -1,6 +1,7 @@
 //! Claims for calls that run at most once.
 
 use std::collections::BTreeMap;
+use std::slice;
 use std::time::Duration;
 
 use gentianhinge_core::claim::{
@@ -96,7 +97,7 @@
 cases! {
     first_in_log_order_wins(log, one, two) {
         let ((a, a_nonce), (b, b_nonce)) = (one.begin("k"), two.begin("k"));
-        log.append(&[b.clone()]);
+        log.append(slice::from_ref(&b));
         log.append(&[a]);
         log.read(&mut one);
         log.read(&mut two);
@@ -116,7 +117,7 @@
 
     outcome_is_kept_for_retries(log, one, two) {
         let (a, nonce) = one.begin("k");
-        log.append(&[a.clone()]);
+        log.append(slice::from_ref(&a));
         log.read(&mut one);
         one.decide(nonce);
         log.append(&[settle("k", &a, answer())]);
@@ -147,7 +148,7 @@
     refusal_after_a_lost_reply_is_true(log, one, two) {
         let (a, nonce) = one.begin("k");
         assert!(one.claims.abandon(nonce));
-        log.append(&[a.clone()]);
+        log.append(slice::from_ref(&a));
         let releases = log.read(&mut one);
         assert_eq!(one.decide(nonce), None, "its caller was told that it wasn't run");
         assert_eq!(releases, [settle("k", &a, Outcome::NotRun)]);
@@ -202,7 +203,7 @@
             }
             2..=3 if !under_way.is_empty() => {
                 let (index, nonce, event) = under_way.swap_remove(u.choose_index(under_way.len())?);
-                log.append(&[event.clone()]);
+                log.append(slice::from_ref(&event));
                 match u.ratio(1, 3)? {
                     // The reply is lost: the router gives the claim up and refuses the call.
                     true if routers[index].claims.abandon(nonce) => refused.push(owner(&event)),
