Add the wire forms of membership, reports and grants

Datagrams are packed messages behind a keyed BLAKE3 hash of 16 bytes, checked before anything is read; messages of a session no longer repeat router and cell.

Cause: a fleet of 370 that starts at once spread every join for minutes: 5,007 bytes/s for each router, above the 3,000 for all control. News that a page brought isn't spread again, and urgent news beyond the probes' datagrams is sent from a budget of one a second.

--- a/core/src/membership/liveness.rs
+++ b/core/src/membership/liveness.rs
@@ -6,7 +6,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time;
 
-use super::{Kind, Membership, Status};
+use super::{Kind, Membership, Source, Status};
 use crate::ids::Name;
 
 /// Members that repeat a failed probe.
@@ -118,7 +118,7 @@
             let mut claim = entry.member.clone();
             claim.status = Status::Suspect;
             let to = claim.peers_addr;
-            self.merge(claim.clone(), false, now);
+            self.merge(claim.clone(), Source::Other, now);
             self.tell_claim(to, claim);
         }
     }
@@ -130,7 +130,7 @@
         let late = late.map(|entry| entry.member.clone()).collect::<Vec<_>>();
         for mut claim in late {
             claim.status = Status::Dead;
-            self.merge(claim, false, now);
+            self.merge(claim, Source::Other, now);
         }
     }
 
--- a/core/src/membership/merging.rs
+++ b/core/src/membership/merging.rs
@@ -2,19 +2,19 @@
 
 use tokio::time;
 
-use super::{Entry, Event, MAX_MEMBERS, Member, Membership, Status, Topic, Urgency};
+use super::{Entry, Event, MAX_MEMBERS, Member, Membership, Source, Status, Topic, Urgency};
 use crate::ids::Name;
 
 impl Membership {
     /// Takes a claim; the greater of two claims on one member holds.
-    pub(super) fn merge(&mut self, claim: Member, from_itself: bool, now: time::Instant) {
+    pub(super) fn merge(&mut self, claim: Member, source: Source, now: time::Instant) {
         if claim.id.name == self.me.id.name {
             return self.answer_claim(&claim, now);
         }
         let Some(entry) = self.members.get(&claim.id.name) else {
             // The dead are told of to those who knew them only, so that they are forgotten.
             if self.members.len() < MAX_MEMBERS && claim.is_live() {
-                self.accept(claim, now);
+                self.accept(claim, source, now);
             }
             return;
         };
@@ -24,14 +24,14 @@
         }
         let same_life = claim.id.incarnation == old.id.incarnation;
         let told_dead = claim.status == Status::Dead && old.status == Status::Alive && same_life;
-        if told_dead && !from_itself {
+        if told_dead && source != Source::Itself {
             // The member may merely be cut off from those who say so.
             let name = claim.id.name.clone();
             let to = old.peers_addr;
             self.tell_claim(to, claim);
             return self.doubt(&name, now);
         }
-        self.accept(claim, now);
+        self.accept(claim, source, now);
     }
 
     /// Asks a member that is dead to this router, but lives to another, to refute.
@@ -47,7 +47,7 @@
         }
     }
 
-    pub(super) fn accept(&mut self, claim: Member, now: time::Instant) {
+    pub(super) fn accept(&mut self, claim: Member, source: Source, now: time::Instant) {
         let name = claim.id.name.clone();
         let old = self.members.get(&name).map(|entry| &entry.member);
         let was_gone = old.is_none_or(|old| !old.is_live());
@@ -65,7 +65,9 @@
         self.members.insert(name.clone(), Entry { member: claim, since });
         let urgency = if roles_change { Urgency::Urgent } else { Urgency::Usual };
         self.generation += u64::from(roles_change);
-        self.push_news(Topic::Member(name), urgency);
+        if source != Source::Page {
+            self.push_news(Topic::Member(name), urgency);
+        }
     }
 
     pub(super) fn note(&mut self, claim: &Member) {
--- a/core/src/membership/mod.rs
+++ b/core/src/membership/mod.rs
@@ -55,7 +55,7 @@
 /// Members and seeds to whom a leave goes at once.
 const LEAVE_FANOUT_COUNT: usize = 8;
 /// Datagrams a second for urgent news.
-const SPREAD_PER_S: f64 = 4.0;
+const SPREAD_PER_S: f64 = 1.0;
 /// Datagrams of urgent news that may be sent at once.
 const SPREAD_BURST_COUNT: f64 = 12.0;
 /// Pages a second that are sent to joining routers.
@@ -67,6 +67,9 @@
 /// Such datagrams that may be sent at once.
 const CLAIMS_BURST_COUNT: f64 = 60.0;
 
+/// Longer than any process waits.
+const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
+
 /// Times of the protocol.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -103,6 +106,17 @@
     Superseded(RouterId),
 }
 
+/// Where a claim comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// The member that it is about.
+    Itself,
+    /// News of another member, or a verdict of this one.
+    Other,
+    /// A page, whose sender has spread the news already.
+    Page,
+}
+
 #[derive(Debug)]
 struct Entry {
     member: Member,
@@ -288,10 +302,14 @@
         }
         let sender = message.sender;
         let last = message.members.last().map(|member| member.id.name.clone());
+        let source = match message.kind {
+            Kind::Page { .. } => Source::Page,
+            _ => Source::Other,
+        };
         for member in message.members {
-            self.merge(member, false, now);
+            self.merge(member, source, now);
         }
-        self.merge(sender.clone(), true, now);
+        self.merge(sender.clone(), Source::Itself, now);
         let to = sender.peers_addr;
         match message.kind {
             Kind::Ping => self.send_probe(to, Kind::Ack, message.seq, Some(&sender.id.name)),
@@ -326,6 +344,9 @@
 
     /// When [`poll`](Membership::poll) is due next if nothing arrives.
     pub fn next_wakeup(&self) -> time::Instant {
+        if self.me.status == Status::Left {
+            return self.next_seed_probe_at + FOREVER;
+        }
         let suspects = self.members.values().filter(|e| e.member.status == Status::Suspect);
         let suspects = suspects.map(|entry| entry.since + self.settings.suspicion);
         let sync = self.sync_after.as_ref().map(|_| self.sync_at);
--- /dev/null
+++ b/wire/schema/membership.capnp
@@ -0,0 +1,41 @@
+@0xd1c8a45e7b0f3296;
+# Datagrams of membership: the packed form, behind a keyed hash.
+
+struct Member {
+  enum Status {
+    alive @0;
+    suspect @1;
+    dead @2;
+    left @3;
+  }
+
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  status @3 :Status;
+  draining @4 :Bool;
+  appliedOffset @5 :UInt64;
+  peersAddr @6 :Data;               # IP address and port in network order: 6 or 18 bytes
+  region @7 :Text;
+  zone @8 :Text;
+}
+
+struct LeavingTarget {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Datagram {
+  seq @0 :UInt64;
+  sender @1 :Member;
+  members @2 :List(Member);
+  leavingTargets @3 :List(LeavingTarget);
+  union {
+    ping @4 :Void;
+    ack @5 :Void;
+    pingRequest @6 :Data;           # address of the member to ping
+    spread @7 :Void;
+    sync @8 :Text;                  # last name that the sender has
+    page @9 :Bool;                  # whether greater names exist
+  }
+}
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -1,5 +1,6 @@
 @0xb7a3c4d5e6f70819;
-# Messages between routers. Units are part of each field's name.
+# Messages between routers. Units are part of each field's name. A session belongs to one cell of one
+# pair of routers, so its messages name neither.
 
 struct RouterId {
   name @0 :Text;
@@ -10,8 +11,9 @@
   team @0 :Text;
   class @1 :Text;
   waitingCount @2 :UInt32;          # capped by the sender
-  oldestDeadlineMs @3 :UInt64;      # time left, relative to the sending
-  preferredTargets @4 :List(Text);
+  oldestDeadlineMs @3 :UInt32;      # time left, relative to the sending
+  newestDeadlineMs @4 :UInt32;
+  preferredTargets @5 :List(Text);
 }
 
 struct InFlight {
@@ -19,32 +21,36 @@
   team @1 :Text;
   class @2 :Text;
   target @3 :Text;
+  cost @4 :Float64;
+}
+
+struct Progress {
+  grantId @0 :UInt64;
+  cost @1 :Float64;                 # so far, before the class's price
 }
 
 struct Account {
   team @0 :Text;
   deliveredCost @1 :Float64;        # cumulative for this router incarnation
-  pendingCost @2 :Float64;          # expected remainder of what is running
+}
+
+struct TeamVirtualTime {
+  team @0 :Text;
+  cost @1 :Float64;                 # charged service per weight
 }
 
 struct Report {
-  router @0 :RouterId;
-  cell @1 :Text;
-  seq @2 :UInt64;
-  full @3 :Bool;                    # replaces all earlier state if set
-  demand @4 :List(Demand);          # changed lines only unless full
+  seq @0 :UInt32;
+  ackedSeq @1 :UInt32;              # last grant batch that this report takes account of
+  full @2 :Bool;                    # replaces all earlier state if set
+  demand @3 :List(Demand);          # changed lines only unless full
+  progress @4 :List(Progress);
   finishedGrants @5 :List(UInt64);
   declinedGrants @6 :List(UInt64);
   inFlight @7 :List(InFlight);      # only if full
-  accounts @8 :List(Account);       # changed lines only unless full
+  accounts @8 :List(Account);       # only if full
   virtualTimes @9 :List(TeamVirtualTime);  # only if full: last heard
-  failedGrants @11 :List(UInt64);   # those finished whose target couldn't be connected to
-  ackedSeq @10 :UInt64;             # last grant batch that this report takes account of
-}
-
-struct TeamVirtualTime {
-  team @0 :Text;
-  cost @1 :Float64;                 # charged service per weight
+  failedGrants @10 :List(UInt64);   # those finished whose target couldn't be connected to
 }
 
 struct Grant {
@@ -61,32 +67,16 @@
   toCell @3 :Text;
 }
 
-struct TeamSummary {
-  team @0 :Text;
-  serviceCost @1 :Float64;
-  waitingCount @2 :UInt32;
-}
-
-struct CellSummary {
-  cell @0 :Text;
-  dispatcher @1 :RouterId;
-  seq @2 :UInt64;
-  freeSlots @3 :UInt32;
-  teams @4 :List(TeamSummary);
-}
-
 struct GrantBatch {
-  dispatcher @0 :RouterId;
-  cell @1 :Text;
-  seq @2 :UInt64;
-  grants @3 :List(Grant);
-  virtualTimes @4 :List(TeamVirtualTime);
-  moves @5 :List(Move);
+  seq @0 :UInt32;
+  grants @1 :List(Grant);
+  moves @2 :List(Move);
+  virtualTimes @3 :List(TeamVirtualTime);
 }
 
 interface GrantSink {
   # Implemented by the router that has demand.
-  grants @0 (batch :GrantBatch) -> ();
+  grant @0 (batch :GrantBatch) -> ();
 }
 
 interface Session {
@@ -95,7 +85,22 @@
 }
 
 interface Peer {
-  # Bootstrap interface of each router.
-  join @0 (router :RouterId, cell :Text, proof :Data, sink :GrantSink) -> (session :Session, dispatcher :RouterId);
-  ping @1 () -> (router :RouterId);
+  # What an authenticated router may ask of another.
+
+  join @0 (cell :Text, sink :GrantSink) -> (accepted :Bool, session :Session);
+  # Joins a cell. Not accepted by a router that doesn't take itself for the cell's dispatcher.
+
+  ping @1 () -> ();
+}
+
+interface Login {
+  prove @0 (proof :Data) -> (peer :Peer);
+  # Keyed hash over both nonces and names, in the client's turn.
+}
+
+interface Gate {
+  # Bootstrap interface of each router's listener.
+
+  hello @0 (router :RouterId, nonce :Data) -> (router :RouterId, nonce :Data, proof :Data, login :Login);
+  # The answer proves that the server knows the secret; then the client proves it, too.
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,6 +10,9 @@
 //! `schema/` holds the schemas, `src/generated/` what `regenerate.sh` makes of them. The generated
 //! code is committed, so that a build needs no generator.
 
+pub mod datagram;
+pub mod decode;
+pub mod peer;
 pub mod record;
 pub mod settings;
 
@@ -17,6 +20,7 @@
 #[allow(missing_docs, clippy::all, unused_parens, dead_code)]
 #[rustfmt::skip]
 pub mod generated {
+    pub mod membership_capnp;
     pub mod peer_capnp;
     pub mod record;
     pub mod settings;
