Add sessions between routers and a fleet-wide control thread

Routers find each other by membership, agree on each cell's dispatcher by rendezvous, and join it over capnp-rpc with packed messages behind a handshake with nonces. The control thread of the thin path becomes fleet-wide: roles follow the membership, reports gather, silent connections are pinged, doubted and cut, a shutdown drains and leaves. A router without a secret runs by itself as before.

--- /dev/null
+++ b/daemon/src/control/hosted.rs
@@ -0,0 +1,126 @@
+//! Cells whose dispatcher this router is, and the sessions of the routers that joined them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use gentianhinge_core::dispatch;
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_core::message::{GrantBatch, Report};
+use gentianhinge_wire::peer_capnp;
+use tokio::time;
+
+use crate::peer;
+
+/// Dispatchers of this router.
+#[derive(Default)]
+pub struct Hosted {
+    dispatchers: BTreeMap<Name, dispatch::Dispatcher>,
+    sessions: HashMap<peer::Key, Session>,
+    by_router: HashMap<(Name, RouterId), peer::Key>,
+}
+
+struct Session {
+    cell: Name,
+    router: RouterId,
+    sink: peer_capnp::grant_sink::Client,
+}
+
+impl Hosted {
+    /// Whether this router is a cell's dispatcher.
+    pub fn has(&self, cell: &Name) -> bool {
+        self.dispatchers.contains_key(cell)
+    }
+
+    /// The dispatcher of a cell.
+    pub fn dispatcher(&mut self, cell: &Name) -> Option<&mut dispatch::Dispatcher> {
+        self.dispatchers.get_mut(cell)
+    }
+
+    /// Takes on the role for a cell.
+    pub fn start(&mut self, cell: Name, dispatcher: dispatch::Dispatcher) {
+        tracing::info!(%cell, "dispatcher begins");
+        self.dispatchers.insert(cell, dispatcher);
+    }
+
+    /// Gives up the role for a cell; its sessions take no more grants.
+    pub fn stop(&mut self, cell: &Name) {
+        if self.dispatchers.remove(cell).is_some() {
+            tracing::info!(%cell, "dispatcher ends");
+            self.sessions.retain(|_, session| session.cell != *cell);
+            self.by_router.retain(|(of, _), _| of != cell);
+        }
+    }
+
+    /// Lets a router join a cell; `false` if this router isn't the cell's dispatcher.
+    pub fn join(
+        &mut self,
+        key: peer::Key,
+        router: RouterId,
+        cell: Name,
+        sink: peer_capnp::grant_sink::Client,
+    ) -> bool {
+        let Some(dispatcher) = self.dispatchers.get_mut(&cell) else { return false };
+        dispatcher.join(router.clone());
+        let old = self.by_router.insert((cell.clone(), router.clone()), key);
+        old.and_then(|old| self.sessions.remove(&old));
+        self.sessions.insert(key, Session { cell, router, sink });
+        true
+    }
+
+    /// Takes a report; one of an ended session changes nothing.
+    pub fn report(&mut self, key: peer::Key, report: Report, now: time::Instant) {
+        if !self.sessions.contains_key(&key) {
+            return;
+        }
+        if let Some(dispatcher) = self.dispatchers.get_mut(&report.cell) {
+            dispatcher.report(report, now);
+        }
+    }
+
+    /// Ends a session; the router's slots and demand are taken back.
+    pub fn end(&mut self, key: peer::Key) {
+        let Some(session) = self.sessions.remove(&key) else { return };
+        self.by_router.remove(&(session.cell.clone(), session.router.clone()));
+        if let Some(dispatcher) = self.dispatchers.get_mut(&session.cell) {
+            dispatcher.leave(&session.router);
+        }
+    }
+
+    /// Ends the sessions of routers that are gone.
+    pub fn retain_routers(&mut self, is_live: impl Fn(&RouterId) -> bool) {
+        for dispatcher in self.dispatchers.values_mut() {
+            for router in self.by_router.keys().map(|(_, router)| router) {
+                if !is_live(router) {
+                    dispatcher.unexpect(router);
+                }
+            }
+        }
+        let gone = self.sessions.iter().filter(|(_, session)| !is_live(&session.router));
+        let gone = gone.map(|(key, _)| *key).collect::<Vec<_>>();
+        for key in gone {
+            self.end(key);
+        }
+    }
+
+    /// Gives out grants: those of `me` are returned, the others sent.
+    pub fn poll(&mut self, me: &RouterId, now: time::Instant) -> Vec<GrantBatch> {
+        let mut own = Vec::new();
+        for (cell, dispatcher) in &mut self.dispatchers {
+            for (router, batch) in dispatcher.poll(now) {
+                if router == *me {
+                    own.push(batch);
+                    continue;
+                }
+                let key = self.by_router.get(&(cell.clone(), router));
+                if let Some(session) = key.and_then(|key| self.sessions.get(key)) {
+                    peer::client::grant(&session.sink, &batch);
+                }
+            }
+        }
+        own
+    }
+
+    /// When a dispatcher is due next.
+    pub fn next_wake(&self) -> Option<time::Instant> {
+        self.dispatchers.values().filter_map(dispatch::Dispatcher::next_wake).min()
+    }
+}
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,18 +1,29 @@
 //! The control thread: holds all fleet state and answers the traffic threads.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
+use std::net;
+use std::rc;
 use std::sync;
 use std::time::Duration;
 
 use gentianhinge_core::ids::{Name, RequestId, RouterId};
-use gentianhinge_core::{code, dispatch, router, table};
-use tokio::sync::{mpsc, oneshot};
+use gentianhinge_core::membership::{Event, Member, Membership};
+use gentianhinge_core::{cell, code, dispatch, membership, router, table};
+use gentianhinge_wire::settings;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
-use crate::config;
+use crate::{config, gossip, peer};
 
-/// Time between two searches for requests that waited too long.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
+mod cells;
+mod hosted;
+mod uplink;
+
+/// Longest time between two looks at sessions and deadlines.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time for a starting router to hear of the others.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Most commands taken in before grants are given out.
 const COMMAND_BATCH: usize = 256;
@@ -44,6 +55,8 @@
         /// The request.
         id: RequestId,
     },
+    /// The router takes no more requests; its roles go to others.
+    Drain,
 }
 
 /// Sends commands to the control thread.
@@ -68,59 +81,197 @@
     }
 }
 
+/// What the control thread starts with.
+pub struct Setup {
+    /// Name and incarnation of the router.
+    pub id: RouterId,
+    /// Settings of the router.
+    pub settings: settings::Settings,
+    /// The table.
+    pub table: sync::Arc<table::Table>,
+    /// Models and services.
+    pub pools: Vec<config::Pool>,
+    /// Commands of the traffic threads.
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    /// Sockets for other routers; none if the router runs by itself.
+    pub peers: Option<PeerSockets>,
+    /// Is set when the router knows the fleet.
+    pub ready: watch::Sender<bool>,
+}
+
+/// Sockets for other routers.
+pub struct PeerSockets {
+    /// Accepts sessions.
+    pub listener: net::TcpListener,
+    /// Carries membership.
+    pub socket: net::UdpSocket,
+    /// Address of both.
+    pub addr: net::SocketAddr,
+    /// Addresses to join through.
+    pub seeds: Vec<net::SocketAddr>,
+}
+
 /// Fleet state of one router.
-#[derive(Debug)]
-pub struct Control {
+struct Control {
+    id: RouterId,
+    region: Name,
+    table: sync::Arc<table::Table>,
+    settle: Duration,
+    report_delay: Duration,
     router: router::Router,
-    dispatchers: BTreeMap<Name, dispatch::Dispatcher>,
+    cells: cells::Cells,
+    hosted: hosted::Hosted,
+    uplinks: uplink::Uplinks,
+    fleet: Option<Fleet>,
     waiters: HashMap<RequestId, oneshot::Sender<Result<Name, code::ResultCode>>>,
-    commands: mpsc::UnboundedReceiver<Command>,
+    /// Generation of the membership that the roles follow.
+    generation: Option<u64>,
+    report_at: Option<time::Instant>,
+    ready: watch::Sender<bool>,
+    join_until: time::Instant,
+    stopping: bool,
 }
 
+/// The other routers.
+struct Fleet {
+    membership: Membership,
+    gossip: gossip::Gossip,
+}
+
+/// Serves commands and other routers until the last handle is gone, then leaves the fleet.
+///
+/// # Errors
+///
+/// A socket can't be registered with the runtime.
+pub async fn run(setup: Setup) -> std::io::Result<()> {
+    let (context, mut events) = peer::Context::new(setup.id.clone(), &setup.settings.peers.secret);
+    let Setup { id, settings, table, pools, mut commands, peers, ready } = setup;
+    let fleet = peers.map(|peers| Fleet::start(&id, &settings, peers, &context)).transpose()?;
+    let mut control = Control::new(id, &settings, table, &pools, (context, fleet, ready));
+    let mut batch = Vec::with_capacity(COMMAND_BATCH);
+    control.step(time::Instant::now());
+    loop {
+        let wakeup = control.next_wake();
+        tokio::select! {
+            count = commands.recv_many(&mut batch, COMMAND_BATCH) => {
+                if count == 0 {
+                    break;
+                }
+                let now = time::Instant::now();
+                for command in batch.drain(..) {
+                    control.apply(command, now);
+                }
+            }
+            Some(event) = events.recv() => {
+                let now = time::Instant::now();
+                control.take_event(event, now);
+                while let Ok(event) = events.try_recv() {
+                    control.take_event(event, now);
+                }
+            }
+            _ = readable(&control.fleet) => {}
+            () = time::sleep_until(wakeup) => {}
+        }
+        control.step(time::Instant::now());
+    }
+    control.leave();
+    Ok(())
+}
+
+async fn readable(fleet: &Option<Fleet>) {
+    match fleet {
+        // A socket that failed is tried again at the next wakeup.
+        Some(fleet) if fleet.gossip.readable().await.is_ok() => {}
+        _ => std::future::pending().await,
+    }
+}
+
+impl Fleet {
+    fn start(
+        id: &RouterId,
+        settings: &settings::Settings,
+        peers: PeerSockets,
+        context: &rc::Rc<peer::Context>,
+    ) -> std::io::Result<Fleet> {
+        let me = Member {
+            id: id.clone(),
+            version: 0,
+            status: membership::Status::Alive,
+            draining: false,
+            applied_offset: 0,
+            peers_addr: peers.addr,
+            region: settings.router.region.as_str().into(),
+            zone: settings.router.zone.as_str().into(),
+        };
+        let times = gossip::settings(&settings.peers);
+        let mut membership = Membership::new(times, me, rand::random(), time::Instant::now());
+        membership.set_seeds(peers.seeds);
+        let listener = tokio::net::TcpListener::from_std(peers.listener)?;
+        tokio::task::spawn_local(peer::server::serve(listener, context.clone()));
+        let gossip = gossip::Gossip::new(peers.socket, &settings.peers.secret)?;
+        Ok(Fleet { membership, gossip })
+    }
+
+    fn step(&mut self, now: time::Instant) {
+        for message in self.gossip.read() {
+            self.membership.handle(message, now);
+        }
+        let envelopes = self.membership.poll(now);
+        self.gossip.send(&envelopes);
+        for event in self.membership.take_events() {
+            match event {
+                Event::Alive(router) => tracing::info!(%router, "router lives"),
+                Event::Suspect(router) => tracing::info!(%router, "router doesn't answer"),
+                Event::Dead(router) => tracing::warn!(%router, "router is dead"),
+                Event::Left(router) => tracing::info!(%router, "router has left"),
+                Event::Superseded(router) => {
+                    metrics::counter!("membership_superseded_total").increment(1);
+                    tracing::debug!(%router, "a later life of this router is known");
+                }
+            }
+        }
+    }
+}
+
+type Outside = (rc::Rc<peer::Context>, Option<Fleet>, watch::Sender<bool>);
+
 impl Control {
-    /// Creates the state of a router that dispatches every cell itself.
-    pub fn new(
+    fn new(
         id: RouterId,
-        table: &sync::Arc<table::Table>,
+        settings: &settings::Settings,
+        table: sync::Arc<table::Table>,
         pools: &[config::Pool],
-        commands: mpsc::UnboundedReceiver<Command>,
+        (context, fleet, ready): Outside,
     ) -> Control {
+        let times = &settings.control;
         let mut router = router::Router::new(id.clone(), table.clone());
-        let mut dispatchers = BTreeMap::new();
-        for pool in pools {
-            let mut dispatcher =
-                dispatch::Dispatcher::new(id.clone(), pool.name.clone(), table.clone());
-            let specs = pool.targets.iter().map(|target| target.spec.clone()).collect::<Vec<_>>();
-            dispatcher.set_targets(&specs);
-            dispatcher.join(id.clone());
-            router.set_dispatcher(&pool.name, id.clone());
-            dispatchers.insert(pool.name.clone(), dispatcher);
-        }
-        Control { router, dispatchers, waiters: HashMap::new(), commands }
-    }
-
-    /// Serves commands until the last handle is gone.
-    pub async fn run(mut self) {
-        let mut expiry = time::interval(EXPIRY_INTERVAL);
-        let mut batch = Vec::with_capacity(COMMAND_BATCH);
-        loop {
-            tokio::select! {
-                count = self.commands.recv_many(&mut batch, COMMAND_BATCH) => {
-                    if count == 0 {
-                        return;
-                    }
-                    let now = time::Instant::now();
-                    for command in batch.drain(..) {
-                        self.apply(command, now);
-                    }
-                }
-                now = expiry.tick() => self.expire(now),
-            }
-            self.dispatch(time::Instant::now());
+        router.set_report_interval(Duration::from_millis(times.report_interval_ms));
+        let region = &settings.router.region;
+        let timeout = Duration::from_millis(times.session_timeout_ms);
+        Control {
+            region: region.as_str().into(),
+            settle: Duration::from_millis(times.settle_ms),
+            report_delay: Duration::from_millis(times.report_delay_ms),
+            router,
+            cells: cells::Cells::new(pools, region, times.targets_per_cell as usize),
+            hosted: hosted::Hosted::default(),
+            uplinks: uplink::Uplinks::new(context, timeout),
+            fleet,
+            waiters: HashMap::new(),
+            generation: None,
+            report_at: None,
+            ready,
+            join_until: time::Instant::now() + JOIN_TIMEOUT,
+            stopping: false,
+            id,
+            table,
         }
     }
 
     fn apply(&mut self, command: Command, now: time::Instant) {
+        if !matches!(command, Command::Progress { .. }) {
+            self.plan_report(now);
+        }
         match command {
             Command::Submit { submit, reply } => self.submit(submit, reply, now),
             Command::Progress { id, cost } => self.router.progress(id, cost),
@@ -129,16 +280,25 @@
                 self.waiters.remove(&id);
                 self.router.finish(id);
             }
+            Command::Drain => {
+                self.stopping = true;
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.membership.set_draining(true);
+                }
+            }
         }
     }
 
     fn submit(
         &mut self,
-        submit: router::Submit,
+        mut submit: router::Submit,
         reply: oneshot::Sender<Result<Name, code::ResultCode>>,
         now: time::Instant,
     ) {
         let id = submit.id;
+        if let Some(cell) = self.cells.of_request(&submit.cell, id) {
+            submit.cell = cell.clone();
+        }
         match self.router.submit(submit, now) {
             Ok(()) => {
                 self.waiters.insert(id, reply);
@@ -149,7 +309,158 @@
         }
     }
 
+    fn take_event(&mut self, event: peer::Event, now: time::Instant) {
+        match event {
+            peer::Event::Join { session, router, cell, sink, reply } => {
+                let accepted = self.hosted.join(session, router, cell, sink);
+                if reply.send(accepted).is_err() {
+                    self.hosted.end(session);
+                }
+            }
+            peer::Event::Report { session, report } => self.hosted.report(session, report, now),
+            peer::Event::SessionEnded { session } => self.hosted.end(session),
+            peer::Event::Connected { link, router, peer } => {
+                self.uplinks.connected(link, &router, peer);
+            }
+            peer::Event::Disconnected { link } => {
+                if let Some(router) = self.uplinks.disconnected(link, now) {
+                    self.doubt(&router, now);
+                }
+            }
+            peer::Event::Joined { cell, session, client } => {
+                if let Some(dispatcher) = self.uplinks.joined(&cell, session, client, now) {
+                    self.router.set_dispatcher(&cell, dispatcher);
+                    self.report_at = Some(now);
+                }
+            }
+            peer::Event::Reported { cell, session, taken } => {
+                self.uplinks.reported(&cell, session, taken, now);
+                self.plan_report(now);
+            }
+            peer::Event::Granted { session, batch } => {
+                if self.uplinks.is_current(&batch.cell, session) {
+                    self.take_grants(&batch);
+                    self.plan_report(now);
+                }
+            }
+            peer::Event::Pinged { link } => self.uplinks.pinged(link),
+        }
+    }
+
+    /// Does all that is due.
+    fn step(&mut self, now: time::Instant) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.step(now);
+        }
+        self.update_ready(now);
+        self.assign_roles(now);
+        self.open_sessions(now);
+        for router in self.uplinks.watch(now) {
+            self.doubt(&router, now);
+        }
+        self.expire(now);
+        self.dispatch(now);
+        self.report(now);
+    }
+
+    fn update_ready(&mut self, now: time::Instant) {
+        let known = self.fleet.as_ref().is_none_or(|fleet| fleet.membership.has_joined());
+        if !*self.ready.borrow() && (known || now >= self.join_until) {
+            self.ready.send_replace(true);
+        }
+    }
+
+    /// Routers of this region that may hold roles; if there are none, those that live.
+    fn candidates(&self) -> Vec<Name> {
+        let Some(fleet) = &self.fleet else { return vec![self.id.name.clone()] };
+        let here = |member: &&Member| member.region == self.region;
+        let eligible = fleet.membership.eligible().filter(here);
+        let eligible = eligible.map(|member| member.id.name.clone()).collect::<Vec<_>>();
+        if !eligible.is_empty() {
+            return eligible;
+        }
+        let live = fleet.membership.members().filter(here).filter(|member| member.is_live());
+        let live = live.map(|member| member.id.name.clone());
+        live.chain([self.id.name.clone()]).collect()
+    }
+
+    /// Lets the roles follow the membership.
+    fn assign_roles(&mut self, now: time::Instant) {
+        let generation = self.fleet.as_ref().map_or(0, |fleet| fleet.membership.generation());
+        if self.generation == Some(generation) || !*self.ready.borrow() {
+            return;
+        }
+        self.generation = Some(generation);
+        let candidates = self.candidates();
+        let names = self.cells.names().cloned().collect::<Vec<_>>();
+        for name in names {
+            let role = cell::Role::Dispatcher { cell: name.clone() };
+            let mine = cell::holder(&role, &candidates) == Some(&self.id.name);
+            if !mine {
+                self.hosted.stop(&name);
+            } else if !self.hosted.has(&name) {
+                self.host(name, now);
+            }
+        }
+        let Some(fleet) = &self.fleet else { return };
+        let membership = &fleet.membership;
+        self.hosted.retain_routers(|router| {
+            let known = membership.member(&router.name);
+            known.is_some_and(|member| member.id == *router && member.is_live())
+        });
+    }
+
+    fn host(&mut self, name: Name, now: time::Instant) {
+        let (id, table) = (self.id.clone(), self.table.clone());
+        let mut dispatcher = dispatch::Dispatcher::new(id, name.clone(), table);
+        dispatcher.set_targets(self.cells.targets(&name));
+        let others = self.fleet.iter().flat_map(|fleet| fleet.membership.members());
+        let others = others.filter(|member| member.is_live() && member.region == self.region);
+        let others = others.map(|member| member.id.clone()).collect::<Vec<_>>();
+        dispatcher.settle(&others, now + self.settle);
+        self.hosted.start(name, dispatcher);
+    }
+
+    /// Joins the dispatcher of each cell in use.
+    fn open_sessions(&mut self, now: time::Instant) {
+        if self.generation.is_none() {
+            return;
+        }
+        let used = self.router.cells().map(|(cell, current)| (cell.clone(), current.cloned()));
+        let used = used.collect::<Vec<_>>();
+        let candidates = if used.is_empty() { Vec::new() } else { self.candidates() };
+        for (name, current) in used {
+            if self.hosted.has(&name) {
+                self.uplinks.drop_session(&name);
+                let joined = current.as_ref() == Some(&self.id);
+                if let Some(dispatcher) = self.hosted.dispatcher(&name).filter(|_| !joined) {
+                    dispatcher.join(self.id.clone());
+                    self.router.set_dispatcher(&name, self.id.clone());
+                }
+                continue;
+            }
+            let role = cell::Role::Dispatcher { cell: name.clone() };
+            let holder = cell::holder(&role, &candidates);
+            let fleet = self.fleet.as_ref();
+            let member = holder.zip(fleet).and_then(|(h, fleet)| fleet.membership.member(h));
+            if let Some(member) = member.filter(|member| member.id != self.id) {
+                self.uplinks.want(&name, &member.id, member.peers_addr, now);
+            }
+        }
+    }
+
+    fn doubt(&mut self, router: &RouterId, now: time::Instant) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.membership.doubt(&router.name, now);
+            let envelopes = fleet.membership.poll(now);
+            fleet.gossip.send(&envelopes);
+        }
+    }
+
     fn expire(&mut self, now: time::Instant) {
+        if self.router.next_wake().is_some_and(|at| at <= now) {
+            self.plan_report(now);
+        }
         for id in self.router.expire(now) {
             if let Some(reply) = self.waiters.remove(&id) {
                 let _ = reply.send(Err(code::ResultCode::WaitExpired));
@@ -157,19 +468,63 @@
         }
     }
 
+    /// Reports to this router's own dispatchers and gives out their grants.
     fn dispatch(&mut self, now: time::Instant) {
-        for (cell, dispatcher) in &mut self.dispatchers {
-            if let Some(report) = self.router.take_report(cell, now) {
+        let own = self.router.cells().filter(|(_, dispatcher)| *dispatcher == Some(&self.id));
+        let own = own.map(|(cell, _)| cell.clone()).collect::<Vec<_>>();
+        for cell in own {
+            let Some(dispatcher) = self.hosted.dispatcher(&cell) else { continue };
+            if let Some(report) = self.router.take_report(&cell, now) {
                 dispatcher.report(report, now);
             }
-            for (_, batch) in dispatcher.poll(now) {
-                for start in self.router.take_grants(&batch) {
-                    // A waiter that has gone sends its own finish command.
-                    if let Some(reply) = self.waiters.remove(&start.id) {
-                        let _ = reply.send(Ok(start.target));
-                    }
-                }
+        }
+        for batch in self.hosted.poll(&self.id, now) {
+            self.take_grants(&batch);
+        }
+    }
+
+    /// Lets changes gather for a while before they are reported.
+    fn plan_report(&mut self, now: time::Instant) {
+        self.report_at.get_or_insert(now + self.report_delay);
+    }
+
+    /// Reports to dispatchers elsewhere what has gathered.
+    fn report(&mut self, now: time::Instant) {
+        if self.report_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.report_at = None;
+        for cell in self.uplinks.ready() {
+            if let Some(report) = self.router.take_report(&cell, now) {
+                self.uplinks.report(&report);
+            }
+        }
+    }
+
+    fn take_grants(&mut self, batch: &gentianhinge_core::message::GrantBatch) {
+        for start in self.router.take_grants(batch) {
+            // A waiter that has gone sends its own finish command.
+            if let Some(reply) = self.waiters.remove(&start.id) {
+                let _ = reply.send(Ok(start.target));
             }
         }
     }
+
+    fn next_wake(&self) -> time::Instant {
+        let tick = time::Instant::now() + TICK;
+        let fleet = self.fleet.as_ref().map(|fleet| fleet.membership.next_wakeup());
+        let wakes = [fleet, self.router.next_wake(), self.hosted.next_wake(), self.report_at];
+        wakes.into_iter().flatten().fold(tick, time::Instant::min)
+    }
+
+    /// Tells the fleet that this router has gone.
+    fn leave(&mut self) {
+        let names = self.cells.names().cloned().collect::<BTreeSet<_>>();
+        names.iter().for_each(|name| self.hosted.stop(name));
+        if let Some(fleet) = &mut self.fleet {
+            fleet.membership.leave();
+            let envelopes = fleet.membership.poll(time::Instant::now());
+            fleet.gossip.send(&envelopes);
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/gossip.rs
@@ -0,0 +1,73 @@
+//! Membership over UDP: drives the state machine with a socket.
+
+use std::net;
+use std::time::Duration;
+
+use gentianhinge_core::membership;
+use gentianhinge_wire::datagram;
+use gentianhinge_wire::settings;
+
+/// Most datagrams that are read before others get a turn.
+const READ_BATCH: usize = 64;
+
+/// The socket of membership.
+pub struct Gossip {
+    socket: tokio::net::UdpSocket,
+    sealer: datagram::Sealer,
+    buffer: Vec<u8>,
+}
+
+impl Gossip {
+    /// Takes a socket into use.
+    ///
+    /// # Errors
+    ///
+    /// The socket can't be registered with the runtime.
+    pub fn new(socket: net::UdpSocket, secret: &str) -> std::io::Result<Gossip> {
+        socket.set_nonblocking(true)?;
+        let socket = tokio::net::UdpSocket::from_std(socket)?;
+        let sealer = datagram::Sealer::new(secret);
+        Ok(Gossip { socket, sealer, buffer: vec![0; datagram::MAX_DATAGRAM_BYTES + 1] })
+    }
+
+    /// Waits until there is something to read.
+    ///
+    /// # Errors
+    ///
+    /// The socket failed.
+    pub async fn readable(&self) -> std::io::Result<()> {
+        self.socket.readable().await
+    }
+
+    /// Reads what has arrived; wrong datagrams are dropped and counted.
+    pub fn read(&mut self) -> Vec<membership::Message> {
+        let mut messages = Vec::new();
+        for _ in 0..READ_BATCH {
+            let Ok((len, _)) = self.socket.try_recv_from(&mut self.buffer) else { break };
+            metrics::counter!("membership_received_bytes_total").increment(len as u64);
+            match self.sealer.open(&self.buffer[..len]) {
+                Ok(message) => messages.push(message),
+                Err(_) => metrics::counter!("membership_dropped_total").increment(1),
+            }
+        }
+        messages
+    }
+
+    /// Sends datagrams; one that the system doesn't take is lost like any other.
+    pub fn send(&self, envelopes: &[membership::Envelope]) {
+        for envelope in envelopes {
+            let bytes = self.sealer.seal(&envelope.message);
+            metrics::counter!("membership_sent_bytes_total").increment(bytes.len() as u64);
+            let _ = self.socket.try_send_to(&bytes, envelope.to);
+        }
+    }
+}
+
+/// Times of membership from the settings.
+pub fn settings(peers: &settings::Peers) -> membership::Settings {
+    membership::Settings {
+        probe_interval: Duration::from_millis(peers.probe_interval_ms),
+        probe_timeout: Duration::from_millis(peers.probe_timeout_ms),
+        suspicion: Duration::from_millis(peers.suspicion_ms),
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -72,6 +72,9 @@
     let server = server::start(settings).map_err(|err| err.to_string())?;
     println!("callers at {}", server.callers_addr());
     println!("operators at {}", server.operators_addr());
+    if let Some(addr) = server.peers_addr() {
+        println!("peers at {addr}");
+    }
     // Whoever reads the addresses may have closed the pipe; the router runs on.
     let _ = std::io::stdout().flush();
     thread::scope(|scope| {
--- /dev/null
+++ b/daemon/src/peer/mod.rs
@@ -0,0 +1,137 @@
+//! Sessions between routers, by `capnp-rpc`.
+//!
+//! [`server`] accepts connections of other routers, [`client`] opens them. Both turn what arrives
+//! into [`Event`]s for the control loop, which alone holds the fleet's state.
+
+use std::rc;
+
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_core::message::{GrantBatch, Report};
+use gentianhinge_wire::peer_capnp;
+use tokio::sync::{mpsc, oneshot};
+
+pub mod client;
+pub mod handshake;
+pub mod network;
+pub mod server;
+
+/// Most events that wait for the control loop before connections are read no further.
+pub const MAX_EVENTS: usize = 1024;
+
+/// Identifies a session or connection within this process.
+pub type Key = u64;
+
+/// What the connections tell the control loop.
+pub enum Event {
+    /// A router asks to join a cell.
+    Join {
+        /// The session, if it is accepted.
+        session: Key,
+        /// The router.
+        router: RouterId,
+        /// Name of the cell.
+        cell: Name,
+        /// Where grants go.
+        sink: peer_capnp::grant_sink::Client,
+        /// Gets whether this router is the cell's dispatcher.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A report arrived in a session.
+    Report {
+        /// The session.
+        session: Key,
+        /// The report.
+        report: Report,
+    },
+    /// A session's router has gone or left the cell.
+    SessionEnded {
+        /// The session.
+        session: Key,
+    },
+    /// A connection to another router is ready for use.
+    Connected {
+        /// The connection.
+        link: Key,
+        /// The other router, as it proved itself.
+        router: RouterId,
+        /// Its interface.
+        peer: peer_capnp::peer::Client,
+    },
+    /// A connection to another router failed or ended.
+    Disconnected {
+        /// The connection.
+        link: Key,
+    },
+    /// A dispatcher answered the request to join its cell.
+    Joined {
+        /// Name of the cell.
+        cell: Name,
+        /// The request.
+        session: Key,
+        /// The session, unless it was refused.
+        client: Option<peer_capnp::session::Client>,
+    },
+    /// A dispatcher took a report, or the session has failed.
+    Reported {
+        /// Name of the cell.
+        cell: Name,
+        /// The session.
+        session: Key,
+        /// Whether the dispatcher has it.
+        taken: bool,
+    },
+    /// Grants arrived in a session.
+    Granted {
+        /// The session.
+        session: Key,
+        /// The grants.
+        batch: GrantBatch,
+    },
+    /// A ping over a connection was answered or failed.
+    Pinged {
+        /// The connection.
+        link: Key,
+    },
+}
+
+/// What all connections of a router share.
+pub struct Context {
+    /// This router.
+    pub me: RouterId,
+    /// Key of the handshake.
+    pub key: handshake::Key,
+    /// Way to the control loop.
+    pub events: mpsc::Sender<Event>,
+    next_key: std::cell::Cell<Key>,
+}
+
+impl Context {
+    /// Creates what the connections of a router share, and the end that its control loop reads.
+    pub fn new(me: RouterId, secret: &str) -> (rc::Rc<Context>, mpsc::Receiver<Event>) {
+        let (events, receiver) = mpsc::channel(MAX_EVENTS);
+        let key = handshake::Key::new(secret);
+        (rc::Rc::new(Context { me, key, events, next_key: std::cell::Cell::new(1) }), receiver)
+    }
+
+    /// A number that no other session or connection of this process has.
+    pub fn next_key(&self) -> Key {
+        let key = self.next_key.get();
+        self.next_key.set(key + 1);
+        key
+    }
+
+    async fn tell(&self, event: Event) -> capnp::Result<()> {
+        let sent = self.events.send(event).await;
+        sent.map_err(|_| capnp::Error::disconnected("the router has ended".to_string()))
+    }
+
+    /// Tells the control loop from a place that can't wait.
+    fn tell_later(self: &rc::Rc<Context>, event: Event) {
+        let context = self.clone();
+        tokio::task::spawn_local(async move { context.tell(event).await });
+    }
+}
+
+fn nonce_of(data: &[u8]) -> capnp::Result<handshake::Nonce> {
+    data.try_into().map_err(|_| capnp::Error::failed("a nonce has 16 bytes".to_string()))
+}
--- /dev/null
+++ b/daemon/src/peer/server.rs
@@ -0,0 +1,185 @@
+//! Accepts connections of other routers.
+
+use std::cell;
+use std::rc;
+use std::sync;
+use std::time::Duration;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_wire::{decode, peer, peer_capnp};
+use tokio::net;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use super::handshake::{Exchange, Prover};
+use super::{Context, Event, Key, handshake, network, nonce_of};
+
+/// Most connections of other routers at once.
+const MAX_CONNECTIONS: usize = 4096;
+
+/// Longest time for a connecting router to prove itself.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after the system refused a connection, as when files run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Accepts connections for ever.
+pub async fn serve(listener: net::TcpListener, context: rc::Rc<Context>) {
+    let permits = sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    let _permit = permit;
+                    serve_connection(stream, context).await;
+                });
+            }
+            Err(_) => time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: net::TcpStream, context: rc::Rc<Context>) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let meter = network::Meter::new(time::Instant::now());
+    let network = network::Network::new(reader, writer, Side::Server, meter.clone());
+    let (proved, proof) = oneshot::channel();
+    let gate = Gate { context, meter, proved: rc::Rc::new(cell::Cell::new(Some(proved))) };
+    let gate = capnp_rpc::new_client::<peer_capnp::gate::Client, _>(gate);
+    let mut system = RpcSystem::new(Box::new(network), Some(gate.client));
+    system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
+    let system = tokio::task::spawn_local(system);
+    let abort = system.abort_handle();
+    if !matches!(time::timeout(HANDSHAKE_TIMEOUT, proof).await, Ok(Ok(()))) {
+        metrics::counter!("peer_handshakes_failed_total").increment(1);
+        abort.abort();
+    }
+    let _ = system.await;
+}
+
+struct Gate {
+    context: rc::Rc<Context>,
+    meter: rc::Rc<network::Meter>,
+    proved: rc::Rc<cell::Cell<Option<oneshot::Sender<()>>>>,
+}
+
+impl peer_capnp::gate::Server for Gate {
+    async fn hello(
+        self: rc::Rc<Self>,
+        params: peer_capnp::gate::HelloParams,
+        mut results: peer_capnp::gate::HelloResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let exchange = Exchange {
+            client: decode::router_id(params.get_router()?)?,
+            server: self.context.me.clone(),
+            client_nonce: nonce_of(params.get_nonce()?)?,
+            server_nonce: rand::random(),
+        };
+        let proof = self.context.key.prove(Prover::Server, &exchange);
+        let mut results = results.get();
+        decode::set_router_id(results.reborrow().init_router(), &self.context.me);
+        results.set_nonce(&exchange.server_nonce);
+        results.set_proof(proof.as_bytes());
+        results.set_login(capnp_rpc::new_client(Login { gate: self, exchange }));
+        Ok(())
+    }
+}
+
+struct Login {
+    gate: rc::Rc<Gate>,
+    exchange: handshake::Exchange,
+}
+
+impl peer_capnp::login::Server for Login {
+    async fn prove(
+        self: rc::Rc<Self>,
+        params: peer_capnp::login::ProveParams,
+        mut results: peer_capnp::login::ProveResults,
+    ) -> capnp::Result<()> {
+        let key = &self.gate.context.key;
+        if !key.check(Prover::Client, &self.exchange, params.get()?.get_proof()?) {
+            return Err(capnp::Error::failed("wrong proof".to_string()));
+        }
+        self.gate.meter.trust();
+        if let Some(proved) = self.gate.proved.take() {
+            let _ = proved.send(());
+        }
+        let router = self.exchange.client.clone();
+        let peer = Peer { context: self.gate.context.clone(), router };
+        results.get().set_peer(capnp_rpc::new_client(peer));
+        Ok(())
+    }
+}
+
+struct Peer {
+    context: rc::Rc<Context>,
+    router: RouterId,
+}
+
+impl peer_capnp::peer::Server for Peer {
+    async fn join(
+        self: rc::Rc<Self>,
+        params: peer_capnp::peer::JoinParams,
+        mut results: peer_capnp::peer::JoinResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let cell = Name::from(params.get_cell()?.to_str()?);
+        let (reply, accepted) = oneshot::channel();
+        let session = self.context.next_key();
+        // Made before the control loop is asked, so that its drop ends the session in any case.
+        let server = Session {
+            context: self.context.clone(),
+            key: session,
+            router: self.router.clone(),
+            cell: cell.clone(),
+        };
+        let (router, sink) = (self.router.clone(), params.get_sink()?);
+        self.context.tell(Event::Join { session, router, cell, sink, reply }).await?;
+        let accepted = accepted.await.unwrap_or(false);
+        results.get().set_accepted(accepted);
+        if accepted {
+            results.get().set_session(capnp_rpc::new_client(server));
+        }
+        Ok(())
+    }
+
+    async fn ping(
+        self: rc::Rc<Self>,
+        _: peer_capnp::peer::PingParams,
+        _: peer_capnp::peer::PingResults,
+    ) -> capnp::Result<()> {
+        Ok(())
+    }
+}
+
+struct Session {
+    context: rc::Rc<Context>,
+    key: Key,
+    router: RouterId,
+    cell: Name,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.context.tell_later(Event::SessionEnded { session: self.key });
+    }
+}
+
+impl peer_capnp::session::Server for Session {
+    async fn report(
+        self: rc::Rc<Self>,
+        params: peer_capnp::session::ReportParams,
+        _: peer_capnp::session::ReportResults,
+    ) -> capnp::Result<()> {
+        let (router, cell) = (self.router.clone(), self.cell.clone());
+        let now = time::Instant::now();
+        let report = peer::read_report(params.get()?.get_report()?, router, cell, now)?;
+        self.context.tell(Event::Report { session: self.key, report }).await
+    }
+}
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -18,6 +18,9 @@
 /// Time for the balancer to notice that the router isn't ready any more.
 const DRAIN_NOTICE: Duration = Duration::from_millis(1000);
 
+/// Most ports that are tried for TCP and UDP together.
+const MAX_PORT_TRIES: u32 = 8;
+
 quick_error! {
     /// Why a router can't start.
     #[derive(Debug)]
@@ -85,6 +88,7 @@
 pub struct Server {
     callers_addr: net::SocketAddr,
     operators_addr: net::SocketAddr,
+    peers_addr: Option<net::SocketAddr>,
     stop: tokio_sync::watch::Sender<bool>,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -100,6 +104,11 @@
         self.operators_addr
     }
 
+    /// Where other routers reach this one; none if it runs by itself.
+    pub fn peers_addr(&self) -> Option<net::SocketAddr> {
+        self.peers_addr
+    }
+
     /// Begins a graceful shutdown.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
@@ -131,7 +140,18 @@
     let snapshot = sync::Arc::new(directory::Directory::new(&table, &telemetry));
     let (_directory_sender, directory) = tokio_sync::watch::channel(snapshot);
     let (handle, commands) = control::Handle::channel();
-    let state = control::Control::new(id.clone(), &table, &pools, commands);
+    let peers = peer_sockets(&settings)?;
+    let peers_addr = peers.as_ref().map(|peers| peers.addr);
+    let (ready, is_ready) = tokio_sync::watch::channel(false);
+    let setup = control::Setup {
+        id: id.clone(),
+        settings: settings.clone(),
+        table,
+        pools: pools.clone(),
+        commands,
+        peers,
+        ready,
+    };
     let shared = sync::Arc::new(Shared {
         id,
         telemetry,
@@ -151,24 +171,27 @@
         .map_err(StartError::Runtime)?;
     let traffic = traffic::Traffic::new(shared.clone(), &settings, pools);
     let control_thread = spawn("control", move || {
-        tokio::task::LocalSet::new().block_on(&control_runtime, state.run());
+        let served = control::run(setup);
+        if let Err(err) = tokio::task::LocalSet::new().block_on(&control_runtime, served) {
+            tracing::error!(%err, "control thread");
+        }
     })?;
     let bounds = listener::Bounds::new(&settings.callers);
     let traffic_thread = spawn("server", move || {
-        let served = serve(shared, traffic, callers, operators, bounds, stopped);
+        let served = serve(shared, traffic, (callers, operators), bounds, stopped, is_ready);
         traffic_runtime.block_on(served);
     })?;
     let threads = vec![traffic_thread, control_thread];
-    Ok(Server { callers_addr, operators_addr, stop, threads })
+    Ok(Server { callers_addr, operators_addr, peers_addr, stop, threads })
 }
 
 async fn serve(
     shared: sync::Arc<Shared>,
     traffic: traffic::Traffic,
-    callers: net::TcpListener,
-    operators: net::TcpListener,
+    (callers, operators): (net::TcpListener, net::TcpListener),
     bounds: listener::Bounds,
     mut stopped: tokio_sync::watch::Receiver<bool>,
+    mut is_ready: tokio_sync::watch::Receiver<bool>,
 ) {
     let app = traffic::routes(traffic);
     let (closed, all_closed) = tokio_sync::oneshot::channel::<()>();
@@ -181,11 +204,13 @@
         },
     ));
     let upkeep = tokio::spawn(run_upkeep(shared.clone()));
+    let _ = is_ready.wait_for(|ready| *ready).await;
     shared.set_phase(Phase::Serving);
     let draining = shared.clone();
     let stop = async move {
         let _ = stopped.wait_for(|stop| *stop).await;
         draining.set_phase(Phase::Draining);
+        draining.control.send(control::Command::Drain);
         time::sleep(DRAIN_NOTICE).await;
     };
     if let Err(err) = listener::serve(callers, app, bounds, stop).await {
@@ -219,6 +244,34 @@
     listener.map_err(|err| StartError::Listen(addr.to_string(), err))
 }
 
+/// Binds the sockets for other routers. A router without a secret runs by itself.
+fn peer_sockets(settings: &settings::Settings) -> Result<Option<control::PeerSockets>, StartError> {
+    let peers = &settings.peers;
+    if peers.secret.is_empty() && peers.seed_addrs.is_empty() {
+        return Ok(None);
+    }
+    if peers.secret.is_empty() {
+        let message = "peers.secret is needed to join other routers".to_string();
+        return Err(StartError::Settings(message));
+    }
+    let seeds = peers.seed_addrs.iter().map(|addr| {
+        addr.parse().map_err(|err| StartError::Settings(format!("peers.seed_addrs: {addr}: {err}")))
+    });
+    let seeds = seeds.collect::<Result<_, _>>()?;
+    let mut tries = 0;
+    loop {
+        let listener = bind(&settings.listen.peers_addr)?;
+        let addr = local_addr(&listener)?;
+        tries += 1;
+        match net::UdpSocket::bind(addr) {
+            Ok(socket) => return Ok(Some(control::PeerSockets { listener, socket, addr, seeds })),
+            // A port that the system chose for TCP may be taken for UDP.
+            Err(_) if tries < MAX_PORT_TRIES => {}
+            Err(err) => return Err(StartError::Listen(addr.to_string(), err)),
+        }
+    }
+}
+
 fn local_addr(listener: &net::TcpListener) -> Result<net::SocketAddr, StartError> {
     listener.local_addr().map_err(|err| StartError::Listen("listener".to_string(), err))
 }
