--- /dev/null
+++ b/daemon/tests/fleet.rs
@@ -0,0 +1,191 @@
+//! Several routers as processes: one dispatches, is lost and comes back.
+
+mod support;
+
+use std::net;
+use std::time::{Duration, Instant};
+
+use gentianhinge_core::cell;
+use gentianhinge_core::ids::Name;
+use rustix::process::Signal;
+use support::{Process, SettingsFile};
+use tokio::time;
+
+/// Time in which grants flow again after a dispatcher was lost.
+const FAILOVER_BOUND: Duration = Duration::from_secs(2);
+
+/// Longest time for a test's request; above the class's longest wait.
+const BOUND: Duration = Duration::from_secs(10);
+
+/// Time for which an undisturbed request runs, generously.
+const RUN_BOUND: Duration = Duration::from_millis(500);
+
+const NAMES: [&str; 3] = ["r1", "r2", "r3"];
+
+struct Router {
+    process: Process,
+    callers: net::SocketAddr,
+    operators: net::SocketAddr,
+    peers: net::SocketAddr,
+    settings: SettingsFile,
+}
+
+struct Fleet {
+    routers: Vec<Router>,
+    _engines: Vec<Process>,
+    _service: Process,
+}
+
+impl Router {
+    fn start(settings: SettingsFile) -> Router {
+        let process = Process::start("gentianhinged", &[settings.path()]);
+        let callers = process.addr("callers at ");
+        let operators = process.addr("operators at ");
+        let peers = process.addr("peers at ");
+        Router { process, callers, operators, peers, settings }
+    }
+
+    async fn ready(&self) -> bool {
+        support::send("GET", self.operators, "/readyz", &[], "").await.status == 200
+    }
+}
+
+impl Fleet {
+    async fn start() -> Fleet {
+        let engine = ["engine", "--name", "assistant", "--slots", "4", "--token-ms", "5"];
+        let listen = ["--listen", "127.0.0.1:0"];
+        let args = [&engine[..], &listen].concat();
+        let engines = [0; 2].map(|_| Process::start("gentianhinge-standin", &args));
+        let addrs = engines.iter().map(|engine| engine.addr("listening on ")).collect::<Vec<_>>();
+        let service = Process::start("gentianhinge-standin", &[&["service"][..], &listen].concat());
+        let service_addr = service.addr("listening on ");
+        let mut routers = Vec::<Router>::new();
+        for name in NAMES {
+            let seeds = routers.iter().map(|router| format!("\"{}\"", router.peers));
+            let seeds = seeds.collect::<Vec<_>>().join(", ");
+            let more =
+                format!(r#""peers": {{ "secret": "shared by the test fleet", "seed_addrs": [{seeds}] }},"#);
+            let text = support::settings(&addrs, service_addr, &more);
+            let text = text
+                .replace(r#""name": "r1", "region""#, &format!(r#""name": "{name}", "region""#));
+            routers.push(Router::start(SettingsFile::new(&text)));
+        }
+        let fleet = Fleet { routers, _engines: engines.into(), _service: service };
+        fleet.settle().await;
+        fleet
+    }
+
+    /// Waits until each router is ready and serves.
+    async fn settle(&self) {
+        let until = time::Instant::now() + BOUND;
+        for router in &self.routers {
+            while !router.ready().await {
+                assert!(time::Instant::now() < until, "a router isn't ready");
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        for router in &self.routers {
+            assert_eq!(chat(router.callers, 3).await.result(), 0);
+        }
+    }
+
+    /// Index of the router that dispatches the model's only cell.
+    fn dispatcher(&self) -> usize {
+        let names = NAMES.map(Name::from);
+        let role = cell::Role::Dispatcher { cell: cell::cell_name("assistant", "here", 0) };
+        let holder = cell::holder(&role, &names).unwrap();
+        names.iter().position(|name| name == holder).unwrap()
+    }
+
+    fn others(&self) -> Vec<net::SocketAddr> {
+        let dispatcher = self.dispatcher();
+        let others = self.routers.iter().enumerate().filter(|(i, _)| *i != dispatcher);
+        others.map(|(_, router)| router.callers).collect()
+    }
+}
+
+async fn chat(addr: net::SocketAddr, max_tokens: u32) -> support::Answer {
+    let answer = time::timeout(BOUND, support::chat(addr, false, max_tokens)).await;
+    answer.expect("no request hangs")
+}
+
+/// Sends a request to each address and returns the longest time to a whole answer.
+async fn all_answer(addrs: &[net::SocketAddr]) -> Duration {
+    let start = Instant::now();
+    let calls = addrs.iter().map(|addr| tokio::spawn(chat(*addr, 3)));
+    for call in calls.collect::<Vec<_>>() {
+        let answer = call.await.unwrap();
+        assert_eq!(answer.result(), 0, "{answer:?}");
+    }
+    start.elapsed()
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[tokio::test]
+        async fn $name() { $body }
+    )* };
+}
+
+cases! {
+    grants_flow_again_after_the_dispatcher_was_killed: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        fleet.routers[dispatcher].process.signal(Signal::KILL);
+        fleet.routers[dispatcher].process.wait(BOUND);
+        let took = all_answer(&fleet.others()).await;
+        println!("answered {took:?} after the kill");
+        assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
+    },
+    grants_flow_again_while_the_dispatcher_is_frozen: {
+        let fleet = Fleet::start().await;
+        let dispatcher = &fleet.routers[fleet.dispatcher()];
+        dispatcher.process.signal(Signal::STOP);
+        let took = all_answer(&fleet.others()).await;
+        println!("answered {took:?} after the freeze");
+        assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
+        dispatcher.process.signal(Signal::CONT);
+        for _ in 0..20 {
+            let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
+            let took = all_answer(&everywhere).await;
+            assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
+        }
+    },
+    a_restarted_dispatcher_serves_again: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        let old = fleet.routers.remove(dispatcher);
+        let text = std::fs::read_to_string(old.settings.path()).unwrap();
+        let (peers, seed) = (old.peers, fleet.routers[0].peers);
+        drop(old);
+        let text = text.replace(r#""peers_addr": "127.0.0.1:0""#, &format!(r#""peers_addr": "{peers}""#));
+        let seeds = text.split(r#""seed_addrs": ["#).nth(1).unwrap().split(']').next().unwrap();
+        let seeds = format!(r#""seed_addrs": [{seeds}]"#);
+        let text = text.replace(&seeds, &format!(r#""seed_addrs": ["{seed}"]"#));
+        fleet.routers.insert(dispatcher, Router::start(SettingsFile::new(&text)));
+        fleet.settle().await;
+        for _ in 0..10 {
+            let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
+            let took = all_answer(&everywhere).await;
+            assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
+        }
+    },
+    a_graceful_shutdown_of_the_dispatcher_cuts_nothing: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
+        // Three times as many as there are slots, so that some wait when the signal comes.
+        let calls = (0..24).map(|i| tokio::spawn(chat(everywhere[i % 3], 100)));
+        let calls = calls.collect::<Vec<_>>();
+        time::sleep(Duration::from_millis(200)).await;
+        fleet.routers[dispatcher].process.signal(Signal::TERM);
+        for call in calls {
+            let answer = call.await.unwrap();
+            assert_eq!(answer.result(), 0, "{answer:?}");
+        }
+        let status = fleet.routers[dispatcher].process.wait(BOUND).expect("the router ends");
+        assert!(status.success());
+        let took = all_answer(&fleet.others()).await;
+        assert!(took < RUN_BOUND, "{took:?}");
+    },
+}
