Carry reports and grants as frames beside the calls

So joining, leases and pings stay calls, and reports and grants are packed frames with a session number on the same connection.

--- a/daemon/src/control/hosted.rs
+++ b/daemon/src/control/hosted.rs
@@ -5,7 +5,6 @@
 use gentianhinge_core::dispatch;
 use gentianhinge_core::ids::{Name, RouterId};
 use gentianhinge_core::message::{GrantBatch, Report};
-use gentianhinge_wire::peer_capnp;
 use tokio::time;
 
 use crate::peer;
@@ -21,7 +20,7 @@
 struct Session {
     cell: Name,
     router: RouterId,
-    sink: peer_capnp::grant_sink::Client,
+    sink: peer::Sink,
 }
 
 impl Hosted {
@@ -51,13 +50,7 @@
     }
 
     /// Lets a router join a cell; `false` if this router isn't the cell's dispatcher.
-    pub fn join(
-        &mut self,
-        key: peer::Key,
-        router: RouterId,
-        cell: Name,
-        sink: peer_capnp::grant_sink::Client,
-    ) -> bool {
+    pub fn join(&mut self, key: peer::Key, router: RouterId, cell: Name, sink: peer::Sink) -> bool {
         let Some(dispatcher) = self.dispatchers.get_mut(&cell) else { return false };
         dispatcher.join(router.clone());
         let old = self.by_router.insert((cell.clone(), router.clone()), key);
@@ -112,7 +105,7 @@
                 }
                 let key = self.by_router.get(&(cell.clone(), router));
                 if let Some(session) = key.and_then(|key| self.sessions.get(key)) {
-                    peer::client::grant(&session.sink, &batch);
+                    session.sink.grant(&batch);
                 }
             }
         }
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -319,24 +319,18 @@
             }
             peer::Event::Report { session, report } => self.hosted.report(session, report, now),
             peer::Event::SessionEnded { session } => self.hosted.end(session),
-            peer::Event::Connected { link, router, peer } => {
-                self.uplinks.connected(link, &router, peer);
-            }
+            peer::Event::Connected { router, link } => self.uplinks.connected(&router, link),
             peer::Event::Disconnected { link } => {
                 if let Some(router) = self.uplinks.disconnected(link, now) {
                     self.doubt(&router, now);
                 }
             }
-            peer::Event::Joined { cell, session, client } => {
-                if let Some(dispatcher) = self.uplinks.joined(&cell, session, client, now) {
+            peer::Event::Joined { cell, session, lease } => {
+                if let Some(dispatcher) = self.uplinks.joined(&cell, session, lease, now) {
                     self.router.set_dispatcher(&cell, dispatcher);
                     self.report_at = Some(now);
                 }
             }
-            peer::Event::Reported { cell, session, taken } => {
-                self.uplinks.reported(&cell, session, taken, now);
-                self.plan_report(now);
-            }
             peer::Event::Granted { session, batch } => {
                 if self.uplinks.is_current(&batch.cell, session) {
                     self.take_grants(&batch);
@@ -494,8 +488,10 @@
             return;
         }
         self.report_at = None;
-        for cell in self.uplinks.ready() {
-            if let Some(report) = self.router.take_report(&cell, now) {
+        for (cell, is_free) in self.uplinks.joined_sessions() {
+            if !is_free {
+                self.plan_report(now + TICK);
+            } else if let Some(report) = self.router.take_report(&cell, now) {
                 self.uplinks.report(&report);
             }
         }
--- a/daemon/src/control/uplink.rs
+++ b/daemon/src/control/uplink.rs
@@ -14,8 +14,8 @@
 /// Pause before a failed connection or request to join is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Most reports of one session that wait for the dispatcher's answer; changes gather meanwhile.
-const MAX_UNANSWERED_REPORTS: u32 = 4;
+/// Messages of a connection that wait to be written, from which on changes gather instead.
+const MAX_QUEUED_MESSAGES: usize = 4;
 
 /// Silence after which a connection is pinged, as a part of the session timeout.
 const PING_RATIO: f64 = 0.125;
@@ -33,8 +33,8 @@
 }
 
 struct LinkState {
+    attempt: Option<peer::client::Attempt>,
     link: Option<peer::client::Link>,
-    peer: Option<peer_capnp::peer::Client>,
     pinging: bool,
     retry_at: time::Instant,
 }
@@ -43,14 +43,16 @@
     dispatcher: RouterId,
     key: peer::Key,
     stage: Stage,
-    unanswered_reports: u32,
     retry_at: time::Instant,
 }
 
 enum Stage {
     Waiting,
     Joining,
-    Joined(peer_capnp::session::Client),
+    /// The lease is held for as long as the session lasts.
+    Joined {
+        _lease: peer_capnp::lease::Client,
+    },
 }
 
 impl Uplinks {
@@ -73,57 +75,51 @@
             dispatcher: dispatcher.clone(),
             key: 0,
             stage: Stage::Waiting,
-            unanswered_reports: 0,
             retry_at: now,
         });
         if session.dispatcher != *dispatcher {
+            forget(&self.links, session);
             // Grants of the former session are void from here on, since its key is gone.
             session.dispatcher = dispatcher.clone();
             session.restart(now);
         }
         let context = &self.context;
         let state = self.links.entry(dispatcher.clone()).or_insert_with(|| LinkState {
+            attempt: None,
             link: None,
-            peer: None,
             pinging: false,
             retry_at: now,
         });
-        if state.link.is_none() && now >= state.retry_at {
-            state.link = Some(peer::client::connect(context, dispatcher, addr));
+        if state.attempt.is_none() && now >= state.retry_at {
+            state.attempt = Some(peer::client::connect(context, dispatcher, addr));
         }
-        let Some(peer) = &state.peer else { return };
+        let Some(link) = &state.link else { return };
         if matches!(session.stage, Stage::Waiting) && now >= session.retry_at {
-            session.key = peer::client::join(context, peer, dispatcher, cell);
+            session.key = link.join(context, dispatcher, cell);
             session.stage = Stage::Joining;
         }
     }
 
     /// Ends the session of a cell, as when this router dispatches it itself.
     pub fn drop_session(&mut self, cell: &Name) {
-        self.sessions.remove(cell);
+        if let Some(session) = self.sessions.remove(cell) {
+            forget(&self.links, &session);
+        }
     }
 
-    /// Takes a new connection into use.
-    pub fn connected(
-        &mut self,
-        link: peer::Key,
-        router: &RouterId,
-        peer: peer_capnp::peer::Client,
-    ) {
-        let state = self.links.get_mut(router);
-        let Some(state) = state.filter(|s| s.link.as_ref().is_some_and(|l| l.key == link)) else {
-            return;
-        };
-        state.peer = Some(peer);
-        state.pinging = false;
+    /// Takes a new connection into use, unless it was given up meanwhile.
+    pub fn connected(&mut self, router: &RouterId, link: peer::client::Link) {
+        let Some(state) = self.links.get_mut(router) else { return };
+        if state.attempt.as_ref().is_some_and(|attempt| attempt.key == link.key) {
+            state.link = Some(link);
+            state.pinging = false;
+        }
     }
 
     /// Forgets a connection that ended; returns the router at its other end.
     pub fn disconnected(&mut self, link: peer::Key, now: time::Instant) -> Option<RouterId> {
-        let found = self
-            .links
-            .iter()
-            .find(|(_, state)| state.link.as_ref().is_some_and(|known| known.key == link));
+        let is_it = |state: &LinkState| state.attempt.as_ref().is_some_and(|a| a.key == link);
+        let found = self.links.iter().find(|(_, state)| is_it(state));
         let router = found.map(|(router, _)| router.clone())?;
         self.cut(&router, now);
         Some(router)
@@ -131,7 +127,7 @@
 
     fn cut(&mut self, router: &RouterId, now: time::Instant) {
         if let Some(state) = self.links.get_mut(router) {
-            (state.link, state.peer, state.pinging) = (None, None, false);
+            (state.attempt, state.link, state.pinging) = (None, None, false);
             state.retry_at = now + RETRY_DELAY;
         }
         for session in self.sessions.values_mut().filter(|s| s.dispatcher == *router) {
@@ -144,29 +140,18 @@
         &mut self,
         cell: &Name,
         key: peer::Key,
-        client: Option<peer_capnp::session::Client>,
+        lease: Option<peer_capnp::lease::Client>,
         now: time::Instant,
     ) -> Option<RouterId> {
         let session = self.sessions.get_mut(cell).filter(|session| session.key == key)?;
-        let Some(client) = client else {
+        let Some(lease) = lease else {
             session.restart(now + RETRY_DELAY);
             return None;
         };
-        session.stage = Stage::Joined(client);
-        session.unanswered_reports = 0;
+        session.stage = Stage::Joined { _lease: lease };
         Some(session.dispatcher.clone())
     }
 
-    /// Takes a dispatcher's answer to a report.
-    pub fn reported(&mut self, cell: &Name, key: peer::Key, taken: bool, now: time::Instant) {
-        let session = self.sessions.get_mut(cell).filter(|session| session.key == key);
-        let Some(session) = session else { return };
-        session.unanswered_reports = session.unanswered_reports.saturating_sub(1);
-        if !taken {
-            session.restart(now + RETRY_DELAY);
-        }
-    }
-
     /// Notes that a ping was answered.
     pub fn pinged(&mut self, link: peer::Key) {
         let mut links = self.links.values_mut();
@@ -181,21 +166,24 @@
         self.sessions.get(cell).is_some_and(|session| session.key == key)
     }
 
-    /// Sessions that can take a report now.
-    pub fn ready(&self) -> Vec<Name> {
-        let ready = self.sessions.iter().filter(|(_, session)| {
-            matches!(session.stage, Stage::Joined(_))
-                && session.unanswered_reports < MAX_UNANSWERED_REPORTS
-        });
-        ready.map(|(cell, _)| cell.clone()).collect()
+    /// Sessions that have begun, and whether each can take a report now.
+    pub fn joined_sessions(&self) -> Vec<(Name, bool)> {
+        let joined = self.sessions.iter();
+        let joined = joined.filter(|(_, session)| matches!(session.stage, Stage::Joined { .. }));
+        let is_free = |session: &Session| {
+            let state = self.links.get(&session.dispatcher);
+            let link = state.and_then(|state| state.link.as_ref());
+            link.is_some_and(|link| link.channel.queued_count() < MAX_QUEUED_MESSAGES)
+        };
+        joined.map(|(cell, session)| (cell.clone(), is_free(session))).collect()
     }
 
     /// Sends a report in the session of its cell.
-    pub fn report(&mut self, report: &gentianhinge_core::message::Report) {
-        let Some(session) = self.sessions.get_mut(&report.cell) else { return };
-        if let Stage::Joined(client) = &session.stage {
-            session.unanswered_reports += 1;
-            peer::client::report(&self.context, client, session.key, report);
+    pub fn report(&self, report: &gentianhinge_core::message::Report) {
+        let Some(session) = self.sessions.get(&report.cell) else { return };
+        let state = self.links.get(&session.dispatcher);
+        if let Some(link) = state.and_then(|state| state.link.as_ref()) {
+            link.report(session.key, report);
         }
     }
 
@@ -209,14 +197,14 @@
         self.links.retain(|router, _| used.contains(router));
         let (mut doubted, mut silent) = (Vec::new(), Vec::new());
         for (router, state) in &mut self.links {
-            let (Some(link), Some(peer)) = (&state.link, &state.peer) else { continue };
+            let Some(link) = &state.link else { continue };
             if paused {
-                link.meter.heard_at.set(now);
+                link.channel.heard_at.set(now);
             }
-            let silence = now.duration_since(link.meter.heard_at.get());
+            let silence = now.duration_since(link.channel.heard_at.get());
             if silence > self.timeout.mul_f64(PING_RATIO) && !state.pinging {
                 state.pinging = true;
-                peer::client::ping(&self.context, link.key, peer);
+                peer::client::ping(&self.context, link);
             }
             if silence > self.timeout.mul_f64(DOUBT_RATIO) {
                 doubted.push(router.clone());
@@ -237,7 +225,14 @@
     fn restart(&mut self, retry_at: time::Instant) {
         self.key = 0;
         self.stage = Stage::Waiting;
-        self.unanswered_reports = 0;
         self.retry_at = retry_at;
     }
 }
+
+/// Drops the frames that a former session still gets.
+fn forget(links: &BTreeMap<RouterId, LinkState>, session: &Session) {
+    let state = links.get(&session.dispatcher);
+    if let Some(link) = state.and_then(|state| state.link.as_ref()) {
+        link.forget(session.key);
+    }
+}
--- a/daemon/src/peer/client.rs
+++ b/daemon/src/peer/client.rs
@@ -7,27 +7,37 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use gentianhinge_core::ids::{Name, RouterId};
-use gentianhinge_core::message::{GrantBatch, Report};
-use gentianhinge_wire::{decode, peer, peer_capnp};
+use gentianhinge_core::message::Report;
+use gentianhinge_wire::{decode, peer_capnp};
 use tokio::task;
 use tokio::time;
 
 use super::handshake::{Exchange, Prover};
-use super::{Context, Event, Key, handshake, network, nonce_of};
+use super::session::Route;
+use super::{Context, Event, Key, handshake, network, nonce_of, session};
 
 /// Longest time to connect and prove each other.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A connection, which ends when dropped.
+/// A connection on which both sides have proved who they are.
 pub struct Link {
     /// Identifies the connection.
     pub key: Key,
     /// Traffic of the connection.
-    pub meter: rc::Rc<network::Meter>,
+    pub channel: rc::Rc<network::Channel>,
+    /// The other router's interface.
+    pub peer: peer_capnp::peer::Client,
+    sessions: rc::Rc<session::Sessions>,
+}
+
+/// An attempt to connect and the connection that it made, which end when dropped.
+pub struct Attempt {
+    /// Identifies the connection.
+    pub key: Key,
     task: task::JoinHandle<()>,
 }
 
-impl Drop for Link {
+impl Drop for Attempt {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -43,16 +53,15 @@
 }
 
 /// Begins to connect; [`Event::Connected`] or [`Event::Disconnected`] follows.
-pub fn connect(context: &rc::Rc<Context>, router: &RouterId, addr: net::SocketAddr) -> Link {
+pub fn connect(context: &rc::Rc<Context>, router: &RouterId, addr: net::SocketAddr) -> Attempt {
     let key = context.next_key();
-    let meter = network::Meter::new(time::Instant::now());
-    let (context, router, link_meter) = (context.clone(), router.clone(), meter.clone());
+    let (context, router) = (context.clone(), router.clone());
     let task = task::spawn_local(async move {
         // Whatever the reason, the control loop connects anew.
-        let _ = run(&context, key, &router, addr, link_meter).await;
+        let _ = run(&context, key, &router, addr).await;
         let _ = context.tell(Event::Disconnected { link: key }).await;
     });
-    Link { key, meter, task }
+    Attempt { key, task }
 }
 
 async fn run(
@@ -60,7 +69,6 @@
     key: Key,
     router: &RouterId,
     addr: net::SocketAddr,
-    meter: rc::Rc<network::Meter>,
 ) -> capnp::Result<()> {
     let until = time::Instant::now() + CONNECT_TIMEOUT;
     let late = |_| capnp::Error::disconnected("connecting took too long".to_string());
@@ -68,15 +76,18 @@
     let stream = stream.map_err(late)??;
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
-    let network = network::Network::new(reader, writer, Side::Client, meter.clone());
+    let sessions = session::Sessions::new(context.clone());
+    let (network, channel) =
+        network::Network::new(reader, writer, Side::Client, |_| sessions.on_frame());
     let mut system = RpcSystem::new(Box::new(network), None);
     system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
     let gate = system.bootstrap::<peer_capnp::gate::Client>(Side::Server);
     let system = task::spawn_local(system);
     let _abort = AbortOnDrop(system.abort_handle());
     let peer = time::timeout_at(until, prove(context, router, gate)).await.map_err(late)??;
-    meter.trust();
-    context.tell(Event::Connected { link: key, router: router.clone(), peer }).await?;
+    channel.trust();
+    let link = Link { key, channel, peer, sessions };
+    context.tell(Event::Connected { router: router.clone(), link }).await?;
     let _ = system.await;
     Ok(())
 }
@@ -108,90 +119,50 @@
     login.send().promise.await?.get()?.get_peer()
 }
 
-/// Asks to join a cell; [`Event::Joined`] follows.
-pub fn join(
-    context: &rc::Rc<Context>,
-    peer: &peer_capnp::peer::Client,
-    dispatcher: &RouterId,
-    cell: &Name,
-) -> Key {
-    let session = context.next_key();
-    let sink = Sink {
-        context: context.clone(),
-        session,
-        dispatcher: dispatcher.clone(),
-        cell: cell.clone(),
-    };
-    let mut request = peer.join_request();
-    request.get().set_cell(&**cell);
-    request.get().set_sink(capnp_rpc::new_client(sink));
-    let (context, cell) = (context.clone(), cell.clone());
-    task::spawn_local(async move {
-        let answer = request.send().promise.await;
-        let client = answer.ok().and_then(|answer| {
-            let answer = answer.get().ok()?;
-            answer.get_accepted().then(|| answer.get_session().ok())?
+impl Link {
+    /// Asks to join a cell; [`Event::Joined`] follows.
+    pub fn join(&self, context: &rc::Rc<Context>, dispatcher: &RouterId, cell: &Name) -> Key {
+        let key = context.next_key();
+        let number = number_of(key);
+        let route = Route { key, router: dispatcher.clone(), cell: cell.clone() };
+        self.sessions.add(number, route);
+        let mut request = self.peer.join_request();
+        request.get().set_cell(&**cell);
+        request.get().set_session(number);
+        let answer = request.send().promise;
+        let (context, cell) = (context.clone(), cell.clone());
+        task::spawn_local(async move {
+            let lease = answer.await.ok().and_then(|answer| {
+                let answer = answer.get().ok()?;
+                answer.get_accepted().then(|| answer.get_lease().ok())?
+            });
+            let _ = context.tell(Event::Joined { cell, session: key, lease }).await;
         });
-        let _ = context.tell(Event::Joined { cell, session, client }).await;
-    });
-    session
-}
+        key
+    }
 
-/// Sends a report; [`Event::Reported`] follows.
-pub fn report(
-    context: &rc::Rc<Context>,
-    client: &peer_capnp::session::Client,
-    session: Key,
-    report: &Report,
-) {
-    let mut request = client.report_request();
-    peer::write_report(request.get().init_report(), report, time::Instant::now());
-    let (context, cell) = (context.clone(), report.cell.clone());
-    let answer = request.send().promise;
-    task::spawn_local(async move {
-        let taken = answer.await.is_ok();
-        let _ = context.tell(Event::Reported { cell, session, taken }).await;
-    });
+    /// Forgets a session.
+    pub fn forget(&self, key: Key) {
+        self.sessions.remove(number_of(key), key);
+    }
+
+    /// Sends a report in a session.
+    pub fn report(&self, key: Key, report: &Report) {
+        self.channel.send(session::report_frame(number_of(key), report));
+    }
 }
 
-/// Sends grants. A session that fails ends by itself, so a lost answer needs no care.
-pub fn grant(sink: &peer_capnp::grant_sink::Client, batch: &GrantBatch) {
-    let mut request = sink.grant_request();
-    peer::write_grants(request.get().init_batch(), batch);
-    let answer = request.send().promise;
-    task::spawn_local(async move {
-        if answer.await.is_err() {
-            metrics::counter!("peer_grants_failed_total").increment(1);
-        }
-    });
+/// Number of a session within its connection; a connection doesn't outlive 2^32 sessions.
+fn number_of(key: Key) -> session::Number {
+    key as session::Number
 }
 
 /// Sends a ping; [`Event::Pinged`] follows.
-pub fn ping(context: &rc::Rc<Context>, link: Key, peer: &peer_capnp::peer::Client) {
-    let answer = peer.ping_request().send().promise;
-    let context = context.clone();
+pub fn ping(context: &rc::Rc<Context>, link: &Link) {
+    let answer = link.peer.ping_request().send().promise;
+    let (context, link) = (context.clone(), link.key);
     task::spawn_local(async move {
         let _ = answer.await;
         let _ = context.tell(Event::Pinged { link }).await;
     });
 }
-
-/// Receives the grants of one session.
-struct Sink {
-    context: rc::Rc<Context>,
-    session: Key,
-    dispatcher: RouterId,
-    cell: Name,
-}
-
-impl peer_capnp::grant_sink::Server for Sink {
-    async fn grant(
-        self: rc::Rc<Self>,
-        params: peer_capnp::grant_sink::GrantParams,
-        _: peer_capnp::grant_sink::GrantResults,
-    ) -> capnp::Result<()> {
-        let (dispatcher, cell) = (self.dispatcher.clone(), self.cell.clone());
-        let batch = peer::read_grants(params.get()?.get_batch()?, dispatcher, cell)?;
-        self.context.tell(Event::Granted { session: self.session, batch }).await
-    }
-}
--- a/daemon/src/peer/mod.rs
+++ b/daemon/src/peer/mod.rs
@@ -14,6 +14,7 @@
 pub mod handshake;
 pub mod network;
 pub mod server;
+pub mod session;
 
 /// Most events that wait for the control loop before connections are read no further.
 pub const MAX_EVENTS: usize = 1024;
@@ -32,7 +33,7 @@
         /// Name of the cell.
         cell: Name,
         /// Where grants go.
-        sink: peer_capnp::grant_sink::Client,
+        sink: Sink,
         /// Gets whether this router is the cell's dispatcher.
         reply: oneshot::Sender<bool>,
     },
@@ -50,12 +51,10 @@
     },
     /// A connection to another router is ready for use.
     Connected {
-        /// The connection.
-        link: Key,
         /// The other router, as it proved itself.
         router: RouterId,
-        /// Its interface.
-        peer: peer_capnp::peer::Client,
+        /// The connection.
+        link: client::Link,
     },
     /// A connection to another router failed or ended.
     Disconnected {
@@ -69,16 +68,7 @@
         /// The request.
         session: Key,
         /// The session, unless it was refused.
-        client: Option<peer_capnp::session::Client>,
-    },
-    /// A dispatcher took a report, or the session has failed.
-    Reported {
-        /// Name of the cell.
-        cell: Name,
-        /// The session.
-        session: Key,
-        /// Whether the dispatcher has it.
-        taken: bool,
+        lease: Option<peer_capnp::lease::Client>,
     },
     /// Grants arrived in a session.
     Granted {
@@ -94,6 +84,22 @@
     },
 }
 
+/// Where the grants of one session go.
+#[derive(Clone)]
+pub struct Sink {
+    /// Connection of the router that joined.
+    pub channel: rc::Rc<network::Channel>,
+    /// Number of the session within the connection.
+    pub number: session::Number,
+}
+
+impl Sink {
+    /// Sends grants.
+    pub fn grant(&self, batch: &GrantBatch) {
+        self.channel.send(session::grants_frame(self.number, batch));
+    }
+}
+
 /// What all connections of a router share.
 pub struct Context {
     /// This router.
--- a/daemon/src/peer/network.rs
+++ b/daemon/src/peer/network.rs
@@ -1,7 +1,7 @@
 //! `capnp-rpc` over one TCP connection, with packed messages.
 //!
 //! The library's own network sends messages unpacked, most of whose bytes are zero. This one packs
-//! each message and puts its length before it.
+//! each message and puts its length before it. Beside the calls it carries the frames of sessions.
 
 use std::cell;
 use std::rc;
@@ -17,19 +17,36 @@
 const MAX_STRANGER_BYTES: usize = 4 << 10;
 
 /// Largest packed message, in bytes.
-const MAX_FRAME_BYTES: usize = 1 << 20;
+const MAX_PACKED_BYTES: usize = 1 << 20;
 
 /// Most words of one message.
 const MAX_WORDS: usize = 1 << 20;
 
-/// Bits of a frame's length in each byte of it.
-const LENGTH_BITS: u32 = 7;
+/// Bits of a message's head in each byte of it.
+const HEAD_BITS: u32 = 7;
 
-type Builder = message::Builder<message::HeapAllocator>;
+/// Bytes beyond which no further message joins a write.
+const MAX_WRITE_BYTES: usize = 64 << 10;
 
-/// What is known of a connection's traffic.
-#[derive(Debug)]
-pub struct Meter {
+/// A message under construction.
+pub type Builder = message::Builder<message::HeapAllocator>;
+
+/// A message that has arrived.
+pub type Received = message::Reader<capnp::serialize::OwnedSegments>;
+
+/// Takes the frames of sessions as they arrive; no more is read until the promise is done.
+pub type OnFrame = Box<dyn Fn(Received) -> Promise<(), capnp::Error>>;
+
+/// What waits to be written.
+enum Message {
+    Call(rc::Rc<Builder>),
+    Frame(Builder),
+    /// Ends the writer, and with it the connection.
+    Close,
+}
+
+/// The traffic of one connection.
+pub struct Channel {
     /// When the last message arrived.
     pub heard_at: cell::Cell<time::Instant>,
     /// Bytes sent.
@@ -37,22 +54,26 @@
     /// Bytes received.
     pub received_bytes: cell::Cell<u64>,
     max_frame_bytes: cell::Cell<usize>,
+    queued_count: cell::Cell<usize>,
+    outgoing: mpsc::UnboundedSender<Message>,
 }
 
-impl Meter {
-    /// Creates the meter of a new connection.
-    pub fn new(now: time::Instant) -> rc::Rc<Meter> {
-        rc::Rc::new(Meter {
-            heard_at: cell::Cell::new(now),
-            sent_bytes: cell::Cell::new(0),
-            received_bytes: cell::Cell::new(0),
-            max_frame_bytes: cell::Cell::new(MAX_STRANGER_BYTES),
-        })
-    }
-
+impl Channel {
     /// Lets the other side send large messages.
     pub fn trust(&self) {
-        self.max_frame_bytes.set(MAX_FRAME_BYTES);
+        self.max_frame_bytes.set(MAX_PACKED_BYTES);
+    }
+
+    /// Messages that wait to be written.
+    pub fn queued_count(&self) -> usize {
+        self.queued_count.get()
+    }
+
+    /// Sends a frame of a session. One that can't be sent is lost with its connection.
+    pub fn send(&self, frame: Builder) {
+        if self.outgoing.send(Message::Frame(frame)).is_ok() {
+            self.queued_count.set(self.queued_count.get() + 1);
+        }
     }
 }
 
@@ -65,34 +86,44 @@
 
 struct Link {
     side: Side,
-    outgoing: mpsc::UnboundedSender<rc::Rc<Builder>>,
     incoming: rc::Rc<tokio::sync::Mutex<Box<dyn AsyncRead + Unpin>>>,
-    meter: rc::Rc<Meter>,
+    channel: rc::Rc<Channel>,
+    on_frame: rc::Rc<OnFrame>,
 }
 
 struct Outgoing {
     message: Builder,
-    sender: mpsc::UnboundedSender<rc::Rc<Builder>>,
+    channel: rc::Rc<Channel>,
 }
 
 struct Incoming {
-    message: message::Reader<capnp::serialize::OwnedSegments>,
+    message: Received,
 }
 
 impl Network {
-    /// Creates the network of one connection.
+    /// Creates the network of one connection. `on_frame` is made from the connection's channel.
     pub fn new(
         reader: impl AsyncRead + Unpin + 'static,
         writer: impl AsyncWrite + Unpin + 'static,
         side: Side,
-        meter: rc::Rc<Meter>,
-    ) -> Network {
+        on_frame: impl FnOnce(&rc::Rc<Channel>) -> OnFrame,
+    ) -> (Network, rc::Rc<Channel>) {
         let (outgoing, messages) = mpsc::unbounded_channel();
-        let writer = Promise::from_future(write_all(writer, messages, meter.clone()));
+        let channel = rc::Rc::new(Channel {
+            heard_at: cell::Cell::new(time::Instant::now()),
+            sent_bytes: cell::Cell::new(0),
+            received_bytes: cell::Cell::new(0),
+            max_frame_bytes: cell::Cell::new(MAX_STRANGER_BYTES),
+            queued_count: cell::Cell::new(0),
+            outgoing,
+        });
+        let on_frame = rc::Rc::new(on_frame(&channel));
+        let writer = write_all(writer, messages, rc::Rc::downgrade(&channel));
         let reader = Box::new(BufReader::new(reader)) as Box<dyn AsyncRead + Unpin>;
         let incoming = rc::Rc::new(tokio::sync::Mutex::new(reader));
-        let link = Link { side, outgoing, incoming, meter };
-        Network { link: Some(link), writer: Some(writer), side }
+        let link = Link { side, incoming, channel: channel.clone(), on_frame };
+        let writer = Some(Promise::from_future(writer));
+        (Network { link: Some(link), writer, side }, channel)
     }
 }
 
@@ -128,25 +159,31 @@
     fn new_outgoing_message(&mut self, words: u32) -> Box<dyn capnp_rpc::OutgoingMessage> {
         let allocator = message::HeapAllocator::new().first_segment_words(words);
         let message = message::Builder::new(allocator);
-        Box::new(Outgoing { message, sender: self.outgoing.clone() })
+        Box::new(Outgoing { message, channel: self.channel.clone() })
     }
 
     fn receive_incoming_message(
         &mut self,
     ) -> Promise<Option<Box<dyn capnp_rpc::IncomingMessage>>, capnp::Error> {
-        let (incoming, meter) = (self.incoming.clone(), self.meter.clone());
+        let (incoming, channel) = (self.incoming.clone(), self.channel.clone());
+        let on_frame = self.on_frame.clone();
         Promise::from_future(async move {
             let mut reader = incoming.lock().await;
-            let message = read_frame(&mut *reader, &meter).await?;
-            Ok(message.map(|message| {
-                Box::new(Incoming { message }) as Box<dyn capnp_rpc::IncomingMessage>
-            }))
+            loop {
+                match read_message(&mut *reader, &channel).await? {
+                    None => return Ok(None),
+                    Some((message, true)) => on_frame(message).await?,
+                    Some((message, false)) => {
+                        let incoming = Incoming { message };
+                        return Ok(Some(Box::new(incoming) as Box<dyn capnp_rpc::IncomingMessage>));
+                    }
+                }
+            }
         })
     }
 
     fn shutdown(&mut self, result: capnp::Result<()>) -> Promise<(), capnp::Error> {
-        // The writer ends when the last sender is gone.
-        self.outgoing = mpsc::unbounded_channel().0;
+        let _ = self.channel.outgoing.send(Message::Close);
         match result {
             Ok(()) => Promise::ok(()),
             Err(err) => Promise::err(err),
@@ -165,8 +202,11 @@
 
     fn send(self: Box<Self>) -> (Promise<(), capnp::Error>, rc::Rc<Builder>) {
         let message = rc::Rc::new(self.message);
-        let sent = self.sender.send(message.clone());
+        let sent = self.channel.outgoing.send(Message::Call(message.clone()));
         let sent = sent.map_err(|_| capnp::Error::disconnected("closed".to_string()));
+        if sent.is_ok() {
+            self.channel.queued_count.set(self.channel.queued_count.get() + 1);
+        }
         (Promise::from_future(std::future::ready(sent)), message)
     }
 
@@ -185,61 +225,83 @@
     }
 }
 
-/// Writes messages until the last sender is gone; those that are ready go out together.
+/// Writes messages until the connection is closed; those that are ready go out together.
 async fn write_all(
     mut writer: impl AsyncWrite + Unpin,
-    mut messages: mpsc::UnboundedReceiver<rc::Rc<Builder>>,
-    meter: rc::Rc<Meter>,
+    mut messages: mpsc::UnboundedReceiver<Message>,
+    channel: rc::Weak<Channel>,
 ) -> capnp::Result<()> {
     let mut bytes = Vec::new();
     while let Some(message) = messages.recv().await {
         bytes.clear();
-        push_frame(&mut bytes, &message)?;
-        drop(message);
-        while let Ok(message) = messages.try_recv() {
-            push_frame(&mut bytes, &message)?;
+        let mut closed = push_message(&mut bytes, message)?;
+        let mut count = 1;
+        while !closed && bytes.len() < MAX_WRITE_BYTES {
+            let Ok(message) = messages.try_recv() else { break };
+            closed = push_message(&mut bytes, message)?;
+            count += 1;
         }
-        meter.sent_bytes.set(meter.sent_bytes.get() + bytes.len() as u64);
         writer.write_all(&bytes).await?;
         writer.flush().await?;
+        if let Some(channel) = channel.upgrade() {
+            channel.sent_bytes.set(channel.sent_bytes.get() + bytes.len() as u64);
+            channel.queued_count.set(channel.queued_count.get().saturating_sub(count));
+        }
+        if closed {
+            break;
+        }
     }
     let _ = writer.shutdown().await;
     Ok(())
 }
 
-fn push_frame(bytes: &mut Vec<u8>, message: &Builder) -> capnp::Result<()> {
+/// Appends a message behind its head: its length, with a lowest bit that tells frames from calls.
+/// Returns whether the connection is to be closed instead.
+fn push_message(bytes: &mut Vec<u8>, message: Message) -> capnp::Result<bool> {
     let mut packed = Vec::new();
-    capnp::serialize_packed::write_message(&mut packed, message)?;
-    let mut len = packed.len();
-    while len >> LENGTH_BITS > 0 {
-        bytes.push((len & 0x7f) as u8 | 0x80);
-        len >>= LENGTH_BITS;
+    let is_frame = match &message {
+        Message::Call(message) => {
+            capnp::serialize_packed::write_message(&mut packed, &**message)?;
+            false
+        }
+        Message::Frame(message) => {
+            capnp::serialize_packed::write_message(&mut packed, message)?;
+            true
+        }
+        Message::Close => return Ok(true),
+    };
+    let mut head = packed.len() << 1 | usize::from(is_frame);
+    while head >> HEAD_BITS > 0 {
+        bytes.push((head & 0x7f) as u8 | 0x80);
+        head >>= HEAD_BITS;
     }
-    bytes.push(len as u8);
+    bytes.push(head as u8);
     bytes.extend(packed);
-    Ok(())
+    Ok(false)
 }
 
-/// Reads one message; `None` at the connection's end.
-async fn read_frame(
+/// Reads one message, and whether it is a frame; `None` at the connection's end.
+async fn read_message(
     reader: &mut (impl AsyncRead + Unpin),
-    meter: &Meter,
-) -> capnp::Result<Option<message::Reader<capnp::serialize::OwnedSegments>>> {
-    let Some(len) = read_len(reader).await? else { return Ok(None) };
-    if len > meter.max_frame_bytes.get() {
+    channel: &Channel,
+) -> capnp::Result<Option<(Received, bool)>> {
+    let Some(head) = read_head(reader).await? else { return Ok(None) };
+    let (len, is_frame) = (head >> 1, head & 1 == 1);
+    if len > channel.max_frame_bytes.get() {
         return Err(capnp::Error::failed(format!("a message of {len} bytes is too large")));
     }
     let mut packed = vec![0; len];
     reader.read_exact(&mut packed).await?;
-    meter.heard_at.set(time::Instant::now());
-    meter.received_bytes.set(meter.received_bytes.get() + len as u64);
+    channel.heard_at.set(time::Instant::now());
+    channel.received_bytes.set(channel.received_bytes.get() + len as u64 + 1);
     let mut options = message::ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_WORDS)).nesting_limit(32);
-    capnp::serialize_packed::read_message(&mut packed.as_slice(), options).map(Some)
+    let message = capnp::serialize_packed::read_message(&mut packed.as_slice(), options)?;
+    Ok(Some((message, is_frame)))
 }
 
-async fn read_len(reader: &mut (impl AsyncRead + Unpin)) -> capnp::Result<Option<usize>> {
-    let mut len = 0;
+async fn read_head(reader: &mut (impl AsyncRead + Unpin)) -> capnp::Result<Option<usize>> {
+    let mut head = 0;
     for i in 0..4 {
         let byte = match reader.read_u8().await {
             Ok(byte) => byte,
@@ -248,9 +310,9 @@
             }
             Err(err) => return Err(err.into()),
         };
-        len |= usize::from(byte & 0x7f) << (LENGTH_BITS * i);
+        head |= usize::from(byte & 0x7f) << (HEAD_BITS * i);
         if byte & 0x80 == 0 {
-            return Ok(Some(len));
+            return Ok(Some(head));
         }
     }
     Err(capnp::Error::failed("a message's length is malformed".to_string()))
--- a/daemon/src/peer/server.rs
+++ b/daemon/src/peer/server.rs
@@ -8,13 +8,14 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use gentianhinge_core::ids::{Name, RouterId};
-use gentianhinge_wire::{decode, peer, peer_capnp};
+use gentianhinge_wire::{decode, peer_capnp};
 use tokio::net;
 use tokio::sync::oneshot;
 use tokio::time;
 
 use super::handshake::{Exchange, Prover};
-use super::{Context, Event, Key, handshake, network, nonce_of};
+use super::session::Route;
+use super::{Context, Event, Key, Sink, handshake, network, nonce_of, session};
 
 /// Most connections of other routers at once.
 const MAX_CONNECTIONS: usize = 4096;
@@ -46,10 +47,11 @@
 async fn serve_connection(stream: net::TcpStream, context: rc::Rc<Context>) {
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
-    let meter = network::Meter::new(time::Instant::now());
-    let network = network::Network::new(reader, writer, Side::Server, meter.clone());
+    let sessions = session::Sessions::new(context.clone());
+    let (network, channel) =
+        network::Network::new(reader, writer, Side::Server, |_| sessions.on_frame());
     let (proved, proof) = oneshot::channel();
-    let gate = Gate { context, meter, proved: rc::Rc::new(cell::Cell::new(Some(proved))) };
+    let gate = Gate { context, channel, sessions, proved: cell::Cell::new(Some(proved)) };
     let gate = capnp_rpc::new_client::<peer_capnp::gate::Client, _>(gate);
     let mut system = RpcSystem::new(Box::new(network), Some(gate.client));
     system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
@@ -64,8 +66,9 @@
 
 struct Gate {
     context: rc::Rc<Context>,
-    meter: rc::Rc<network::Meter>,
-    proved: rc::Rc<cell::Cell<Option<oneshot::Sender<()>>>>,
+    channel: rc::Rc<network::Channel>,
+    sessions: rc::Rc<session::Sessions>,
+    proved: cell::Cell<Option<oneshot::Sender<()>>>,
 }
 
 impl peer_capnp::gate::Server for Gate {
@@ -106,19 +109,19 @@
         if !key.check(Prover::Client, &self.exchange, params.get()?.get_proof()?) {
             return Err(capnp::Error::failed("wrong proof".to_string()));
         }
-        self.gate.meter.trust();
+        self.gate.channel.trust();
         if let Some(proved) = self.gate.proved.take() {
             let _ = proved.send(());
         }
         let router = self.exchange.client.clone();
-        let peer = Peer { context: self.gate.context.clone(), router };
+        let peer = Peer { gate: self.gate.clone(), router };
         results.get().set_peer(capnp_rpc::new_client(peer));
         Ok(())
     }
 }
 
 struct Peer {
-    context: rc::Rc<Context>,
+    gate: rc::Rc<Gate>,
     router: RouterId,
 }
 
@@ -129,22 +132,23 @@
         mut results: peer_capnp::peer::JoinResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
-        let cell = Name::from(params.get_cell()?.to_str()?);
-        let (reply, accepted) = oneshot::channel();
-        let session = self.context.next_key();
+        let gate = &self.gate;
+        let (cell, number) = (Name::from(params.get_cell()?.to_str()?), params.get_session());
+        let key = gate.context.next_key();
+        let router = self.router.clone();
+        let route = Route { key, router: router.clone(), cell: cell.clone() };
+        if !gate.sessions.add(number, route) {
+            return Err(capnp::Error::overloaded("too many sessions".to_string()));
+        }
         // Made before the control loop is asked, so that its drop ends the session in any case.
-        let server = Session {
-            context: self.context.clone(),
-            key: session,
-            router: self.router.clone(),
-            cell: cell.clone(),
-        };
-        let (router, sink) = (self.router.clone(), params.get_sink()?);
-        self.context.tell(Event::Join { session, router, cell, sink, reply }).await?;
+        let lease = Lease { gate: gate.clone(), key, number };
+        let (reply, accepted) = oneshot::channel();
+        let sink = Sink { channel: gate.channel.clone(), number };
+        gate.context.tell(Event::Join { session: key, router, cell, sink, reply }).await?;
         let accepted = accepted.await.unwrap_or(false);
         results.get().set_accepted(accepted);
         if accepted {
-            results.get().set_session(capnp_rpc::new_client(server));
+            results.get().set_lease(capnp_rpc::new_client(lease));
         }
         Ok(())
     }
@@ -158,28 +162,17 @@
     }
 }
 
-struct Session {
-    context: rc::Rc<Context>,
+struct Lease {
+    gate: rc::Rc<Gate>,
     key: Key,
-    router: RouterId,
-    cell: Name,
+    number: session::Number,
 }
 
-impl Drop for Session {
+impl Drop for Lease {
     fn drop(&mut self) {
-        self.context.tell_later(Event::SessionEnded { session: self.key });
+        self.gate.sessions.remove(self.number, self.key);
+        self.gate.context.tell_later(Event::SessionEnded { session: self.key });
     }
 }
 
-impl peer_capnp::session::Server for Session {
-    async fn report(
-        self: rc::Rc<Self>,
-        params: peer_capnp::session::ReportParams,
-        _: peer_capnp::session::ReportResults,
-    ) -> capnp::Result<()> {
-        let (router, cell) = (self.router.clone(), self.cell.clone());
-        let now = time::Instant::now();
-        let report = peer::read_report(params.get()?.get_report()?, router, cell, now)?;
-        self.context.tell(Event::Report { session: self.key, report }).await
-    }
-}
+impl peer_capnp::lease::Server for Lease {}
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -63,8 +63,9 @@
         for name in NAMES {
             let seeds = routers.iter().map(|router| format!("\"{}\"", router.peers));
             let seeds = seeds.collect::<Vec<_>>().join(", ");
-            let more =
-                format!(r#""peers": {{ "secret": "shared by the test fleet", "seed_addrs": [{seeds}] }},"#);
+            let more = format!(
+                r#""peers": {{ "secret": "shared by the test fleet", "seed_addrs": [{seeds}] }},"#
+            );
             let text = support::settings(&addrs, service_addr, &more);
             let text = text
                 .replace(r#""name": "r1", "region""#, &format!(r#""name": "{name}", "region""#));
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -74,20 +74,25 @@
   virtualTimes @3 :List(TeamVirtualTime);
 }
 
-interface GrantSink {
-  # Implemented by the router that has demand.
-  grant @0 (batch :GrantBatch) -> ();
+struct Frame {
+  # Travels beside the calls of the same connection: a call for each report and grant would cost more
+  # bytes than the messages themselves.
+
+  session @0 :UInt32;               # number that the joining router chose
+  union {
+    report @1 :Report;
+    grants @2 :GrantBatch;
+  }
 }
 
-interface Session {
-  # One router's view of one cell's dispatcher. Dropped to leave the cell.
-  report @0 (report :Report) -> ();
+interface Lease {
+  # A router's place in a cell. Dropped to leave.
 }
 
 interface Peer {
   # What an authenticated router may ask of another.
 
-  join @0 (cell :Text, sink :GrantSink) -> (accepted :Bool, session :Session);
+  join @0 (cell :Text, session :UInt32) -> (accepted :Bool, lease :Lease);
   # Joins a cell. Not accepted by a router that doesn't take itself for the cell's dispatcher.
 
   ping @1 () -> ();
