Merge sessions between routers with load reports, host list and the table

Roles start and end the polls of their cell's targets; a new dispatcher is told which targets leave. Tests wait until the router is ready, as the balancer does: a router answered 300 while its table was still on its way.

--- /dev/null
+++ b/daemon/src/control/targets.rs
@@ -0,0 +1,141 @@
+//! What this router learns of targets: load reports, the host list, and operators' drains.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net;
+use std::time::Duration;
+
+use gentianhinge_core::dispatch;
+use gentianhinge_core::ids::Name;
+use tokio::sync::mpsc;
+use tokio::{task, time};
+
+use super::{hosts, loads};
+use crate::config;
+
+/// Where the platform tells about hosts, and how often it is asked.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// URL of the host list, if there is one.
+    pub hosts_url: Option<http::Uri>,
+    /// Time between two reads of the host list.
+    pub hosts_interval: Duration,
+    /// Time between two reads of a target's load report.
+    pub load_interval: Duration,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+}
+
+/// News of a target.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// A load report, or its absence.
+    Load(loads::LoadEvent),
+    /// The host list as it is now.
+    Hosts(hosts::HostList),
+}
+
+/// Follows the targets of the cells that this router dispatches.
+pub struct Targets {
+    platform: Platform,
+    addrs: BTreeMap<Name, net::SocketAddr>,
+    pollers: BTreeMap<Name, loads::LoadPoller>,
+    load_sender: mpsc::UnboundedSender<loads::LoadEvent>,
+    load_events: mpsc::UnboundedReceiver<loads::LoadEvent>,
+    /// Keeps the channel open though there may be no host list.
+    _list_sender: mpsc::UnboundedSender<hosts::HostList>,
+    host_lists: mpsc::UnboundedReceiver<hosts::HostList>,
+    follower: Option<task::JoinHandle<()>>,
+    /// Targets that the host list showed as leaving when it was last read.
+    listed_leaving: BTreeSet<Name>,
+    /// Targets that operators drained through this router.
+    drained: BTreeSet<Name>,
+}
+
+impl Drop for Targets {
+    fn drop(&mut self) {
+        if let Some(follower) = &self.follower {
+            follower.abort();
+        }
+    }
+}
+
+impl Targets {
+    /// Starts to follow the host list on the current local set.
+    pub fn start(platform: Platform, pools: &[config::Pool]) -> Targets {
+        let (load_sender, load_events) = mpsc::unbounded_channel();
+        let (list_sender, host_lists) = mpsc::unbounded_channel();
+        let Platform { hosts_interval, timeout, .. } = platform;
+        let url = platform.hosts_url.clone();
+        let follower =
+            url.map(|url| hosts::follow(url, hosts_interval, timeout, list_sender.clone()));
+        let targets = pools.iter().flat_map(|pool| &pool.targets);
+        Targets {
+            platform,
+            addrs: targets.map(|target| (target.spec.name.clone(), target.addr)).collect(),
+            pollers: BTreeMap::new(),
+            load_sender,
+            load_events,
+            _list_sender: list_sender,
+            host_lists,
+            follower,
+            listed_leaving: BTreeSet::new(),
+            drained: BTreeSet::new(),
+        }
+    }
+
+    /// Polls the targets of a cell, and tells its new dispatcher which of them leave.
+    pub fn begin(&mut self, cell: &Name, dispatcher: &mut dispatch::Dispatcher, names: &[Name]) {
+        for target in self.listed_leaving.union(&self.drained) {
+            dispatcher.target_leaving(target, dispatcher.target_incarnation(target));
+        }
+        let polls = names.iter().filter_map(|name| {
+            let addr = *self.addrs.get(name)?;
+            Some(loads::Poll { target: name.clone(), addr })
+        });
+        let (interval, events) = (self.platform.load_interval, self.load_sender.clone());
+        let poller = loads::LoadPoller::spawn(cell.clone(), polls.collect(), interval, events);
+        self.pollers.insert(cell.clone(), poller);
+    }
+
+    /// Ends the polls of a cell.
+    pub fn end(&mut self, cell: &Name) {
+        self.pollers.remove(cell);
+    }
+
+    /// Waits for news.
+    pub async fn news(&mut self) -> News {
+        // Both channels stay open, since a sender of each is kept here.
+        tokio::select! {
+            Some(event) = self.load_events.recv() => News::Load(event),
+            Some(list) = self.host_lists.recv() => News::Hosts(list),
+            else => std::future::pending().await,
+        }
+    }
+
+    /// Takes a host list and returns the targets that it newly shows as leaving.
+    ///
+    /// The list lags: while it still shows a leave, the target may have returned already as a new
+    /// incarnation, so only a change counts.
+    pub fn take_hosts(&mut self, list: &hosts::HostList) -> Vec<Name> {
+        let leaving = list.leaving_targets().cloned().collect::<BTreeSet<_>>();
+        let before = std::mem::replace(&mut self.listed_leaving, leaving);
+        self.listed_leaving.difference(&before).cloned().collect()
+    }
+
+    /// Notes that an operator drains a target.
+    pub fn drain(&mut self, target: Name) {
+        self.drained.insert(target);
+    }
+}
+
+/// Tells a dispatcher what a poll found out.
+pub fn take_load(
+    dispatcher: &mut dispatch::Dispatcher,
+    event: loads::LoadEvent,
+    now: time::Instant,
+) {
+    match event.load {
+        Some(load) => dispatcher.set_target_load(&event.target, load, now),
+        None => dispatcher.target_failed(&event.target, now),
+    }
+}
--- /dev/null
+++ b/daemon/src/control/uplink.rs
@@ -0,0 +1,238 @@
+//! Connections to the routers that dispatch the cells in use, and the sessions over them.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::rc;
+use std::time::Duration;
+
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_wire::peer_capnp;
+use tokio::time;
+
+use crate::peer;
+
+/// Pause before a failed connection or request to join is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Messages of a connection that wait to be written, from which on changes gather instead.
+const MAX_QUEUED_MESSAGES: usize = 4;
+
+/// Silence after which a connection is pinged, as a part of the session timeout.
+const PING_RATIO: f64 = 0.125;
+
+/// Silence after which the other router is doubted, as a part of the session timeout.
+const DOUBT_RATIO: f64 = 0.25;
+
+/// Connections and sessions of this router with dispatchers elsewhere.
+pub struct Uplinks {
+    context: rc::Rc<peer::Context>,
+    timeout: Duration,
+    links: BTreeMap<RouterId, LinkState>,
+    sessions: BTreeMap<Name, Session>,
+    watched_at: time::Instant,
+}
+
+struct LinkState {
+    attempt: Option<peer::client::Attempt>,
+    link: Option<peer::client::Link>,
+    pinging: bool,
+    retry_at: time::Instant,
+}
+
+struct Session {
+    dispatcher: RouterId,
+    key: peer::Key,
+    stage: Stage,
+    retry_at: time::Instant,
+}
+
+enum Stage {
+    Waiting,
+    Joining,
+    /// The lease is held for as long as the session lasts.
+    Joined {
+        _lease: peer_capnp::lease::Client,
+    },
+}
+
+impl Uplinks {
+    /// Creates an empty list.
+    pub fn new(context: rc::Rc<peer::Context>, timeout: Duration) -> Uplinks {
+        let watched_at = time::Instant::now();
+        let (links, sessions) = (BTreeMap::new(), BTreeMap::new());
+        Uplinks { context, timeout, links, sessions, watched_at }
+    }
+
+    /// Makes sure that a session with a cell's dispatcher exists or is on its way.
+    pub fn want(
+        &mut self,
+        cell: &Name,
+        dispatcher: &RouterId,
+        addr: net::SocketAddr,
+        now: time::Instant,
+    ) {
+        let session = self.sessions.entry(cell.clone()).or_insert_with(|| Session {
+            dispatcher: dispatcher.clone(),
+            key: 0,
+            stage: Stage::Waiting,
+            retry_at: now,
+        });
+        if session.dispatcher != *dispatcher {
+            forget(&self.links, session);
+            // Grants of the former session are void from here on, since its key is gone.
+            session.dispatcher = dispatcher.clone();
+            session.restart(now);
+        }
+        let context = &self.context;
+        let state = self.links.entry(dispatcher.clone()).or_insert_with(|| LinkState {
+            attempt: None,
+            link: None,
+            pinging: false,
+            retry_at: now,
+        });
+        if state.attempt.is_none() && now >= state.retry_at {
+            state.attempt = Some(peer::client::connect(context, dispatcher, addr));
+        }
+        let Some(link) = &state.link else { return };
+        if matches!(session.stage, Stage::Waiting) && now >= session.retry_at {
+            session.key = link.join(context, dispatcher, cell);
+            session.stage = Stage::Joining;
+        }
+    }
+
+    /// Ends the session of a cell, as when this router dispatches it itself.
+    pub fn drop_session(&mut self, cell: &Name) {
+        if let Some(session) = self.sessions.remove(cell) {
+            forget(&self.links, &session);
+        }
+    }
+
+    /// Takes a new connection into use, unless it was given up meanwhile.
+    pub fn connected(&mut self, router: &RouterId, link: peer::client::Link) {
+        let Some(state) = self.links.get_mut(router) else { return };
+        if state.attempt.as_ref().is_some_and(|attempt| attempt.key == link.key) {
+            state.link = Some(link);
+            state.pinging = false;
+        }
+    }
+
+    /// Forgets a connection that ended; returns the router at its other end.
+    pub fn disconnected(&mut self, link: peer::Key, now: time::Instant) -> Option<RouterId> {
+        let is_it = |state: &LinkState| state.attempt.as_ref().is_some_and(|a| a.key == link);
+        let found = self.links.iter().find(|(_, state)| is_it(state));
+        let router = found.map(|(router, _)| router.clone())?;
+        self.cut(&router, now);
+        Some(router)
+    }
+
+    fn cut(&mut self, router: &RouterId, now: time::Instant) {
+        if let Some(state) = self.links.get_mut(router) {
+            (state.attempt, state.link, state.pinging) = (None, None, false);
+            state.retry_at = now + RETRY_DELAY;
+        }
+        for session in self.sessions.values_mut().filter(|s| s.dispatcher == *router) {
+            session.restart(now);
+        }
+    }
+
+    /// Takes a dispatcher's answer to a request to join; returns the dispatcher if it accepted.
+    pub fn joined(
+        &mut self,
+        cell: &Name,
+        key: peer::Key,
+        lease: Option<peer_capnp::lease::Client>,
+        now: time::Instant,
+    ) -> Option<RouterId> {
+        let session = self.sessions.get_mut(cell).filter(|session| session.key == key)?;
+        let Some(lease) = lease else {
+            session.restart(now + RETRY_DELAY);
+            return None;
+        };
+        session.stage = Stage::Joined { _lease: lease };
+        Some(session.dispatcher.clone())
+    }
+
+    /// Notes that a ping was answered.
+    pub fn pinged(&mut self, link: peer::Key) {
+        let mut links = self.links.values_mut();
+        let state = links.find(|s| s.link.as_ref().is_some_and(|known| known.key == link));
+        if let Some(state) = state {
+            state.pinging = false;
+        }
+    }
+
+    /// Whether grants of a session are valid.
+    pub fn is_current(&self, cell: &Name, key: peer::Key) -> bool {
+        self.sessions.get(cell).is_some_and(|session| session.key == key)
+    }
+
+    /// Sessions that have begun, and whether each can take a report now.
+    pub fn joined_sessions(&self) -> Vec<(Name, bool)> {
+        let joined = self.sessions.iter();
+        let joined = joined.filter(|(_, session)| matches!(session.stage, Stage::Joined { .. }));
+        let is_free = |session: &Session| {
+            let state = self.links.get(&session.dispatcher);
+            let link = state.and_then(|state| state.link.as_ref());
+            link.is_some_and(|link| link.channel.queued_count() < MAX_QUEUED_MESSAGES)
+        };
+        joined.map(|(cell, session)| (cell.clone(), is_free(session))).collect()
+    }
+
+    /// Sends a report in the session of its cell.
+    pub fn report(&self, report: &gentianhinge_core::message::Report) {
+        let Some(session) = self.sessions.get(&report.cell) else { return };
+        let state = self.links.get(&session.dispatcher);
+        if let Some(link) = state.and_then(|state| state.link.as_ref()) {
+            link.report(session.key, report);
+        }
+    }
+
+    /// Pings silent connections, cuts those that stay silent, and returns the routers to doubt.
+    pub fn watch(&mut self, now: time::Instant) -> Vec<RouterId> {
+        // After a pause of this process the answers may still wait in the sockets.
+        let paused = now.duration_since(self.watched_at) > self.timeout.mul_f64(PING_RATIO);
+        self.watched_at = now;
+        let used = self.sessions.values().map(|session| session.dispatcher.clone());
+        let used = used.collect::<std::collections::BTreeSet<_>>();
+        self.links.retain(|router, _| used.contains(router));
+        let (mut doubted, mut silent) = (Vec::new(), Vec::new());
+        for (router, state) in &mut self.links {
+            let Some(link) = &state.link else { continue };
+            if paused {
+                link.channel.heard_at.set(now);
+            }
+            let silence = now.duration_since(link.channel.heard_at.get());
+            if silence > self.timeout.mul_f64(PING_RATIO) && !state.pinging {
+                state.pinging = true;
+                peer::client::ping(&self.context, link);
+            }
+            if silence > self.timeout.mul_f64(DOUBT_RATIO) {
+                doubted.push(router.clone());
+            }
+            if silence > self.timeout {
+                silent.push(router.clone());
+            }
+        }
+        for router in &silent {
+            metrics::counter!("peer_sessions_silent_total").increment(1);
+            self.cut(router, now);
+        }
+        doubted
+    }
+}
+
+impl Session {
+    fn restart(&mut self, retry_at: time::Instant) {
+        self.key = 0;
+        self.stage = Stage::Waiting;
+        self.retry_at = retry_at;
+    }
+}
+
+/// Drops the frames that a former session still gets.
+fn forget(links: &BTreeMap<RouterId, LinkState>, session: &Session) {
+    let state = links.get(&session.dispatcher);
+    if let Some(link) = state.and_then(|state| state.link.as_ref()) {
+        link.forget(session.key);
+    }
+}
--- /dev/null
+++ b/daemon/src/peer/client.rs
@@ -0,0 +1,168 @@
+//! Opens connections to other routers, and the calls over them.
+
+use std::net;
+use std::rc;
+use std::time::Duration;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_core::message::Report;
+use gentianhinge_wire::{decode, peer_capnp};
+use tokio::task;
+use tokio::time;
+
+use super::handshake::{Exchange, Prover};
+use super::session::Route;
+use super::{Context, Event, Key, handshake, network, nonce_of, session};
+
+/// Longest time to connect and prove each other.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection on which both sides have proved who they are.
+pub struct Link {
+    /// Identifies the connection.
+    pub key: Key,
+    /// Traffic of the connection.
+    pub channel: rc::Rc<network::Channel>,
+    /// The other router's interface.
+    pub peer: peer_capnp::peer::Client,
+    sessions: rc::Rc<session::Sessions>,
+}
+
+/// An attempt to connect and the connection that it made, which end when dropped.
+pub struct Attempt {
+    /// Identifies the connection.
+    pub key: Key,
+    task: task::JoinHandle<()>,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Ends the RPC system of a connection when dropped.
+struct AbortOnDrop(task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Begins to connect; [`Event::Connected`] or [`Event::Disconnected`] follows.
+pub fn connect(context: &rc::Rc<Context>, router: &RouterId, addr: net::SocketAddr) -> Attempt {
+    let key = context.next_key();
+    let (context, router) = (context.clone(), router.clone());
+    let task = task::spawn_local(async move {
+        // Whatever the reason, the control loop connects anew.
+        let _ = run(&context, key, &router, addr).await;
+        let _ = context.tell(Event::Disconnected { link: key }).await;
+    });
+    Attempt { key, task }
+}
+
+async fn run(
+    context: &rc::Rc<Context>,
+    key: Key,
+    router: &RouterId,
+    addr: net::SocketAddr,
+) -> capnp::Result<()> {
+    let until = time::Instant::now() + CONNECT_TIMEOUT;
+    let late = |_| capnp::Error::disconnected("connecting took too long".to_string());
+    let stream = time::timeout_at(until, tokio::net::TcpStream::connect(addr)).await;
+    let stream = stream.map_err(late)??;
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let sessions = session::Sessions::new(context.clone());
+    let (network, channel) =
+        network::Network::new(reader, writer, Side::Client, |_| sessions.on_frame());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
+    let gate = system.bootstrap::<peer_capnp::gate::Client>(Side::Server);
+    let system = task::spawn_local(system);
+    let _abort = AbortOnDrop(system.abort_handle());
+    let peer = time::timeout_at(until, prove(context, router, gate)).await.map_err(late)??;
+    channel.trust();
+    let link = Link { key, channel, peer, sessions };
+    context.tell(Event::Connected { router: router.clone(), link }).await?;
+    let _ = system.await;
+    Ok(())
+}
+
+/// Lets the server prove itself, then proves this router to it.
+async fn prove(
+    context: &Context,
+    router: &RouterId,
+    gate: peer_capnp::gate::Client,
+) -> capnp::Result<peer_capnp::peer::Client> {
+    let client_nonce: handshake::Nonce = rand::random();
+    let mut hello = gate.hello_request();
+    decode::set_router_id(hello.get().init_router(), &context.me);
+    hello.get().set_nonce(&client_nonce);
+    let answer = hello.send().promise.await?;
+    let answer = answer.get()?;
+    let exchange = Exchange {
+        client: context.me.clone(),
+        server: decode::router_id(answer.get_router()?)?,
+        client_nonce,
+        server_nonce: nonce_of(answer.get_nonce()?)?,
+    };
+    let known = context.key.check(Prover::Server, &exchange, answer.get_proof()?);
+    if !known || exchange.server != *router {
+        return Err(capnp::Error::failed("another router answers there".to_string()));
+    }
+    let mut login = answer.get_login()?.prove_request();
+    login.get().set_proof(context.key.prove(Prover::Client, &exchange).as_bytes());
+    login.send().promise.await?.get()?.get_peer()
+}
+
+impl Link {
+    /// Asks to join a cell; [`Event::Joined`] follows.
+    pub fn join(&self, context: &rc::Rc<Context>, dispatcher: &RouterId, cell: &Name) -> Key {
+        let key = context.next_key();
+        let number = number_of(key);
+        let route = Route { key, router: dispatcher.clone(), cell: cell.clone() };
+        self.sessions.add(number, route);
+        let mut request = self.peer.join_request();
+        request.get().set_cell(&**cell);
+        request.get().set_session(number);
+        let answer = request.send().promise;
+        let (context, cell) = (context.clone(), cell.clone());
+        task::spawn_local(async move {
+            let lease = answer.await.ok().and_then(|answer| {
+                let answer = answer.get().ok()?;
+                answer.get_accepted().then(|| answer.get_lease().ok())?
+            });
+            let _ = context.tell(Event::Joined { cell, session: key, lease }).await;
+        });
+        key
+    }
+
+    /// Forgets a session.
+    pub fn forget(&self, key: Key) {
+        self.sessions.remove(number_of(key), key);
+    }
+
+    /// Sends a report in a session.
+    pub fn report(&self, key: Key, report: &Report) {
+        self.channel.send(session::report_frame(number_of(key), report));
+    }
+}
+
+/// Number of a session within its connection; a connection doesn't outlive 2^32 sessions.
+fn number_of(key: Key) -> session::Number {
+    key as session::Number
+}
+
+/// Sends a ping; [`Event::Pinged`] follows.
+pub fn ping(context: &rc::Rc<Context>, link: &Link) {
+    let answer = link.peer.ping_request().send().promise;
+    let (context, link) = (context.clone(), link.key);
+    task::spawn_local(async move {
+        let _ = answer.await;
+        let _ = context.tell(Event::Pinged { link }).await;
+    });
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -152,6 +152,26 @@
     )
 }
 
+/// Waits until a router is ready, as the balancer does.
+pub fn wait_ready(operators: net::SocketAddr) {
+    let end = std::time::Instant::now() + START_BOUND;
+    while std::time::Instant::now() < end {
+        if is_ready(operators).unwrap_or(false) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("the router isn't ready after {START_BOUND:?}");
+}
+
+fn is_ready(operators: net::SocketAddr) -> std::io::Result<bool> {
+    let mut stream = net::TcpStream::connect(operators)?;
+    stream.write_all(b"GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")?;
+    let mut status = String::new();
+    BufReader::new(stream).read_line(&mut status)?;
+    Ok(status.starts_with("HTTP/1.1 200"))
+}
+
 /// A router with its stand-ins, each a process of its own.
 pub struct Deployment {
     /// The router.
@@ -193,6 +213,7 @@
         let router = Process::start("gentianhinged", &[file.path()]);
         let callers = router.addr("callers at ");
         let operators = router.addr("operators at ");
+        wait_ready(operators);
         Deployment {
             router,
             callers,
