--- a/standin/src/load/meter.rs
+++ b/standin/src/load/meter.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -62,6 +62,8 @@
 pub struct Meter {
     service_units: AtomicU64,
     charged_units: AtomicU64,
+    /// Charged units at the end of sending.
+    charged_at_end: OnceLock<u64>,
     inner: Mutex<Inner>,
 }
 
@@ -77,6 +79,7 @@
         Meter {
             service_units: AtomicU64::new(0),
             charged_units: AtomicU64::new(0),
+            charged_at_end: OnceLock::new(),
             inner: Mutex::new(inner),
         }
     }
@@ -104,6 +107,18 @@
         self.charged_units.load(Ordering::Relaxed) as f64 / UNITS_PER_COST
     }
 
+    /// Charged service at the end of sending, or so far: what arrives later goes to whoever
+    /// still waits, whatever its share.
+    pub fn charged_cost_while_sending(&self) -> f64 {
+        let units = self.charged_at_end.get().copied();
+        units.map_or_else(|| self.charged_cost(), |units| units as f64 / UNITS_PER_COST)
+    }
+
+    /// Marks the end of sending.
+    pub(super) fn end_sending(&self) {
+        self.charged_at_end.get_or_init(|| self.charged_units.load(Ordering::Relaxed));
+    }
+
     /// Counts so far.
     pub fn totals(&self) -> Totals {
         self.lock().totals.clone()
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -46,9 +46,13 @@
     }
 
     /// A line for each team, and one for all, as a Markdown table; times in ms, as p50/p95/p99.
+    ///
+    /// `charged ÷ weight` is the charged service up to the end of sending. `head` is the time to the
+    /// head of a streamed answer: the wait for a slot, but at most the routers' keepalive interval,
+    /// when they begin with a comment.
     pub fn table(&self) -> String {
         let mut out = String::from(
-            "| team | weight | requests | whole | tokens | service ÷ weight | errors | waiting \
+            "| team | weight | requests | whole | tokens | charged ÷ weight | errors | head \
              | first token | between tokens | whole time |\n\
              |---|--:|--:|--:|--:|--:|---|--:|--:|--:|--:|\n",
         );
@@ -63,7 +67,7 @@
                 totals.request_count,
                 totals.whole_count,
                 totals.token_count,
-                meter.charged_cost() / team.weight,
+                meter.charged_cost_while_sending() / team.weight,
                 format_errors(&totals),
             );
         }
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -90,6 +90,8 @@
             send_closed(&caller, source, concurrency, end_at, &mut requests).await;
         }
     }
+    time::sleep_until(end_at).await;
+    caller.meter.end_sending();
     while let Ok(Some(_)) = time::timeout_at(give_up_at, requests.join_next()).await {}
     for _ in 0..requests.len() {
         caller.meter.unanswered();
