--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -63,8 +63,11 @@
         for name in NAMES {
             let seeds = routers.iter().map(|router| format!("\"{}\"", router.peers));
             let seeds = seeds.collect::<Vec<_>>().join(", ");
+            // Probes by turn would take minutes to find a lost router in a large fleet; with these
+            // rare ones only the sessions can find it in time.
             let more = format!(
-                r#""peers": {{ "secret": "shared by the test fleet", "seed_addrs": [{seeds}] }},"#
+                r#""peers": {{ "secret": "shared by the test fleet", "probe_interval_ms": 60000,
+                    "seed_addrs": [{seeds}] }},"#
             );
             let text = support::settings(&addrs, service_addr, &more);
             let text = text
