slots: learn requests' times only from whole requests

Cause: a new dispatcher adopts requests that its predecessor granted, and took the rest of their time for the whole of it; the first sample also became the mean outright, so one request that was lost at once made a target's requests pass for short ones. Look-ahead then covers each slot, and targets got up to twice their ceiling.

Before/after: 28 of 600 random schedules failed with 'one dispatcher has 5 at t1, ceiling 4', then 0 for this reason. Smallest scenarios: adopted_requests_are_not_short, lost_requests_are_not_short. Ruled out: equal grant ids and a wrong full report (14 in flight were reported, 26 were held).

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -292,6 +292,11 @@
         self.next_grant = self.next_grant.max(line.grant.0 + 1);
         let flow = self.flows.index(&line.flow, &mut self.teams, &self.table, self.now);
         self.start_running(key, line.grant, flow, line.target.clone(), line.cost);
+        let session = self.sessions.get_mut(&key);
+        if let Some(running) = session.and_then(|state| state.in_flight.get_mut(&line.grant)) {
+            // When it began isn't known, and the rest of its time would look like a short request.
+            running.granted_at_s = None;
+        }
     }
 
     fn start_running(
@@ -312,7 +317,7 @@
         team.unreported.add(price_ratio, reported_at_s);
         self.targets.take(&target);
         if let Some(session) = self.sessions.get_mut(&key) {
-            let granted_at_s = reported_at_s;
+            let granted_at_s = Some(reported_at_s);
             let running = Running {
                 flow,
                 target,
@@ -365,8 +370,10 @@
             self.fleet.record(cost);
             let team = self.flows.get(running.flow).team;
             self.teams.get_mut(team).record(cost);
-            let now_s = self.teams.rate.seconds(self.now);
-            self.targets.record_time(&running.target, now_s - running.granted_at_s);
+            if let Some(granted_at_s) = running.granted_at_s {
+                let now_s = self.teams.rate.seconds(self.now);
+                self.targets.record_time(&running.target, now_s - granted_at_s);
+            }
         }
         self.release(&running);
     }
--- a/core/src/dispatch/session.rs
+++ b/core/src/dispatch/session.rs
@@ -60,7 +60,7 @@
     pub(super) pending_cost: f64,
     pub(super) price_ratio: f64,
     /// When the request was granted, in seconds of the dispatcher's clock.
-    pub(super) granted_at_s: f64,
+    pub(super) granted_at_s: Option<f64>,
     /// When `cost` was reported, in seconds of the dispatcher's clock.
     pub(super) reported_at_s: f64,
 }
--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -22,6 +22,9 @@
 /// Requests that take less than this are short beside a round trip.
 const SHORT_REQUEST: Duration = Duration::from_millis(50);
 
+/// Mean before the first request, so that a few that broke off early don't pass for short ones.
+const FIRST_TIME: Duration = Duration::from_millis(200);
+
 /// Part by which a request's time changes the mean.
 const TIME_STEP: f64 = 0.05;
 
@@ -276,7 +279,7 @@
     /// Learns how long a request took from its grant to its end.
     pub fn record_time(&mut self, name: &Name, time_s: f64) {
         let Some(target) = self.targets.get_mut(name) else { return };
-        let mean_s = target.mean_time_s.get_or_insert(time_s);
+        let mean_s = target.mean_time_s.get_or_insert(FIRST_TIME.as_secs_f64());
         *mean_s += (time_s - *mean_s) * TIME_STEP;
     }
 
