dispatch: a team of unknown past doesn't set the others back by all of theirs

Cause: a new dispatcher takes virtual times over from the routers' reports; a team that no router had heard of began at 0 when its first request waited beside the others' at the first grants, and was served alone until it had had all that the others were ever served.

Now: when told times come in, backlogged teams without one are lifted to the least that was told.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -62,6 +62,8 @@
     /// Sessions with something to send.
     dirty: BTreeSet<SessionKey>,
     settling: Option<Settling>,
+    /// Whether virtual times of an earlier dispatcher have come since the last grants.
+    lift_due: bool,
     fleet: fleet::FleetState,
     next_session: u32,
     next_grant: u64,
@@ -93,6 +95,7 @@
             departed: BTreeMap::new(),
             dirty: BTreeSet::new(),
             settling: None,
+            lift_due: false,
             fleet: fleet::FleetState::new(),
             next_session: 0,
             next_grant: 1,
@@ -245,6 +248,9 @@
         if self.is_settling(now) {
             return Vec::new();
         }
+        if std::mem::take(&mut self.lift_due) {
+            self.teams.lift_unknown(now);
+        }
         self.teams.wake(now);
         self.teams.refresh_running(now);
         while self.grant_one() {}
@@ -268,7 +274,10 @@
         self.clear_in_flight(key);
         for line in &report.virtual_times {
             let team = self.teams.index(&line.team, &self.table, self.now);
-            self.teams.get_mut(team).account.raise_settled(line.cost);
+            let state = self.teams.get_mut(team);
+            self.lift_due |= line.cost > state.account.settled();
+            state.inherited = true;
+            state.account.raise_settled(line.cost);
             self.teams.refresh(team, self.now);
         }
         for line in &report.accounts {
--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -35,6 +35,8 @@
     pub(super) running_count: u32,
     pub(super) others: Others,
     pub(super) told_at: Option<time::Instant>,
+    /// Whether a router has told a virtual time of an earlier dispatcher.
+    pub(super) inherited: bool,
     /// Numbers in this cell's last summaries.
     pub(super) told: VecDeque<Told>,
     /// Mean cost times price of past requests.
@@ -88,6 +90,7 @@
             running_count: 0,
             others: Others::default(),
             told_at: None,
+            inherited: false,
             told: VecDeque::new(),
             mean_cost: 0.0,
             unreported: Unreported::default(),
@@ -329,6 +332,26 @@
         self.list.iter().map(|team| team.waiting_count).sum()
     }
 
+    /// Lifts backlogged teams of which no earlier virtual time is known to the least that is.
+    ///
+    /// Their own times begin at 0, and the others would wait for all that they were ever served.
+    pub(super) fn lift_unknown(&mut self, now: time::Instant) {
+        let inherited = self.list.iter().filter(|team| team.inherited && team.backlogged);
+        let times = inherited.map(|team| team.account.virtual_time());
+        let least = times.fold(f64::INFINITY, f64::min);
+        if !least.is_finite() {
+            return;
+        }
+        self.raise_floor(least);
+        for index in self.indexes() {
+            let team = &mut self.list[index.number()];
+            if team.backlogged && !team.inherited {
+                team.account.lift_to(least);
+                self.refresh(index, now);
+            }
+        }
+    }
+
     /// Notes the virtual time at which a grant is made.
     pub(super) fn raise_floor(&mut self, virtual_time: f64) {
         self.floor = self.floor.max(virtual_time);
