dispatch: a team that sends one request at a time isn't lifted for each

Cause: between the grant of a team's only waiting request and the report of its next one the team isn't backlogged; it then was lifted to the time of the last grant, and lost what it was behind, each time.

Now: a lift needs 200 ms without waiting work.

--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -44,6 +44,8 @@
     pub(super) unreported: Unreported,
     limits: limits::TeamLimits,
     backlogged: bool,
+    /// When its last waiting request was granted or went.
+    idle_since: Option<time::Instant>,
     key: Option<fair::VirtualTime>,
     ready_at: Option<time::Instant>,
 }
@@ -96,6 +98,7 @@
             unreported: Unreported::default(),
             limits: limits::TeamLimits::default(),
             backlogged: false,
+            idle_since: None,
             key: None,
             ready_at: None,
         }
@@ -163,6 +166,11 @@
 const MIN_RATE_TIME_S: f64 = 0.5;
 /// Part by which a new sample changes the learned rate.
 const RATE_STEP: f64 = 0.02;
+/// A team without waiting work for less than this hasn't paused: its next request is on its way.
+///
+/// A team that sends one request at a time would else be lifted for each, and lose what it is
+/// behind.
+const BRIEF_PAUSE: Duration = Duration::from_millis(200);
 /// Time between refreshes of the order for what running requests deliver meanwhile.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -259,6 +267,9 @@
             self.limited.remove(&(at, index));
         }
         let concurrent = team.running_count + team.others.running_count;
+        if team.waiting.is_empty() && team.backlogged {
+            team.idle_since = Some(now);
+        }
         if team.waiting.is_empty() || !team.limits.allow_concurrent(concurrent) {
             team.backlogged = false;
             return;
@@ -269,7 +280,8 @@
             self.limited.insert((at, index));
             return;
         }
-        if !team.backlogged && team.others.waiting_count == 0 {
+        let paused = team.idle_since.is_none_or(|since| now >= since + BRIEF_PAUSE);
+        if !team.backlogged && paused && team.others.waiting_count == 0 {
             team.account.lift_to(self.floor);
         }
         team.backlogged = true;
@@ -345,6 +357,7 @@
         self.raise_floor(least);
         for index in self.indexes() {
             let team = &mut self.list[index.number()];
+            team.idle_since = None;
             if team.backlogged && !team.inherited {
                 team.account.lift_to(least);
                 self.refresh(index, now);
