core: notice a standstill; end a session without a next one

Cause: a process that stood still goes on with grants that it had received before. The dispatcher gave their slots away long ago, and the target may have left: t2 got work 7 s after it began to leave. Between two sessions a router also took grants of the ended one.

Now: pause::Watch tells when the clock jumped, and Router::end_session voids all grants until the next session.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod limits;
 pub mod membership;
 pub mod message;
+pub mod pause;
 pub mod router;
 pub mod slots;
 pub mod table;
--- a/core/src/router/mod.rs
+++ b/core/src/router/mod.rs
@@ -272,6 +272,13 @@
         queue.start_session(dispatcher);
     }
 
+    /// Ends the session with a cell's dispatcher; all grants are void until the next one.
+    pub fn end_session(&mut self, cell: &Name) {
+        if let Some(queue) = self.cells.get_mut(cell) {
+            queue.dispatcher = None;
+        }
+    }
+
     /// Starts requests for grants; those without use are declined with the next report.
     pub fn take_grants(&mut self, batch: &GrantBatch) -> Vec<Start> {
         let Some(queue) = self.cells.get_mut(&batch.cell) else { return Vec::new() };
