--- /dev/null
+++ b/scenario/src/faults.rs
@@ -0,0 +1,314 @@
+//! What the script does to processes, targets, the network and the table.
+
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_core::dispatch::TargetLoad;
+use gentianhinge_core::ids::{Name, RequestId, RouterId};
+use gentianhinge_core::table::Table;
+use rand::Rng;
+
+use crate::node::Node;
+use crate::script::{Action, Load, Nodes};
+use crate::session::Message;
+use crate::target::Target;
+use crate::work::{Backlog, Outcome};
+use crate::world::{Event, NodeEvent, World};
+
+/// Longest time in which a router hears of a target or a row of the table.
+///
+/// The list of hosts lags by this much; gossip is faster. The stated target is 3 s for a leaving
+/// target and 4 s for the table, so each must hold with this lag.
+pub const NOTICE_TIME: Duration = Duration::from_millis(2500);
+/// Time between a target's load and its arrival.
+const LOAD_LAG: Duration = Duration::from_millis(500);
+
+impl World {
+    /// Does an action.
+    pub fn act(&mut self, action: &Action) {
+        match action {
+            Action::Backlog(load) => self.set_backlog(load),
+            Action::Submit { load, once } => self.submit_all(load, *once),
+            Action::Flood { load, duration } => self.flood(load, *duration),
+            Action::Cut(left, right) => self.cut(left, right),
+            Action::Heal => self.heal(),
+            Action::Freeze(nodes, span) => self.for_each(nodes, |w, node| w.freeze(node, *span)),
+            Action::Kill(nodes) => self.for_each(nodes, World::kill),
+            Action::Restart(nodes) => self.for_each(nodes, World::restart),
+            Action::Drain(nodes) => self.for_each(nodes, World::drain),
+            Action::Leave(target) => self.leave(*target),
+            Action::Crash(target) => self.crash(*target),
+            Action::Return(target) => self.bring_back(*target),
+            Action::Edit { team, weight } => self.edit(team, *weight),
+            Action::Measure => self.oracle.measure(self.now),
+            // These two are the run's own.
+            Action::Run(_) | Action::Expect(_) => {}
+        }
+    }
+
+    fn for_each(&mut self, nodes: &Nodes, mut act: impl FnMut(&mut World, usize)) {
+        let all = self.nodes.iter().enumerate();
+        let indices = match nodes {
+            Nodes::These(indices) => indices.clone(),
+            Nodes::Dispatcher => {
+                let holders = all.filter(|(_, node)| {
+                    node.is_running()
+                        && node.role.as_ref().is_some_and(|role| !role.members.is_empty())
+                });
+                holders.map(|(index, _)| index).collect()
+            }
+            Nodes::Dead => all.filter(|(_, node)| !node.up).map(|(index, _)| index).collect(),
+        };
+        indices.into_iter().for_each(|node| act(self, node));
+    }
+
+    fn team_and_class(&self, load: &Load) -> (usize, usize) {
+        let team = self.setup.teams.iter().position(|team| team.name == load.team);
+        let class = load.class.as_ref();
+        let class =
+            class.and_then(|name| self.setup.classes.iter().position(|class| class.name == *name));
+        (team.expect("the parser knows the teams"), class.unwrap_or(0))
+    }
+
+    fn set_backlog(&mut self, load: &Load) {
+        let (team, class) = self.team_and_class(load);
+        for &node in &load.routers {
+            let same =
+                |other: &Backlog| (other.node, other.team, other.class) == (node, team, class);
+            self.backlogs.retain(|other| !same(other));
+            self.backlogs.push(Backlog { node, team, class, count: load.count });
+            self.refill(node);
+        }
+    }
+
+    fn submit_all(&mut self, load: &Load, once: bool) {
+        let (team, class) = self.team_and_class(load);
+        for &node in &load.routers {
+            for _ in 0..load.count {
+                let what = NodeEvent::Submit { team, class, once };
+                self.schedule_node(Duration::ZERO, node, what);
+            }
+        }
+    }
+
+    fn flood(&mut self, load: &Load, duration: Duration) {
+        let (team, class) = self.team_and_class(load);
+        let count = (f64::from(load.count) * duration.as_secs_f64()) as u32;
+        for &node in &load.routers {
+            for i in 0..count {
+                let after = duration * i / count;
+                self.schedule_node(after, node, NodeEvent::Submit { team, class, once: false });
+            }
+        }
+    }
+
+    fn cut(&mut self, left: &[usize], right: &[usize]) {
+        let pairs = left.iter().flat_map(|a| right.iter().map(move |b| (*a, *b)));
+        let pairs = pairs.filter(|(a, b)| a != b).map(|(a, b)| (a.min(b), a.max(b)));
+        self.cuts.extend(pairs);
+        self.note_lost_dispatchers();
+    }
+
+    fn heal(&mut self) {
+        self.cuts.clear();
+        for (from, to, id, message) in std::mem::take(&mut self.stalled) {
+            if self.nodes[to].id == id {
+                self.send(from, to, message);
+            }
+        }
+    }
+
+    fn freeze(&mut self, node: usize, span: Duration) {
+        if !self.nodes[node].up {
+            return;
+        }
+        let until = self.now + span;
+        let old = self.nodes[node].frozen_until;
+        let until = old.map_or(until, |old| old.max(until));
+        self.nodes[node].frozen_until = Some(until);
+        self.schedule_at(until, Event::Thaw { node, until });
+        self.note_lost_dispatchers();
+    }
+
+    fn kill(&mut self, node: usize) {
+        if !self.nodes[node].up {
+            return;
+        }
+        self.nodes[node].up = false;
+        self.nodes[node].died_at = self.now;
+        self.nodes[node].frozen_until = None;
+        self.note_lost_dispatchers();
+        self.nodes[node].held.clear();
+        self.nodes[node].role = None;
+        self.nodes[node].client = None;
+        self.nodes[node].waiting.clear();
+        let own = self.attempts.iter().filter(|(_, attempt)| attempt.node == node);
+        for id in own.map(|(id, _)| *id).collect::<Vec<RequestId>>() {
+            // The target sees the connection close, and cancels.
+            if let Some(attempt) = self.remove_attempt(id) {
+                self.begin_next(attempt.target);
+            }
+        }
+        let open = self.requests.iter_mut().filter(|request| request.node == node);
+        for request in open.filter(|request| request.outcome.is_none()) {
+            request.outcome = Some(Outcome::RouterLost);
+        }
+    }
+
+    fn restart(&mut self, node: usize) {
+        self.kill(node);
+        let id = RouterId::new(self.nodes[node].id.name.clone(), self.number());
+        // A new process reads the log, and the list of hosts, which lags.
+        let table = sync::Arc::clone(&self.table);
+        self.nodes[node] = Node::new(id, table, self.setup.report_interval, self.instant());
+        self.nodes[node].thawed_at = self.now;
+        for target in 0..self.targets.len() {
+            self.tell_leaving(node, target);
+        }
+        self.start_ticks(node);
+        self.refill(node);
+    }
+
+    fn drain(&mut self, node: usize) {
+        self.nodes[node].draining = true;
+    }
+
+    /// Ends a draining process once all its requests are answered and its role is another's.
+    pub fn exit_if_drained(&mut self, index: usize) {
+        let alone = self.nodes[index].peers.is_empty();
+        let node = &self.nodes[index];
+        let request_count = node.router.request_count() + node.retrying_count;
+        if !node.draining || request_count > 0 || (node.role.is_some() && !alone) {
+            return;
+        }
+        let cut_off = self.requests.iter().filter(|request| request.node == index);
+        let cut_off = cut_off.filter(|request| request.outcome.is_none()).count();
+        self.oracle.on_exit(self.now, index, cut_off);
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.exited = true;
+        node.up = false;
+        node.died_at = now;
+        if let Some(client) = node.client.take() {
+            self.send(index, client.to, Message::Closed { session: client.session });
+        }
+    }
+
+    fn leave(&mut self, target: usize) {
+        if self.targets[target].leaving_since.is_none() {
+            self.targets[target].leaving_since = Some(self.now);
+        }
+        for node in 0..self.nodes.len() {
+            self.tell_leaving(node, target);
+        }
+    }
+
+    fn crash(&mut self, target: usize) {
+        if !self.targets[target].up {
+            return;
+        }
+        self.targets[target].up = false;
+        let lost = self.attempts.iter().filter(|(_, attempt)| attempt.target == target);
+        for id in lost.map(|(id, _)| *id).collect::<Vec<RequestId>>() {
+            let Some(attempt) = self.remove_attempt(id) else { continue };
+            let delivered_tokens = attempt.delivered_tokens(self.now);
+            let delay = self.random_delay();
+            self.schedule_node(delay, attempt.node, NodeEvent::Lost { id, delivered_tokens });
+        }
+    }
+
+    fn bring_back(&mut self, target: usize) {
+        self.crash(target);
+        let mut fresh = Target::new(target, self.setup.slots, self.now);
+        fresh.incarnation = self.targets[target].incarnation + 1;
+        self.targets[target] = fresh;
+    }
+
+    /// Lets a router hear that a target leaves.
+    fn tell_leaving(&mut self, node: usize, target: usize) {
+        let Some(since) = self.targets[target].leaving_since else { return };
+        let lag = self.rng.random_range(Duration::ZERO..NOTICE_TIME);
+        let after = lag.saturating_sub(self.now - since);
+        let incarnation = self.targets[target].incarnation;
+        self.schedule_node(after, node, NodeEvent::Leaving { target, incarnation });
+    }
+
+    /// A router hears that a target leaves, which is final for its incarnation.
+    pub fn learn_leaving(&mut self, index: usize, target: usize, incarnation: u64) {
+        let node = &mut self.nodes[index];
+        let known = node.leaving.entry(target).or_default();
+        *known = incarnation.max(*known);
+        if let Some(role) = &mut node.role {
+            role.dispatcher.target_leaving(&self.specs[target].name, incarnation);
+        }
+        self.poll(index);
+    }
+
+    /// Asks all targets for their load, which arrives late.
+    ///
+    /// The targets don't say that they leave: a report after the operator's edit claims the opposite.
+    pub fn ask_loads(&mut self, index: usize) {
+        self.nodes[index].load_asked = self.now;
+        for target in 0..self.targets.len() {
+            let state = &self.targets[target];
+            let load = TargetLoad {
+                at: self.instant(),
+                incarnation: state.incarnation,
+                running_count: state.busy_count() as u32,
+                waiting_count: state.queue.len() as u32,
+                max_running_count: self.setup.slots,
+                leaving: false,
+            };
+            let load = state.up.then_some(load);
+            self.schedule_node(LOAD_LAG, index, NodeEvent::Load { target, load });
+        }
+    }
+
+    /// A target's load arrives.
+    pub fn learn_load(&mut self, index: usize, target: usize, load: Option<TargetLoad>) {
+        let now = self.instant();
+        let Some(role) = &mut self.nodes[index].role else { return };
+        let name = &self.specs[target].name;
+        match load {
+            Some(load) => role.dispatcher.set_target_load(name, load, now),
+            None => role.dispatcher.target_failed(name, now),
+        }
+        self.poll(index);
+    }
+
+    fn edit(&mut self, team: &str, weight: f64) {
+        let mut table = Table::clone(&self.table);
+        if let Some(row) = table.teams.get_mut(&Name::from(team)) {
+            row.weight = weight;
+        }
+        self.table = sync::Arc::new(table);
+        for node in 0..self.nodes.len() {
+            let after = self.rng.random_range(Duration::ZERO..NOTICE_TIME);
+            let table = sync::Arc::clone(&self.table);
+            self.schedule_node(after, node, NodeEvent::Table(table));
+        }
+    }
+
+    /// A router hears of a table.
+    pub fn learn_table(&mut self, index: usize, table: sync::Arc<Table>) {
+        let node = &mut self.nodes[index];
+        node.table = sync::Arc::clone(&table);
+        node.router.set_table(sync::Arc::clone(&table));
+        if let Some(role) = &mut node.role {
+            role.dispatcher.set_table(table);
+        }
+        self.poll(index);
+    }
+
+    /// Notes which routers a fault has parted from their dispatcher.
+    fn note_lost_dispatchers(&mut self) {
+        let mut severed = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(client) = node.client.as_ref().filter(|_| node.is_running()) else { continue };
+            if self.is_cut(index, client.to) || !self.nodes[client.to].is_running() {
+                severed.push(index);
+            }
+        }
+        self.oracle.on_dispatcher_lost(self.now, severed);
+    }
+}
--- /dev/null
+++ b/scenario/src/fuzz.rs
@@ -0,0 +1,276 @@
+//! Random schedules of the same verbs, under the same oracle.
+//!
+//! A schedule has a stormy part of random faults and load, and a calm one: cuts heal, all processes
+//! and targets are back, and after a settling time each team is backlogged at each router. In the
+//! calm part no slot may be lost, and no team starve. What must always hold is judged throughout.
+
+use std::thread;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+
+use crate::run;
+use crate::script::{
+    Action, ClassSetup, Expect, Indices, Load, Nodes, Script, Setup, Step, TeamSetup,
+};
+use crate::target::TOKEN_TIME;
+
+/// Random bytes that make one schedule.
+const ENTROPY_BYTES: usize = 600;
+/// Most random actions of a schedule.
+const MAX_ACTION_COUNT: usize = 14;
+/// Most failed schedules that are kept whole.
+const MAX_KEPT_FAILURES: usize = 8;
+/// Time that the fleet has to come to rest after the last fault.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+/// Time in which the calm fleet is measured.
+const CALM_TIME: Duration = Duration::from_secs(15);
+/// Greatest cost of a request in tokens.
+const MAX_COST_TOKENS: u32 = 40;
+
+/// Greatest weight of a team.
+const MAX_WEIGHT: u32 = 2;
+
+/// One failed schedule.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// What failed.
+    pub reasons: Vec<String>,
+    /// The schedule as a scenario, without the actions that don't matter.
+    pub script: Script,
+}
+
+/// Sum over many schedules.
+#[derive(Clone, Debug, Default)]
+pub struct Total {
+    /// Schedules that were run.
+    pub schedule_count: u64,
+    /// Schedules that failed.
+    pub failed_count: u64,
+    /// The first failed schedules.
+    pub failures: Vec<Failure>,
+    /// Callers' requests.
+    pub request_count: usize,
+    /// Simulated time.
+    pub span: Duration,
+}
+
+/// The schedule of a seed.
+pub fn schedule(seed: u64) -> Script {
+    let mut bytes = vec![0; ENTROPY_BYTES];
+    SmallRng::seed_from_u64(seed).fill_bytes(&mut bytes);
+    let script = arbitrary_script(&mut Unstructured::new(&bytes));
+    script.expect("bytes that run out read as zeros")
+}
+
+/// Runs the schedules of `count` seeds from `first_seed` on.
+pub fn run_many(first_seed: u64, count: u64, thread_count: u64) -> Total {
+    let thread_count = thread_count.clamp(1, 64);
+    let totals = thread::scope(|scope| {
+        let run = |start: u64| {
+            let seeds = (start..count).step_by(thread_count as usize);
+            run_seeds(seeds.map(|i| first_seed.wrapping_add(i)))
+        };
+        let threads = (0..thread_count).map(|start| scope.spawn(move || run(start)));
+        let threads = threads.collect::<Vec<_>>();
+        let joined = threads.into_iter().map(|thread| thread.join());
+        joined.map(|total| total.expect("a schedule panicked")).collect::<Vec<_>>()
+    });
+    let mut sum = Total::default();
+    for total in totals {
+        sum.schedule_count += total.schedule_count;
+        sum.failed_count += total.failed_count;
+        sum.request_count += total.request_count;
+        sum.span += total.span;
+        sum.failures.extend(total.failures);
+    }
+    sum.failures.sort_by_key(|failure| failure.seed);
+    sum.failures.truncate(MAX_KEPT_FAILURES);
+    sum
+}
+
+fn run_seeds(seeds: impl Iterator<Item = u64>) -> Total {
+    let mut total = Total::default();
+    for seed in seeds {
+        let script = schedule(seed);
+        let outcome = run::run(&script);
+        total.schedule_count += 1;
+        total.request_count += outcome.request_count;
+        total.span += outcome.span;
+        if outcome.failures.is_empty() {
+            continue;
+        }
+        total.failed_count += 1;
+        if total.failures.len() < MAX_KEPT_FAILURES {
+            let script = shrink(&script);
+            total.failures.push(Failure { seed, reasons: run::run(&script).failures, script });
+        }
+    }
+    total
+}
+
+/// Leaves out all stormy actions without which a schedule still fails.
+pub fn shrink(script: &Script) -> Script {
+    let is_heal = |step: &Step| step.action == Action::Heal;
+    let calm_count = script.steps.iter().rev().position(is_heal).unwrap_or(0);
+    let mut least = script.clone();
+    let mut from = 0;
+    while from + calm_count + 1 < least.steps.len() {
+        let mut shorter = least.clone();
+        shorter.steps.remove(from);
+        if run::run(&shorter).failures.is_empty() {
+            from += 1;
+        } else {
+            least = shorter;
+        }
+    }
+    least
+}
+
+/// Makes a schedule of random bytes.
+///
+/// # Errors
+///
+/// None: bytes that run out read as zeros.
+pub fn arbitrary_script(u: &mut Unstructured<'_>) -> Result<Script> {
+    let setup = arbitrary_setup(u)?;
+    let mut steps = Vec::new();
+    for team in 0..setup.teams.len() {
+        let load = arbitrary_load(u, &setup, team, 12)?;
+        push(&mut steps, Action::Backlog(load));
+    }
+    push(&mut steps, Action::Run(Duration::from_millis(u.int_in_range(0..=4000)?)));
+    for _ in 0..u.int_in_range(1..=MAX_ACTION_COUNT)? {
+        let action = arbitrary_action(u, &setup)?;
+        push(&mut steps, action);
+        let pause_ms = if u.ratio(1, 3)? { 0 } else { u.int_in_range(1..=2500)? };
+        push(&mut steps, Action::Run(Duration::from_millis(pause_ms)));
+    }
+    calm(&setup, &mut steps);
+    Ok(Script { setup, steps })
+}
+
+fn push(steps: &mut Vec<Step>, action: Action) {
+    steps.push(Step { line: 0, at: None, action });
+}
+
+/// The calm part, in which the fleet must come to rest.
+fn calm(setup: &Setup, steps: &mut Vec<Step>) {
+    push(steps, Action::Heal);
+    push(steps, Action::Run(Duration::from_secs(4)));
+    push(steps, Action::Restart(Nodes::Dead));
+    for target in 0..setup.target_count {
+        push(steps, Action::Return(target));
+    }
+    for team in &setup.teams {
+        let routers = (0..setup.router_count).collect();
+        let load = Load { team: team.name.clone(), class: None, routers, count: 6 };
+        push(steps, Action::Backlog(load));
+    }
+    let checks = [
+        Expect::IdleWhileWaiting(Duration::from_millis(50)),
+        Expect::ServedWithin(longest_unserved(setup)),
+        Expect::Overload { most: 0 },
+    ];
+    push(steps, Action::Run(SETTLE_TIME));
+    push(steps, Action::Measure);
+    push(steps, Action::Run(CALM_TIME));
+    checks.into_iter().for_each(|check| push(steps, Action::Expect(check)));
+}
+
+/// Longest time without a start for a team that waits, when all teams wait.
+///
+/// Slots are few here, so a team may be ahead of each other one by the largest request and by what
+/// all slots hold; it is served again once the others, by weight, have had as much.
+fn longest_unserved(setup: &Setup) -> Duration {
+    let largest = TOKEN_TIME * MAX_COST_TOKENS;
+    let slot_count = setup.target_count as u32 * (setup.slots + setup.lookahead_slots);
+    let serving_count = setup.target_count as u32 * setup.slots;
+    let ahead = (slot_count + 1) * MAX_WEIGHT * setup.teams.len() as u32;
+    largest * ahead / serving_count + largest
+}
+
+fn arbitrary_setup(u: &mut Unstructured<'_>) -> Result<Setup> {
+    let team_count = u.int_in_range(1..=4)?;
+    let mut teams = Vec::new();
+    for i in 0..team_count {
+        teams.push(TeamSetup {
+            name: format!("team{}", i + 1),
+            weight: f64::from(u.int_in_range(1..=MAX_WEIGHT)?),
+            min_cost_tokens: 2,
+            max_cost_tokens: u.int_in_range(4..=MAX_COST_TOKENS)?,
+            max_waiting_requests: u.int_in_range(15..=60)?,
+        });
+    }
+    let patient_wait = Duration::from_millis(u.int_in_range(500..=8000)?);
+    Ok(Setup {
+        seed: u.int_in_range(0..=u64::from(u32::MAX))?,
+        router_count: u.int_in_range(1..=6)?,
+        target_count: u.int_in_range(1..=4)?,
+        slots: u.int_in_range(1..=4)?,
+        lookahead_slots: u.int_in_range(0..=1)?,
+        delay: Duration::from_millis(u.int_in_range(1..=5)?),
+        report_interval: Duration::from_millis(u.int_in_range(200..=1000)?),
+        teams,
+        classes: vec![
+            ClassSetup {
+                name: "now".to_owned(),
+                price_ratio: 1.0,
+                max_wait: Duration::from_secs(60),
+            },
+            ClassSetup { name: "patient".to_owned(), price_ratio: 0.5, max_wait: patient_wait },
+        ],
+    })
+}
+
+fn arbitrary_load(u: &mut Unstructured<'_>, setup: &Setup, team: usize, most: u32) -> Result<Load> {
+    let class = u.choose(&[None, Some("patient".to_owned())])?.clone();
+    let routers = arbitrary_routers(u, setup)?;
+    let count = u.int_in_range(0..=most)?;
+    Ok(Load { team: setup.teams[team].name.clone(), class, routers, count })
+}
+
+fn arbitrary_routers(u: &mut Unstructured<'_>, setup: &Setup) -> Result<Indices> {
+    let mask = u.int_in_range(1..=(1_u32 << setup.router_count) - 1)?;
+    Ok((0..setup.router_count).filter(|index| mask & (1 << index) != 0).collect())
+}
+
+fn arbitrary_action(u: &mut Unstructured<'_>, setup: &Setup) -> Result<Action> {
+    let all = (0..setup.router_count).collect::<Indices>();
+    let team = u.choose_index(setup.teams.len())?;
+    let target = u.choose_index(setup.target_count)?;
+    let nodes = arbitrary_routers(u, setup)?;
+    let one = Nodes::These(vec![u.choose_index(setup.router_count)?]);
+    let one = if u.ratio(1, 3)? { Nodes::Dispatcher } else { one };
+    Ok(match u.int_in_range(0..=15)? {
+        0 => {
+            let others = all.into_iter().filter(|index| !nodes.contains(index));
+            let others = others.collect::<Indices>();
+            if others.is_empty() { Action::Heal } else { Action::Cut(nodes, others) }
+        }
+        1 => Action::Heal,
+        2 | 3 => Action::Freeze(one, Duration::from_millis(u.int_in_range(50..=5000)?)),
+        4 => Action::Freeze(Nodes::These(nodes), Duration::from_millis(u.int_in_range(50..=3000)?)),
+        5 => Action::Kill(one),
+        6 => Action::Restart(one),
+        7 => Action::Restart(Nodes::These(nodes)),
+        8 => Action::Drain(one),
+        9 => Action::Leave(target),
+        10 => Action::Crash(target),
+        11 => Action::Return(target),
+        12 => Action::Edit {
+            team: setup.teams[team].name.clone(),
+            weight: f64::from(u.int_in_range(1..=MAX_WEIGHT)?),
+        },
+        13 => Action::Backlog(arbitrary_load(u, setup, team, 12)?),
+        14 => Action::Flood {
+            load: arbitrary_load(u, setup, team, 40)?,
+            duration: Duration::from_millis(u.int_in_range(100..=2000)?),
+        },
+        _ => Action::Submit { load: arbitrary_load(u, setup, team, 10)?, once: u.ratio(1, 2)? },
+    })
+}
--- /dev/null
+++ b/scenario/src/oracle.rs
@@ -0,0 +1,348 @@
+//! Judges a run: what must always hold, and what was measured.
+
+use std::time::Duration;
+
+use crate::script::Setup;
+use crate::target::{Attempt, Target};
+use crate::work::{CallerRequest, Outcome};
+
+/// Time after which a leaving target gets no work.
+pub const LEAVE_BOUND: Duration = Duration::from_secs(3);
+/// Time between the end of the longest wait and the answer: two rounds of the router's timer.
+const EXPIRY_TOLERANCE: Duration = Duration::from_millis(200);
+/// Most violations that are kept.
+const MAX_VIOLATION_COUNT: usize = 20;
+
+/// Routers that have lost their dispatcher and haven't had a grant since.
+#[derive(Clone, Debug)]
+struct Loss {
+    at: Duration,
+    routers: Vec<usize>,
+}
+
+/// What was seen of a team since the window began.
+#[derive(Clone, Debug, Default)]
+struct TeamWindow {
+    /// Whether work waited at each sample.
+    always_waited: bool,
+    /// Delivered service per weight.
+    service: f64,
+    /// Since when work has waited and none run.
+    unserved_since: Option<Duration>,
+    longest_unserved: Duration,
+    refused_count: u32,
+}
+
+/// Judge of one run.
+#[derive(Debug)]
+pub struct Oracle {
+    /// What must never happen, but did.
+    pub violations: Vec<String>,
+    /// Greatest cost of a request, by the setup.
+    largest_cost: f64,
+    /// Cost delivered by attempts that have ended, by team.
+    ended_cost: Vec<f64>,
+    /// Cost delivered at the last sample, by team.
+    sampled_cost: Vec<f64>,
+    teams: Vec<TeamWindow>,
+    window_began: Duration,
+    waiting_since: Option<Duration>,
+    longest_idle: Duration,
+    busy_slot_s: f64,
+    usable_slot_s: f64,
+    greatest_gap: f64,
+    greatest_queue: usize,
+    greatest_dispatchers: usize,
+    expired_count: u32,
+    losses: Vec<Loss>,
+    longest_resume: Duration,
+    /// Last start at a leaving target: time since it began to leave, by target.
+    leaving_starts: Vec<Option<Duration>>,
+}
+
+impl Oracle {
+    /// Creates a judge that has seen nothing.
+    pub fn new(setup: &Setup) -> Oracle {
+        let team_count = setup.teams.len();
+        let price = setup.classes.iter().map(|class| class.price_ratio).fold(0.0, f64::max);
+        let largest = setup.teams.iter().map(|team| team.max_cost_tokens).max().unwrap_or(1);
+        let mut oracle = Oracle {
+            violations: Vec::new(),
+            largest_cost: f64::from(largest) * price,
+            ended_cost: vec![0.0; team_count],
+            sampled_cost: vec![0.0; team_count],
+            teams: vec![TeamWindow::default(); team_count],
+            window_began: Duration::ZERO,
+            waiting_since: None,
+            longest_idle: Duration::ZERO,
+            busy_slot_s: 0.0,
+            usable_slot_s: 0.0,
+            greatest_gap: 0.0,
+            greatest_queue: 0,
+            greatest_dispatchers: 0,
+            expired_count: 0,
+            losses: Vec::new(),
+            longest_resume: Duration::ZERO,
+            leaving_starts: vec![None; setup.target_count],
+        };
+        oracle.measure(Duration::ZERO);
+        oracle
+    }
+
+    /// Begins the window of measurement.
+    pub fn measure(&mut self, now: Duration) {
+        self.window_began = now;
+        for team in &mut self.teams {
+            *team = TeamWindow { always_waited: true, ..TeamWindow::default() };
+        }
+        self.longest_idle = Duration::ZERO;
+        self.busy_slot_s = 0.0;
+        self.usable_slot_s = 0.0;
+        self.greatest_gap = 0.0;
+        self.greatest_queue = 0;
+        self.greatest_dispatchers = 0;
+        self.expired_count = 0;
+        self.losses.clear();
+        self.longest_resume = Duration::ZERO;
+    }
+
+    fn violation(&mut self, now: Duration, what: String) {
+        if self.violations.len() < MAX_VIOLATION_COUNT {
+            self.violations.push(format!("at {now:?}: {what}"));
+        }
+    }
+
+    /// Lets time pass in which nothing changes.
+    pub fn pass(&mut self, from: Duration, to: Duration, waiting: bool, targets: &[Target]) {
+        for target in targets.iter().filter(|target| target.is_usable()) {
+            self.greatest_queue = self.greatest_queue.max(target.queue.len());
+        }
+        if !waiting {
+            self.waiting_since = None;
+            return;
+        }
+        let waiting_since = *self.waiting_since.get_or_insert(from);
+        let since = waiting_since.max(self.window_began);
+        let span_s = (to - from).as_secs_f64();
+        for target in targets.iter().filter(|target| target.is_usable()) {
+            self.usable_slot_s += target.slots.len() as f64 * span_s;
+            self.busy_slot_s += target.busy_count() as f64 * span_s;
+            if let Some((_, free_since)) = target.longest_free() {
+                self.longest_idle = self.longest_idle.max(to.saturating_sub(free_since.max(since)));
+            }
+        }
+    }
+
+    /// Looks at the teams' work and delivered service.
+    pub fn sample(&mut self, now: Duration, samples: &[TeamSample], dispatchers: usize) {
+        self.greatest_dispatchers = self.greatest_dispatchers.max(dispatchers);
+        for (i, sample) in samples.iter().enumerate() {
+            let team = &mut self.teams[i];
+            let cost = self.ended_cost[i] + sample.running_cost;
+            team.service += (cost - self.sampled_cost[i]) / sample.weight;
+            self.sampled_cost[i] = cost;
+            if sample.waiting_count == 0 {
+                team.always_waited = false;
+            }
+            if sample.waiting_count == 0 || sample.running_count > 0 {
+                team.unserved_since = None;
+                continue;
+            }
+            let since = *team.unserved_since.get_or_insert(now);
+            team.longest_unserved = team.longest_unserved.max(now - since);
+        }
+        let backlogged = self.teams.iter().filter(|team| team.always_waited);
+        let services = backlogged.map(|team| team.service);
+        let most = services.clone().fold(f64::NEG_INFINITY, f64::max);
+        let least = services.fold(f64::INFINITY, f64::min);
+        if most > least {
+            self.greatest_gap = self.greatest_gap.max(most - least);
+        }
+    }
+
+    /// A caller has been told the end of its request.
+    pub fn on_outcome(&mut self, request: &CallerRequest, outcome: Outcome) {
+        if outcome.is_not_run() && request.run_count > 0 {
+            let text = format!("a request that ran was told {outcome:?}");
+            self.violations.push(text);
+        }
+        let Outcome::Told(code) = outcome else { return };
+        match code.number() {
+            200..=201 => self.teams[request.team].refused_count += 1,
+            202 => self.expired_count += 1,
+            _ => {}
+        }
+    }
+
+    /// A router starts a request that it was granted.
+    pub fn on_grant(&mut self, grant: &GrantSeen, request: &CallerRequest) {
+        let now = grant.now;
+        if let Some(outcome) = request.outcome {
+            self.violation(now, format!("a request whose caller was told {outcome:?} starts"));
+        }
+        // A process that goes on after a standstill may find the grant before its timer.
+        let was_frozen = grant.thawed_ago < EXPIRY_TOLERANCE;
+        if grant.late_by > EXPIRY_TOLERANCE && !was_frozen {
+            self.violation(now, format!("a request starts {:?} too late", grant.late_by));
+        }
+        for loss in &mut self.losses {
+            if grant.sent > loss.at && loss.routers.contains(&grant.node) {
+                self.longest_resume = self.longest_resume.max(now - loss.at);
+                loss.routers.clear();
+            }
+        }
+        self.losses.retain(|loss| !loss.routers.is_empty());
+    }
+
+    /// A target gets a request.
+    pub fn on_start(
+        &mut self,
+        now: Duration,
+        request: &CallerRequest,
+        attempt: &Attempt,
+        target: &Target,
+    ) {
+        let may_run = 1 + if request.once { 0 } else { request.lost_count };
+        if request.run_count > may_run {
+            let (count, once) = (request.run_count, request.once);
+            self.violation(now, format!("a request (once: {once}) runs {count} times"));
+        }
+        let Some(since) = target.leaving_since else { return };
+        let after = now - since;
+        self.leaving_starts[attempt.target] = Some(after);
+        if after > LEAVE_BOUND {
+            let name = &target.name;
+            self.violation(now, format!("{name} gets work {after:?} after it began to leave"));
+        }
+    }
+
+    /// A dispatcher's sessions hold a number of requests at a target.
+    pub fn on_ceiling(&mut self, now: Duration, held: usize, ceiling: usize, target: &Target) {
+        if held > ceiling {
+            let name = &target.name;
+            self.violation(now, format!("one dispatcher has {held} at {name}, ceiling {ceiling}"));
+        }
+    }
+
+    /// A slot that was free since a time takes a request.
+    pub fn on_slot_taken(&mut self, now: Duration, free_since: Duration) {
+        let Some(waiting_since) = self.waiting_since else { return };
+        let since = free_since.max(waiting_since).max(self.window_began);
+        self.longest_idle = self.longest_idle.max(now.saturating_sub(since));
+    }
+
+    /// An attempt has ended, its tokens delivered.
+    pub fn on_delivered(&mut self, team: usize, cost: f64) {
+        self.ended_cost[team] += cost;
+    }
+
+    /// Routers are parted from their dispatcher.
+    pub fn on_dispatcher_lost(&mut self, now: Duration, routers: Vec<usize>) {
+        if !routers.is_empty() {
+            self.losses.push(Loss { at: now, routers });
+        }
+    }
+
+    /// A router shuts down gracefully.
+    pub fn on_exit(&mut self, now: Duration, router: usize, cut_off: usize) {
+        if cut_off > 0 {
+            let name = router + 1;
+            self.violation(now, format!("r{name} exits with {cut_off} requests unanswered"));
+        }
+    }
+
+    /// Judges the requests that still wait at the end.
+    pub fn on_unanswered(&mut self, now: Duration, request: &CallerRequest) {
+        let waits = request.run_count == 0 || request.lost_count >= request.run_count;
+        if waits && now > request.deadline + EXPIRY_TOLERANCE {
+            self.violation(now, "a request waits beyond its class's longest wait".to_owned());
+        }
+    }
+
+    /// Greatest gap in largest requests, of teams that waited throughout; none if fewer than two.
+    pub fn gap_largest(&self) -> Option<f64> {
+        let backlogged = self.teams.iter().filter(|team| team.always_waited).count();
+        (backlogged >= 2).then_some(self.greatest_gap / self.largest_cost)
+    }
+
+    /// Longest time that a slot was free while work waited.
+    pub fn longest_idle(&self) -> Duration {
+        self.longest_idle
+    }
+
+    /// Share of slot time used while work waited; none if none waited.
+    pub fn utilisation(&self) -> Option<f64> {
+        (self.usable_slot_s > 0.0).then(|| self.busy_slot_s / self.usable_slot_s)
+    }
+
+    /// Most requests at a target beyond its slots and look-ahead.
+    pub fn greatest_overload(&self, lookahead: u32) -> usize {
+        self.greatest_queue.saturating_sub(lookahead as usize)
+    }
+
+    /// Most dispatchers with sessions at once.
+    pub fn greatest_dispatchers(&self) -> usize {
+        self.greatest_dispatchers
+    }
+
+    /// Longest time from the loss of a dispatcher to a grant; none if none was lost.
+    pub fn longest_resume(&self, now: Duration) -> Option<Duration> {
+        let open = self.losses.iter().map(|loss| now - loss.at).max();
+        let longest = self.longest_resume.max(open.unwrap_or_default());
+        (longest > Duration::ZERO).then_some(longest)
+    }
+
+    /// Longest time for which a team's work waited and none ran.
+    pub fn longest_unserved(&self) -> Duration {
+        self.teams.iter().map(|team| team.longest_unserved).max().unwrap_or_default()
+    }
+
+    /// A team's share of all service per weight; none if there was none.
+    pub fn share(&self, team: usize) -> Option<f64> {
+        let all = self.teams.iter().map(|team| team.service).sum::<f64>();
+        (all > 0.0).then(|| self.teams[team].service / all)
+    }
+
+    /// Requests of a team that were refused over a limit.
+    pub fn refused_count(&self, team: usize) -> u32 {
+        self.teams[team].refused_count
+    }
+
+    /// Requests that have expired.
+    pub fn expired_count(&self) -> u32 {
+        self.expired_count
+    }
+
+    /// Last start at a target since it began to leave.
+    pub fn last_leaving_start(&self, target: usize) -> Option<Duration> {
+        self.leaving_starts[target]
+    }
+}
+
+/// A team's work at a time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TeamSample {
+    /// Requests that wait.
+    pub waiting_count: usize,
+    /// Requests that run.
+    pub running_count: usize,
+    /// Cost delivered by those that run, times the class's price.
+    pub running_cost: f64,
+    /// Weight of the team.
+    pub weight: f64,
+}
+
+/// A grant that a router uses.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantSeen {
+    /// Index of the router.
+    pub node: usize,
+    /// When the dispatcher sent it.
+    pub sent: Duration,
+    /// When the router uses it.
+    pub now: Duration,
+    /// Time since the request's deadline.
+    pub late_by: Duration,
+    /// Time since the router's last standstill.
+    pub thawed_ago: Duration,
+}
--- /dev/null
+++ b/scenario/src/run.rs
@@ -0,0 +1,69 @@
+//! Runs a scenario.
+
+use std::time::Duration;
+
+use tokio::runtime;
+
+use crate::expect;
+use crate::script::{Action, Script};
+use crate::world::{Event, World};
+
+/// What came of a scenario.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// Checks that failed and what must never happen but did, in words.
+    pub failures: Vec<String>,
+    /// Callers' requests.
+    pub request_count: usize,
+    /// Simulated time.
+    pub span: Duration,
+    /// Each check with whether it held, for a reader.
+    pub measured: Vec<String>,
+}
+
+/// Runs a scenario to its end, in a runtime of its own whose clock is paused.
+pub fn run(script: &Script) -> Outcome {
+    let runtime = runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime without I/O can be built").block_on(run_on_paused_clock(script))
+}
+
+async fn run_on_paused_clock(script: &Script) -> Outcome {
+    let mut world = World::new(&script.setup);
+    for step in &script.steps {
+        if let Some(at) = step.at {
+            world.schedule_at(at, Event::Action(step.action.clone()));
+        }
+    }
+    let mut outcome = Outcome::default();
+    for step in script.steps.iter().filter(|step| step.at.is_none()) {
+        match &step.action {
+            Action::Run(span) => world.run_for(*span).await,
+            Action::Expect(check) => {
+                let verdict = expect::judge(&world, check);
+                let word = if verdict.holds { "holds" } else { "FAILS" };
+                let line = step.line;
+                outcome.measured.push(format!("line {line}: {check}: {word}: {}", verdict.seen));
+                if !verdict.holds {
+                    outcome.failures.extend(outcome.measured.last().cloned());
+                }
+            }
+            action => world.act(action),
+        }
+    }
+    world.judge_unanswered();
+    outcome.failures.append(&mut world.oracle.violations);
+    outcome.request_count = world.requests.len();
+    outcome.span = world.now;
+    outcome
+}
+
+impl World {
+    fn judge_unanswered(&mut self) {
+        for request in self.requests.iter().filter(|request| request.outcome.is_none()) {
+            let node = &self.nodes[request.node];
+            if node.is_running() && self.now > node.thawed_at + Duration::from_millis(200) {
+                self.oracle.on_unanswered(self.now, request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/scenario/src/session.rs
@@ -0,0 +1,336 @@
+//! Sessions between routers and dispatchers, as the daemon holds them.
+
+use std::collections::BTreeMap;
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_core::dispatch::Dispatcher;
+use gentianhinge_core::ids::RouterId;
+use gentianhinge_core::message::{GrantBatch, Report};
+
+use crate::faults::NOTICE_TIME;
+use crate::node::{Client, Member, Node, Peer, Role, SESSION_TIMEOUT};
+use crate::world::{Event, NodeEvent, World};
+
+/// Time that a router gathers changes before it reports them.
+const FLUSH_DELAY: Duration = Duration::from_millis(2);
+
+/// Time between two questions for the targets' loads.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time that a new dispatcher waits for the routers of the one before it.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+/// A message between two processes.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// A router asks for a session.
+    Open { session: u64, router: RouterId },
+    /// The dispatcher takes the session.
+    Welcome { session: u64, dispatcher: RouterId },
+    /// Either side has ended the session.
+    Closed { session: u64 },
+    /// Either side lives.
+    Ping { session: u64 },
+    /// A router's report.
+    Report { session: u64, report: Box<Report> },
+    /// A dispatcher's grants.
+    Batch { session: u64, sent: Duration, batch: Box<GrantBatch> },
+}
+
+impl Message {
+    fn session(&self) -> u64 {
+        match self {
+            Message::Open { session, .. }
+            | Message::Welcome { session, .. }
+            | Message::Closed { session }
+            | Message::Ping { session }
+            | Message::Report { session, .. }
+            | Message::Batch { session, .. } => *session,
+        }
+    }
+}
+
+impl World {
+    /// Sends a message; it keeps its place behind earlier ones to the same node.
+    pub fn send(&mut self, from: usize, to: usize, message: Message) {
+        let id = self.nodes[to].id.clone();
+        if self.is_cut(from, to) {
+            self.stalled.push((from, to, id, message));
+            return;
+        }
+        let delay = if from == to { Duration::ZERO } else { self.random_delay() };
+        let last = self.last_arrival.get(&(from, to)).copied().unwrap_or_default();
+        let at = (self.now + delay).max(last);
+        self.last_arrival.insert((from, to), at);
+        let what = NodeEvent::Message { from, message };
+        self.schedule_at(at, Event::Node { node: to, id, what });
+    }
+
+    /// Whether no message passes between two nodes.
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    /// Answers a message to a process that is gone, as the host's network would.
+    pub fn reset(&mut self, event: &Event) {
+        let Event::Node { node, what: NodeEvent::Message { from, message }, .. } = event else {
+            return;
+        };
+        let session = message.session();
+        if self.nodes[*node].up && !matches!(message, Message::Closed { .. }) {
+            self.send(*node, *from, Message::Closed { session });
+        }
+    }
+
+    /// Gives up what others may have taken over while the process stood still.
+    pub fn resume_after_pause(&mut self, index: usize) {
+        self.drop_role(index);
+        self.drop_session(index);
+    }
+
+    /// The round of a process's timer.
+    pub fn tick(&mut self, index: usize) {
+        self.hear_peers(index);
+        self.expire(index);
+        let owner = self.nodes[index].owner(index, &self.cell, self.now);
+        self.keep_role(index, owner == Some(index));
+        self.keep_session(index, owner);
+        self.ping(index);
+        if self.now.saturating_sub(self.nodes[index].load_asked) >= LOAD_INTERVAL {
+            self.ask_loads(index);
+        }
+        self.flush(index);
+        self.poll(index);
+        self.exit_if_drained(index);
+    }
+
+    fn hear_peers(&mut self, index: usize) {
+        for other in 0..self.nodes.len() {
+            if other == index || self.is_cut(index, other) || !self.nodes[other].is_running() {
+                continue;
+            }
+            let (id, draining) = (self.nodes[other].id.clone(), self.nodes[other].draining);
+            let peer = Peer { id, heard: self.now, draining };
+            self.nodes[index].peers.insert(other, peer);
+        }
+    }
+
+    fn keep_role(&mut self, index: usize, is_owner: bool) {
+        if !is_owner {
+            self.drop_role(index);
+            return;
+        }
+        if self.nodes[index].role.is_none() {
+            self.nodes[index].role = Some(self.new_role(index));
+        }
+        let (live_count, listed_count) = self.view(index);
+        let now = self.now;
+        let Some(role) = &mut self.nodes[index].role else { return };
+        role.dispatcher.set_view(live_count, listed_count);
+        let silent = role.members.iter();
+        let silent = silent.filter(|(_, member)| now - member.heard > SESSION_TIMEOUT);
+        let silent = silent.map(|(router, _)| router.clone()).collect::<Vec<_>>();
+        for router in silent {
+            role.members.remove(&router);
+            role.dispatcher.leave(&router);
+        }
+    }
+
+    fn drop_role(&mut self, index: usize) {
+        let Some(role) = self.nodes[index].role.take() else { return };
+        for member in role.members.values() {
+            self.send(index, member.node, Message::Closed { session: member.session });
+        }
+    }
+
+    fn drop_session(&mut self, index: usize) {
+        let Some(client) = self.nodes[index].client.take() else { return };
+        self.nodes[index].router.end_session(&self.cell);
+        self.send(index, client.to, Message::Closed { session: client.session });
+    }
+
+    fn new_role(&mut self, index: usize) -> Role {
+        let id = RouterId::new(self.nodes[index].id.name.clone(), self.number());
+        let until = self.instant() + SETTLE_TIME;
+        let node = &self.nodes[index];
+        let table = sync::Arc::clone(&node.table);
+        let mut dispatcher = Dispatcher::new(id.clone(), self.cell.clone(), table);
+        dispatcher.set_targets(&self.specs);
+        for (target, incarnation) in &node.leaving {
+            dispatcher.target_leaving(&self.specs[*target].name, *incarnation);
+        }
+        let peers = node.live_peers(self.now).map(|(_, peer)| peer.id.clone());
+        let expected = peers.chain([node.id.clone()]).collect::<Vec<_>>();
+        dispatcher.settle(&expected, until);
+        Role { id, dispatcher, members: BTreeMap::new() }
+    }
+
+    /// Routers that a node sees, itself included, and routers in the list, which lags.
+    fn view(&self, index: usize) -> (u32, u32) {
+        let live_count = 1 + self.nodes[index].live_peers(self.now).count();
+        // One that shut down gracefully has said so.
+        let is_listed =
+            |node: &&Node| node.up || (!node.exited && self.now < node.died_at + NOTICE_TIME);
+        let listed_count = self.nodes.iter().filter(is_listed).count().max(live_count);
+        (live_count as u32, listed_count as u32)
+    }
+
+    fn keep_session(&mut self, index: usize, owner: Option<usize>) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if let Some(client) = &node.client {
+            if Some(client.to) == owner && now - client.heard <= SESSION_TIMEOUT {
+                return;
+            }
+            self.drop_session(index);
+        }
+        let Some(to) = owner else { return };
+        let session = self.number();
+        self.nodes[index].client = Some(Client { to, session, dispatcher: None, heard: now });
+        let router = self.nodes[index].id.clone();
+        self.send(index, to, Message::Open { session, router });
+    }
+
+    fn ping(&mut self, index: usize) {
+        if let Some(client) = &self.nodes[index].client {
+            let (to, session) = (client.to, client.session);
+            self.send(index, to, Message::Ping { session });
+        }
+        let Some(role) = &self.nodes[index].role else { return };
+        let members = role.members.values().map(|member| (member.node, member.session));
+        for (to, session) in members.collect::<Vec<_>>() {
+            self.send(index, to, Message::Ping { session });
+        }
+    }
+
+    /// Takes a message.
+    pub fn message(&mut self, index: usize, from: usize, message: Message) {
+        match message {
+            Message::Open { session, router } => self.open(index, from, session, router),
+            Message::Welcome { session, dispatcher } => self.welcome(index, session, dispatcher),
+            Message::Closed { session } => self.closed(index, session),
+            Message::Ping { session } => self.heard(index, session),
+            Message::Report { session, report } => self.report(index, session, *report),
+            Message::Batch { session, sent, batch } => self.batch(index, session, sent, &batch),
+        }
+    }
+
+    fn open(&mut self, index: usize, from: usize, session: u64, router: RouterId) {
+        let now = self.now;
+        let Some(role) = &mut self.nodes[index].role else {
+            self.send(index, from, Message::Closed { session });
+            return;
+        };
+        role.dispatcher.leave(&router);
+        role.dispatcher.join(router.clone());
+        role.members.insert(router, Member { node: from, session, heard: now });
+        let dispatcher = role.id.clone();
+        self.send(index, from, Message::Welcome { session, dispatcher });
+    }
+
+    fn welcome(&mut self, index: usize, session: u64, dispatcher: RouterId) {
+        let now = self.now;
+        let cell = self.cell.clone();
+        let node = &mut self.nodes[index];
+        let Some(client) = node.client.as_mut().filter(|client| client.session == session) else {
+            return;
+        };
+        client.heard = now;
+        client.dispatcher = Some(dispatcher.clone());
+        node.router.set_dispatcher(&cell, dispatcher);
+        self.flush(index);
+    }
+
+    fn closed(&mut self, index: usize, session: u64) {
+        let cell = self.cell.clone();
+        let node = &mut self.nodes[index];
+        if node.client.as_ref().is_some_and(|client| client.session == session) {
+            node.client = None;
+            node.router.end_session(&cell);
+        }
+        let Some(role) = &mut node.role else { return };
+        let member = role.members.iter().find(|(_, member)| member.session == session);
+        let Some(router) = member.map(|(router, _)| router.clone()) else { return };
+        role.members.remove(&router);
+        role.dispatcher.leave(&router);
+        self.poll(index);
+    }
+
+    fn heard(&mut self, index: usize, session: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if let Some(client) = node.client.as_mut().filter(|client| client.session == session) {
+            client.heard = now;
+        }
+        let Some(role) = &mut node.role else { return };
+        for member in role.members.values_mut().filter(|member| member.session == session) {
+            member.heard = now;
+        }
+    }
+
+    fn report(&mut self, index: usize, session: u64, report: Report) {
+        self.heard(index, session);
+        let now = self.instant();
+        let Some(role) = &mut self.nodes[index].role else { return };
+        if role.members.get(&report.router).is_none_or(|member| member.session != session) {
+            return;
+        }
+        role.dispatcher.report(report, now);
+        self.poll(index);
+    }
+
+    /// Sends what a node's dispatcher grants.
+    pub fn poll(&mut self, index: usize) {
+        let now = self.instant();
+        let Some(role) = &mut self.nodes[index].role else { return };
+        let batches = role.dispatcher.poll(now);
+        let members = &role.members;
+        let batches = batches.into_iter().filter_map(|(router, batch)| {
+            members.get(&router).map(|member| (member.node, member.session, batch))
+        });
+        let sent = self.now;
+        for (to, session, batch) in batches.collect::<Vec<_>>() {
+            self.send(index, to, Message::Batch { session, sent, batch: Box::new(batch) });
+        }
+    }
+
+    /// Gives grants to the router.
+    ///
+    /// Grants of an old session with the present dispatcher went down with its connection; those
+    /// of any other dispatcher are the router's own to refuse.
+    fn batch(&mut self, index: usize, session: u64, sent: Duration, batch: &GrantBatch) {
+        self.heard(index, session);
+        let client = self.nodes[index].client.as_ref();
+        let current = client.is_some_and(|client| client.session == session);
+        let dispatcher = client.and_then(|client| client.dispatcher.as_ref());
+        if !current && dispatcher == Some(&batch.dispatcher) {
+            return;
+        }
+        let starts = self.nodes[index].router.take_grants(batch);
+        for start in starts {
+            self.start(index, session, sent, &batch.dispatcher, &start);
+        }
+        self.schedule_flush(index);
+    }
+
+    /// Lets a node report soon.
+    pub fn schedule_flush(&mut self, index: usize) {
+        if !std::mem::replace(&mut self.nodes[index].flush_due, true) {
+            self.schedule_node(FLUSH_DELAY, index, NodeEvent::Flush);
+        }
+    }
+
+    /// Reports to the dispatcher.
+    pub fn flush(&mut self, index: usize) {
+        self.note_progress(index);
+        let (instant, cell) = (self.instant(), self.cell.clone());
+        let node = &mut self.nodes[index];
+        node.flush_due = false;
+        let Some(client) = node.client.as_ref().filter(|client| client.dispatcher.is_some()) else {
+            return;
+        };
+        let (to, session) = (client.to, client.session);
+        let Some(report) = node.router.take_report(&cell, instant) else { return };
+        self.send(index, to, Message::Report { session, report: Box::new(report) });
+    }
+}
--- /dev/null
+++ b/scenario/src/work.rs
@@ -0,0 +1,306 @@
+//! Callers' requests and their attempts at targets.
+
+use std::time::Duration;
+
+use gentianhinge_core::code::{Ran, ResultCode};
+use gentianhinge_core::ids::{Flow, Name, RequestId, RouterId};
+use gentianhinge_core::message::PreferredTargets;
+use gentianhinge_core::router::{Start, Submit, SubmitError};
+use rand::Rng;
+
+use crate::oracle::GrantSeen;
+use crate::target::{Attempt, Slot, TOKEN_TIME};
+use crate::world::{Event, NodeEvent, World};
+
+/// Bytes that each request holds while it waits.
+const REQUEST_BYTES: u64 = 1000;
+/// Time before a request that no target got waits again.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Index of the team.
+    pub team: usize,
+    /// Index of the class.
+    pub class: usize,
+    /// Index of the router.
+    pub node: usize,
+    /// Whether it may run at most once.
+    pub once: bool,
+    /// Tokens that the answer will have.
+    pub cost_tokens: u32,
+    /// Latest start.
+    pub deadline: Duration,
+    /// How often a target has got it.
+    pub run_count: u32,
+    /// How often it was lost with its target.
+    pub lost_count: u32,
+    /// What the caller was told.
+    pub outcome: Option<Outcome>,
+}
+
+/// End of a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The caller was answered with a code.
+    Told(ResultCode),
+    /// The caller's router was lost.
+    RouterLost,
+}
+
+impl Outcome {
+    /// Whether the caller was told that the request wasn't run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Outcome::Told(code) if code.ran() == Ran::No)
+    }
+}
+
+/// Requests of one flow that are kept waiting at one router.
+#[derive(Clone, Debug)]
+pub struct Backlog {
+    /// Index of the router.
+    pub node: usize,
+    /// Index of the team.
+    pub team: usize,
+    /// Index of the class.
+    pub class: usize,
+    /// Number to keep waiting.
+    pub count: u32,
+}
+
+impl World {
+    /// A caller sends a request to a router.
+    pub fn submit(&mut self, node: usize, team: usize, class: usize, once: bool) {
+        let costs = &self.setup.teams[team];
+        let (least, most) = (costs.min_cost_tokens, costs.max_cost_tokens);
+        // Log-uniform: each doubling is as likely as another.
+        let power = self.rng.random_range(0.0..=1.0);
+        let cost = f64::from(least) * (f64::from(most) / f64::from(least)).powf(power);
+        let request = CallerRequest {
+            team,
+            class,
+            node,
+            once,
+            cost_tokens: (cost.round() as u32).clamp(least, most),
+            deadline: self.now + self.setup.classes[class].max_wait,
+            run_count: 0,
+            lost_count: 0,
+            outcome: None,
+        };
+        self.requests.push(request);
+        let request = self.requests.len() - 1;
+        if self.nodes[node].draining {
+            self.tell(request, ResultCode::Draining);
+        } else if let Err(err) = self.enqueue(request) {
+            self.tell(request, err.code());
+        }
+    }
+
+    /// Puts a request, or its next attempt, into its router's queue.
+    fn enqueue(&mut self, request: usize) -> Result<(), SubmitError> {
+        let id = RequestId(self.attempt_requests.len() as u64);
+        let now = self.instant();
+        let CallerRequest { team, class, node, .. } = self.requests[request];
+        let team_name = self.setup.teams[team].name.as_str();
+        let class_name = self.setup.classes[class].name.as_str();
+        let submit = Submit {
+            id,
+            cell: self.cell.clone(),
+            flow: Flow::new(team_name, class_name),
+            size_bytes: REQUEST_BYTES,
+            preferred_targets: PreferredTargets::new(),
+        };
+        self.nodes[node].router.submit(submit, now)?;
+        self.attempt_requests.push(request);
+        // A later attempt waits anew.
+        self.requests[request].deadline = self.now + self.setup.classes[class].max_wait;
+        *self.nodes[node].waiting.entry((team, class)).or_default() += 1;
+        self.schedule_flush(node);
+        Ok(())
+    }
+
+    /// Tells a caller the end of its request.
+    fn tell(&mut self, request: usize, code: ResultCode) {
+        let outcome = Outcome::Told(code);
+        self.requests[request].outcome = Some(outcome);
+        self.oracle.on_outcome(&self.requests[request], outcome);
+    }
+
+    /// Fills up the backlogs of a router.
+    pub fn refill(&mut self, node: usize) {
+        if !self.nodes[node].is_running() || self.nodes[node].draining {
+            return;
+        }
+        for i in 0..self.backlogs.len() {
+            let Backlog { node: at, team, class, count } = self.backlogs[i];
+            let waiting = self.nodes[node].waiting.get(&(team, class)).copied().unwrap_or(0);
+            let missing = if at == node { (count as usize).saturating_sub(waiting) } else { 0 };
+            for _ in 0..missing {
+                self.submit(node, team, class, false);
+            }
+        }
+    }
+
+    fn stop_waiting(&mut self, request: usize) {
+        let CallerRequest { team, class, node, .. } = self.requests[request];
+        let count = self.nodes[node].waiting.entry((team, class)).or_default();
+        *count = count.saturating_sub(1);
+    }
+
+    /// Starts a granted request at its target.
+    pub fn start(
+        &mut self,
+        node: usize,
+        session: u64,
+        sent: Duration,
+        dispatcher: &RouterId,
+        start: &Start,
+    ) {
+        let request = self.attempt_requests[start.id.0 as usize];
+        let target = self.target_index(&start.target);
+        self.stop_waiting(request);
+        let late_by = self.now.saturating_sub(self.requests[request].deadline);
+        let thawed_ago = self.now.saturating_sub(self.nodes[node].thawed_at);
+        let seen = GrantSeen { node, sent, now: self.now, late_by, thawed_ago };
+        self.oracle.on_grant(&seen, &self.requests[request]);
+        self.refill(node);
+        if !self.targets[target].up {
+            let delay = self.random_delay();
+            self.schedule_node(delay, node, NodeEvent::ConnectFailed(start.id));
+            return;
+        }
+        let caller = &mut self.requests[request];
+        caller.run_count += 1;
+        let cost_tokens = caller.cost_tokens;
+        let dispatcher = dispatcher.clone();
+        let attempt =
+            Attempt { request, node, session, dispatcher, target, cost_tokens, began: None };
+        self.attempts.insert(start.id, attempt);
+        self.targets[target].queue.push_back(start.id);
+        self.judge_start(start.id);
+        self.begin_next(target);
+    }
+
+    fn target_index(&self, name: &Name) -> usize {
+        let found = self.targets.iter().position(|target| target.name == *name);
+        found.expect("grants name known targets")
+    }
+
+    fn judge_start(&mut self, id: RequestId) {
+        let attempt = &self.attempts[&id];
+        let target = &self.targets[attempt.target];
+        self.oracle.on_start(self.now, &self.requests[attempt.request], attempt, target);
+        let roles = self.nodes.iter().filter_map(|node| node.role.as_ref());
+        let Some(role) = roles.into_iter().find(|role| role.id == attempt.dispatcher) else {
+            return;
+        };
+        let is_member = |other: &Attempt| {
+            let mut members = role.members.values();
+            members.any(|member| member.session == other.session)
+        };
+        let of_role = self.attempts.values().filter(|other| {
+            other.target == attempt.target && other.dispatcher == role.id && is_member(other)
+        });
+        let ceiling = (self.setup.slots + self.setup.lookahead_slots) as usize;
+        self.oracle.on_ceiling(self.now, of_role.count(), ceiling, target);
+    }
+
+    /// Moves attempts from a target's queue into its free slots.
+    pub fn begin_next(&mut self, target: usize) {
+        let now = self.now;
+        while let Some((slot, free_since)) = self.targets[target].longest_free() {
+            let Some(id) = self.targets[target].queue.pop_front() else { return };
+            self.targets[target].slots[slot] = Slot::Busy(id);
+            self.oracle.on_slot_taken(now, free_since);
+            let attempt = self.attempts.get_mut(&id).expect("queued attempts are known");
+            attempt.began = Some(now);
+            let span = TOKEN_TIME * attempt.cost_tokens;
+            self.schedule(span, Event::TargetDone(id));
+        }
+    }
+
+    /// Takes an attempt from its target, and counts what was delivered.
+    pub fn remove_attempt(&mut self, id: RequestId) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&id)?;
+        self.targets[attempt.target].remove(id, self.now);
+        let request = &self.requests[attempt.request];
+        let price = self.setup.classes[request.class].price_ratio;
+        let delivered_cost = f64::from(attempt.delivered_tokens(self.now)) * price;
+        self.oracle.on_delivered(request.team, delivered_cost);
+        Some(attempt)
+    }
+
+    /// A target has made an attempt's last token.
+    pub fn target_done(&mut self, id: RequestId) {
+        let Some(attempt) = self.remove_attempt(id) else { return };
+        self.begin_next(attempt.target);
+        let delay = self.random_delay();
+        self.schedule_node(delay, attempt.node, NodeEvent::Finished(id));
+    }
+
+    /// The whole answer has arrived at the router.
+    pub fn finished(&mut self, node: usize, id: RequestId) {
+        let request = self.attempt_requests[id.0 as usize];
+        let cost = f64::from(self.requests[request].cost_tokens);
+        self.nodes[node].router.progress(id, cost);
+        self.nodes[node].router.finish(id);
+        self.tell(request, ResultCode::Ok);
+        self.schedule_flush(node);
+    }
+
+    /// The target was lost: work without a token goes to another one, if it may be repeated.
+    pub fn lost(&mut self, node: usize, id: RequestId, delivered_tokens: u32) {
+        let request = self.attempt_requests[id.0 as usize];
+        self.nodes[node].router.progress(id, f64::from(delivered_tokens));
+        self.nodes[node].router.finish(id);
+        self.requests[request].lost_count += 1;
+        self.schedule_flush(node);
+        let repeatable = !self.requests[request].once && delivered_tokens == 0;
+        if !repeatable || self.enqueue(request).is_err() {
+            self.tell(request, ResultCode::TargetLost);
+        }
+    }
+
+    /// No target got the request: it goes to another one.
+    pub fn connect_failed(&mut self, node: usize, id: RequestId) {
+        let request = self.attempt_requests[id.0 as usize];
+        self.nodes[node].router.fail(id);
+        self.schedule_flush(node);
+        self.nodes[node].retrying_count += 1;
+        self.schedule_node(CONNECT_RETRY_DELAY, node, NodeEvent::Retry(request));
+    }
+
+    /// A request that no target got waits again.
+    pub fn retry(&mut self, node: usize, request: usize) {
+        self.nodes[node].retrying_count -= 1;
+        if self.requests[request].outcome.is_none() && self.enqueue(request).is_err() {
+            let was_run = self.requests[request].run_count > 0;
+            let code = if was_run { ResultCode::TargetLost } else { ResultCode::TargetUnreachable };
+            self.tell(request, code);
+        }
+    }
+
+    /// Answers the requests that have waited for too long.
+    pub fn expire(&mut self, node: usize) {
+        let now = self.instant();
+        for id in self.nodes[node].router.expire(now) {
+            let request = self.attempt_requests[id.0 as usize];
+            self.stop_waiting(request);
+            let was_run = self.requests[request].run_count > 0;
+            let code = if was_run { ResultCode::TargetLost } else { ResultCode::WaitExpired };
+            self.tell(request, code);
+            self.schedule_flush(node);
+        }
+        self.refill(node);
+    }
+
+    /// Tells the router how far its running requests are.
+    pub fn note_progress(&mut self, node: usize) {
+        let now = self.now;
+        for (id, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.node == node) {
+            let delivered = f64::from(attempt.delivered_tokens(now));
+            self.nodes[node].router.progress(*id, delivered);
+        }
+    }
+}
--- /dev/null
+++ b/scenario/src/world.rs
@@ -0,0 +1,344 @@
+//! The event queue, and what exists.
+
+use std::cmp;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync;
+use std::time::Duration;
+
+use gentianhinge_core::dispatch::{TargetLoad, TargetSpec};
+use gentianhinge_core::ids::{Name, RequestId, RouterId};
+use gentianhinge_core::table::{Class, Limits, Table, Team};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time;
+
+use crate::node::{Node, TICK};
+use crate::oracle::{Oracle, TeamSample};
+use crate::script::{Action, Setup};
+use crate::session::Message;
+use crate::target::{Attempt, Target};
+use crate::work::{Backlog, CallerRequest};
+
+/// Time between two samples of the teams' service.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Something that a process does; waits while the process is frozen.
+    Node { node: usize, id: RouterId, what: NodeEvent },
+    /// The end of a standstill.
+    Thaw { node: usize, until: Duration },
+    /// A target has made the last token of an attempt.
+    TargetDone(RequestId),
+    /// An action of the script.
+    Action(Action),
+    /// A look at the teams' service.
+    Sample,
+}
+
+/// Something that a process does.
+#[derive(Clone, Debug)]
+pub enum NodeEvent {
+    /// The timer's round.
+    Tick,
+    /// A report is due.
+    Flush,
+    /// A message has arrived.
+    Message { from: usize, message: Message },
+    /// A caller sends a request.
+    Submit { team: usize, class: usize, once: bool },
+    /// The answer of an attempt is complete.
+    Finished(RequestId),
+    /// The target was lost with the attempt.
+    Lost { id: RequestId, delivered_tokens: u32 },
+    /// The target couldn't be connected to.
+    ConnectFailed(RequestId),
+    /// A request that couldn't be sent waits again.
+    Retry(usize),
+    /// News that a target leaves.
+    Leaving { target: usize, incarnation: u64 },
+    /// A target's load, or none if it can't be reached.
+    Load { target: usize, load: Option<TargetLoad> },
+    /// A row of the table has changed.
+    Table(sync::Arc<Table>),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at: Duration,
+    seq: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        self.seq == other.seq
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> cmp::Ordering {
+        // The heap's greatest is the earliest.
+        (other.at, other.seq).cmp(&(self.at, self.seq))
+    }
+}
+
+/// All that exists in one run.
+#[derive(Debug)]
+pub struct World {
+    pub setup: Setup,
+    pub now: Duration,
+    pub rng: SmallRng,
+    pub cell: Name,
+    pub specs: Vec<TargetSpec>,
+    pub table: sync::Arc<Table>,
+    pub nodes: Vec<Node>,
+    pub targets: Vec<Target>,
+    pub requests: Vec<CallerRequest>,
+    /// Index of the caller's request by number of the attempt.
+    pub attempt_requests: Vec<usize>,
+    pub attempts: BTreeMap<RequestId, Attempt>,
+    pub backlogs: Vec<Backlog>,
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Messages that wait for the end of a cut.
+    pub stalled: Vec<(usize, usize, RouterId, Message)>,
+    /// Last arrival by sender and receiver, so that messages keep their order.
+    pub last_arrival: BTreeMap<(usize, usize), Duration>,
+    pub oracle: Oracle,
+    base: time::Instant,
+    queue: BinaryHeap<Scheduled>,
+    next_seq: u64,
+    next_number: u64,
+}
+
+impl World {
+    /// Creates the world that a script sets up; the runtime's clock must be paused.
+    pub fn new(setup: &Setup) -> World {
+        let table = sync::Arc::new(table_of(setup));
+        let mut world = World {
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(setup.seed),
+            cell: "model".into(),
+            specs: (0..setup.target_count).map(|i| spec_of(setup, i)).collect(),
+            nodes: Vec::new(),
+            targets: initial_targets(setup),
+            requests: Vec::new(),
+            attempt_requests: Vec::new(),
+            attempts: BTreeMap::new(),
+            backlogs: Vec::new(),
+            cuts: BTreeSet::new(),
+            stalled: Vec::new(),
+            last_arrival: BTreeMap::new(),
+            oracle: Oracle::new(setup),
+            base: time::Instant::now(),
+            queue: BinaryHeap::new(),
+            next_seq: 0,
+            next_number: 1,
+            setup: setup.clone(),
+            table,
+        };
+        for index in 0..setup.router_count {
+            let id = RouterId::new(format!("r{}", index + 1), world.number());
+            world.nodes.push(Node::new(
+                id,
+                sync::Arc::clone(&world.table),
+                setup.report_interval,
+                world.base,
+            ));
+        }
+        for index in 0..setup.router_count {
+            world.start_ticks(index);
+        }
+        world.schedule(SAMPLE_INTERVAL, Event::Sample);
+        world
+    }
+
+    /// A number that is used once in a run.
+    pub fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// The time for the core.
+    pub fn instant(&self) -> time::Instant {
+        self.base + self.now
+    }
+
+    /// Lets an event happen after a time.
+    pub fn schedule(&mut self, after: Duration, event: Event) {
+        self.schedule_at(self.now + after, event);
+    }
+
+    /// Lets an event happen at a time.
+    pub fn schedule_at(&mut self, at: Duration, event: Event) {
+        self.next_seq += 1;
+        self.queue.push(Scheduled { at: at.max(self.now), seq: self.next_seq, event });
+    }
+
+    /// Lets the present life of a process do something after a time.
+    pub fn schedule_node(&mut self, after: Duration, node: usize, what: NodeEvent) {
+        let id = self.nodes[node].id.clone();
+        self.schedule(after, Event::Node { node, id, what });
+    }
+
+    /// Starts a process's timer at a random phase.
+    pub fn start_ticks(&mut self, node: usize) {
+        let phase = self.rng.random_range(Duration::ZERO..TICK);
+        self.schedule_node(phase, node, NodeEvent::Tick);
+    }
+
+    /// A one-way delay: up to twice the script's.
+    pub fn random_delay(&mut self) -> Duration {
+        let delay = self.setup.delay;
+        self.rng.random_range(delay..=delay * 2)
+    }
+
+    /// Lets time pass, on the paused clock of the runtime as well.
+    pub async fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|next| next.at <= end) {
+            let Some(next) = self.queue.pop() else { break };
+            self.pass_until(next.at).await;
+            self.handle(next.event);
+        }
+        self.pass_until(end).await;
+    }
+
+    async fn pass_until(&mut self, at: Duration) {
+        if at > self.now {
+            time::advance(at - self.now).await;
+        }
+        let waiting = self.nodes.iter().filter(|node| node.is_running());
+        let waiting = waiting.map(Node::waiting_count).sum::<usize>() > 0;
+        self.oracle.pass(self.now, at, waiting, &self.targets);
+        self.now = at;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Node { node, ref id, .. } if self.nodes[node].id != *id => self.reset(&event),
+            Event::Node { node, .. } if !self.nodes[node].up => self.reset(&event),
+            Event::Node { node, .. } if self.nodes[node].frozen_until.is_some() => {
+                self.nodes[node].held.push(event);
+            }
+            Event::Node { node, what, .. } => self.node_event(node, what),
+            Event::Thaw { node, until } => self.thaw(node, until),
+            Event::TargetDone(id) => self.target_done(id),
+            Event::Action(action) => self.act(&action),
+            Event::Sample => {
+                self.sample();
+                self.schedule(SAMPLE_INTERVAL, Event::Sample);
+            }
+        }
+    }
+
+    fn node_event(&mut self, node: usize, what: NodeEvent) {
+        let now = self.instant();
+        if self.nodes[node].watch.check(now) {
+            self.resume_after_pause(node);
+        }
+        match what {
+            NodeEvent::Tick => {
+                self.tick(node);
+                self.schedule_node(TICK, node, NodeEvent::Tick);
+            }
+            NodeEvent::Flush => self.flush(node),
+            NodeEvent::Message { from, message } => self.message(node, from, message),
+            NodeEvent::Submit { team, class, once } => self.submit(node, team, class, once),
+            NodeEvent::Finished(id) => self.finished(node, id),
+            NodeEvent::Lost { id, delivered_tokens } => self.lost(node, id, delivered_tokens),
+            NodeEvent::ConnectFailed(id) => self.connect_failed(node, id),
+            NodeEvent::Retry(request) => self.retry(node, request),
+            NodeEvent::Leaving { target, incarnation } => {
+                self.learn_leaving(node, target, incarnation);
+            }
+            NodeEvent::Load { target, load } => self.learn_load(node, target, load),
+            NodeEvent::Table(table) => self.learn_table(node, table),
+        }
+    }
+
+    /// Goes on with what a process missed, its timer first or last.
+    fn thaw(&mut self, node: usize, until: Duration) {
+        if self.nodes[node].frozen_until != Some(until) {
+            return;
+        }
+        self.nodes[node].frozen_until = None;
+        self.nodes[node].thawed_at = self.now;
+        let mut held = std::mem::take(&mut self.nodes[node].held);
+        let is_tick = |event: &Event| matches!(event, Event::Node { what: NodeEvent::Tick, .. });
+        if self.rng.random_bool(0.5) {
+            held.sort_by_key(|event| is_tick(event));
+        } else {
+            held.sort_by_key(|event| !is_tick(event));
+        }
+        for event in held {
+            self.schedule(Duration::ZERO, event);
+        }
+    }
+
+    fn sample(&mut self) {
+        let teams = self.setup.teams.iter();
+        let weights = teams.map(|team| self.table.weight(&team.name));
+        let samples = weights.map(|weight| TeamSample { weight, ..TeamSample::default() });
+        let mut samples = samples.collect::<Vec<_>>();
+        for node in self.nodes.iter().filter(|node| node.is_running()) {
+            for ((team, _), count) in &node.waiting {
+                samples[*team].waiting_count += count;
+            }
+        }
+        for attempt in self.attempts.values().filter(|attempt| attempt.began.is_some()) {
+            let request = &self.requests[attempt.request];
+            let price = self.setup.classes[request.class].price_ratio;
+            let sample = &mut samples[request.team];
+            sample.running_count += 1;
+            sample.running_cost += f64::from(attempt.delivered_tokens(self.now)) * price;
+        }
+        let roles = self.nodes.iter().filter_map(|node| node.role.as_ref());
+        let dispatchers = roles.filter(|role| !role.members.is_empty()).count();
+        self.oracle.sample(self.now, &samples, dispatchers);
+    }
+}
+
+fn initial_targets(setup: &Setup) -> Vec<Target> {
+    (0..setup.target_count).map(|i| Target::new(i, setup.slots, Duration::ZERO)).collect()
+}
+
+fn table_of(setup: &Setup) -> Table {
+    let mut table = Table::default();
+    for team in &setup.teams {
+        let name = Name::from(team.name.as_str());
+        let max_waiting_requests = team.max_waiting_requests;
+        let row = Team {
+            name: name.clone(),
+            weight: team.weight,
+            key_hashes: Vec::new(),
+            classes: Vec::new(),
+            limits: Limits { max_waiting_requests, ..Limits::default() },
+        };
+        table.teams.insert(name, row);
+    }
+    for class in &setup.classes {
+        let name = Name::from(class.name.as_str());
+        let (price_ratio, max_wait) = (class.price_ratio, class.max_wait);
+        table.classes.insert(name.clone(), Class { name, price_ratio, max_wait });
+    }
+    table
+}
+
+fn spec_of(setup: &Setup, index: usize) -> TargetSpec {
+    TargetSpec {
+        name: format!("t{}", index + 1).into(),
+        zone: "zone".into(),
+        max_slots: setup.slots,
+        lookahead_slots: setup.lookahead_slots,
+    }
+}
--- /dev/null
+++ b/scenario/tests/scenarios.rs
@@ -0,0 +1,89 @@
+//! The scenarios under `testdata/scenarios`, one test each.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::PathBuf;
+
+use gentianhinge_scenario::{parse, run};
+
+fn directory() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../testdata/scenarios")
+}
+
+fn check(name: &str) {
+    let file = directory().join(format!("{name}.txt"));
+    let text = fs::read_to_string(&file).unwrap();
+    let script = parse::parse(&text).unwrap_or_else(|err| panic!("{name}.txt: {err}"));
+    let outcome = run::run(&script);
+    for line in &outcome.measured {
+        println!("{line}");
+    }
+    assert!(outcome.failures.is_empty(), "{name}.txt:\n{}", outcome.failures.join("\n"));
+}
+
+macro_rules! scenarios {
+    ($($name:ident,)*) => {
+        const NAMES: &[&str] = &[$(stringify!($name),)*];
+
+        $(
+            #[test]
+            fn $name() {
+                check(stringify!($name));
+            }
+        )*
+    };
+}
+
+scenarios! {
+    adopted_requests_are_not_short,
+    dispatcher_killed,
+    fair_gap,
+    fair_gap_32_routers,
+    flood,
+    frozen_dispatcher_thawed,
+    graceful_shutdown,
+    half_the_fleet_restarted,
+    leaving_target,
+    lost_requests_are_not_short,
+    new_team_after_failover,
+    not_run_means_not_run,
+    pair_crashed_target_and_killed_dispatcher,
+    pair_flood_and_killed_dispatcher,
+    pair_flood_and_partition,
+    pair_frozen_dispatcher_and_partition,
+    pair_frozen_dispatcher_twice,
+    pair_leaving_target_and_frozen_dispatcher,
+    pair_leaving_target_and_killed_dispatcher,
+    pair_leaving_target_and_lone_frozen_router,
+    pair_leaving_target_and_partition,
+    pair_partition_and_killed_dispatchers,
+    pair_partition_twice,
+    pair_restart_and_partition,
+    pair_restart_within_partition,
+    pair_shutdown_and_killed_dispatcher,
+    partition_and_rejoin,
+    partition_with_a_team_on_one_side,
+    patient_work_does_not_starve,
+    price_of_patience,
+    repeatable_work_moves_to_another_target,
+    restart_without_memory,
+    return_after_a_pause,
+    rolling_restart,
+    small_team_does_not_starve,
+    table_edit,
+    two_dispatchers_at_once,
+    unrepeatable_runs_at_most_once,
+    whole_fleet_restarted,
+}
+
+/// A file without a test would prove nothing.
+#[test]
+fn each_file_has_a_test() {
+    let files = fs::read_dir(directory()).unwrap();
+    let stem = |file: fs::DirEntry| {
+        file.path().file_stem().map(|stem| stem.to_string_lossy().into_owned())
+    };
+    let files = files.filter_map(|file| stem(file.unwrap())).collect::<BTreeSet<_>>();
+    let names = NAMES.iter().map(|name| (*name).to_owned()).collect::<BTreeSet<_>>();
+    assert_eq!(files, names);
+}
