--- a/scenario/src/faults.rs
+++ b/scenario/src/faults.rs
@@ -175,10 +175,10 @@
 
     /// Ends a draining process once all its requests are answered and its role is another's.
     pub fn exit_if_drained(&mut self, index: usize) {
-        let alone = self.nodes[index].peers.is_empty();
         let node = &self.nodes[index];
+        let has_heir = node.live_peers(self.now).any(|(_, peer)| !peer.draining);
         let request_count = node.router.request_count() + node.retrying_count;
-        if !node.draining || request_count > 0 || (node.role.is_some() && !alone) {
+        if !node.draining || request_count > 0 || (node.role.is_some() && has_heir) {
             return;
         }
         let cut_off = self.requests.iter().filter(|request| request.node == index);
--- a/scenario/src/node.rs
+++ b/scenario/src/node.rs
@@ -166,13 +166,15 @@
 
     /// Index of the node that this one takes for the cell's dispatcher.
     pub fn owner(&self, own_index: usize, cell: &Name, now: Duration) -> Option<usize> {
-        let live = self.live_peers(now).filter(|(_, peer)| !peer.draining);
-        let mut names = live.map(|(index, peer)| (index, &peer.id.name)).collect::<Vec<_>>();
-        if !self.draining || names.is_empty() {
-            names.push((own_index, &self.id.name));
-        }
-        let owner = names.into_iter().max_by_key(|(index, name)| (score(cell, name), *index));
-        owner.map(|(index, _)| index)
+        let me = (own_index, &self.id.name, self.draining);
+        let peers = self.live_peers(now);
+        let peers = peers.map(|(index, peer)| (index, &peer.id.name, peer.draining));
+        let live = peers.chain([me]).collect::<Vec<_>>();
+        // One that shuts down has the role only if all do.
+        let all_drain = live.iter().all(|(_, _, draining)| *draining);
+        let names = live.into_iter().filter(|(_, _, draining)| all_drain || !draining);
+        let owner = names.max_by_key(|(index, name, _)| (score(cell, name), *index));
+        owner.map(|(index, _, _)| index)
     }
 }
 
