--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -18,8 +18,8 @@
 const SETTINGS: &str = include_str!("../../examples/quebec.jsonc");
 /// Slots of each model target, fewer than in the example so that one process carries them.
 const SLOTS_PER_TARGET: u32 = 4;
-/// Requests that a team of weight 1 keeps in progress: more than its share of the slots.
-const CONCURRENCY: usize = 12;
+/// Requests that a team of weight 1 and price 1 keeps in progress: more than its share of the slots.
+const CONCURRENCY: usize = 10;
 /// How much more than the others the first team sends for its weight.
 const FLOOD_RATIO: f64 = 3.0;
 /// Time between two samples of what the teams have received.
@@ -141,11 +141,16 @@
     teams.collect()
 }
 
-/// Teams that send in proportion to their weights; the first floods.
+/// Teams that send for more than their shares; the first floods.
+///
+/// A cheap class buys more service from the same share, so it takes more requests to use it up.
 fn loaded_teams(settings: &Settings) -> Vec<Team> {
     let mut teams = teams(settings, KEY_PREFIX);
     for (i, team) in teams.iter_mut().enumerate() {
-        team.load_share = team.weight * if i == 0 { FLOOD_RATIO } else { 1.0 };
+        let prices = team.classes.iter().map(|class| class.price_ratio);
+        let mean_price = prices.sum::<f64>() / team.classes.len().max(1) as f64;
+        let flood_ratio = if i == 0 { FLOOD_RATIO } else { 1.0 };
+        team.load_share = team.weight * flood_ratio / mean_price;
     }
     teams
 }
