--- /dev/null
+++ b/wire/src/claims.rs
@@ -0,0 +1,91 @@
+//! Records of the log's claim streams as JSON.
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use gentianhinge_core::claim::{Answer, CallHash, Event, KeyId, Outcome, Owner};
+use gentianhinge_core::ids::RouterId;
+
+use crate::record::{
+    self, ClaimBatch, ClaimRecord, SettlementRecord, SettlementRecordOutcome as OutcomeName,
+};
+use crate::settings;
+
+/// Writes events as one record; settlements go behind claims.
+pub fn encode(events: &[Event]) -> Vec<u8> {
+    let mut batch = ClaimBatch::default();
+    for event in events {
+        match event {
+            Event::Claim { key, call, owner } => batch.claims.push(ClaimRecord {
+                key: record::encode_key_hash(&key.0),
+                call: record::encode_key_hash(&call.0),
+                router: owner.router.name.to_string(),
+                incarnation: owner.router.incarnation,
+                nonce: owner.nonce,
+            }),
+            Event::Settle { key, owner, outcome } => {
+                batch.settlements.push(settlement_to(key, owner, outcome));
+            }
+        }
+    }
+    serde_json::to_vec(&batch).expect("a record's keys are strings")
+}
+
+/// Reads a record; `None` if the bytes aren't one, which all readers judge alike.
+pub fn decode(bytes: &[u8]) -> Option<Vec<Event>> {
+    if bytes.len() > record::MAX_RECORD_BYTES {
+        return None;
+    }
+    let batch = serde_json::from_slice::<ClaimBatch>(bytes).ok()?;
+    let claims = batch.claims.iter().map(claim_from);
+    let settlements = batch.settlements.iter().map(settlement_from);
+    claims.chain(settlements).collect()
+}
+
+fn claim_from(claim: &ClaimRecord) -> Option<Event> {
+    Some(Event::Claim {
+        key: KeyId(settings::check::decode_key_hash(&claim.key)?),
+        call: CallHash(settings::check::decode_key_hash(&claim.call)?),
+        owner: owner(&claim.router, claim.incarnation, claim.nonce),
+    })
+}
+
+fn owner(router: &str, incarnation: u64, nonce: u64) -> Owner {
+    Owner { router: RouterId::new(router, incarnation), nonce }
+}
+
+fn settlement_to(key: &KeyId, owner: &Owner, outcome: &Outcome) -> SettlementRecord {
+    let (name, answer) = match outcome {
+        Outcome::Answered(answer) => (OutcomeName::Answered, Some(answer)),
+        Outcome::AnsweredTooLarge => (OutcomeName::AnsweredTooLarge, None),
+        Outcome::Unknown => (OutcomeName::Unknown, None),
+        Outcome::NotRun => (OutcomeName::NotRun, None),
+    };
+    SettlementRecord {
+        key: record::encode_key_hash(&key.0),
+        router: owner.router.name.to_string(),
+        incarnation: owner.router.incarnation,
+        nonce: owner.nonce,
+        outcome: name,
+        status: answer.map(|answer| answer.status),
+        content_type: answer.and_then(|answer| answer.content_type.as_deref()).map(String::from),
+        body_base64: answer.map(|answer| BASE64_STANDARD.encode(&answer.body)),
+    }
+}
+
+fn settlement_from(settlement: &SettlementRecord) -> Option<Event> {
+    let outcome = match settlement.outcome {
+        OutcomeName::Answered => Outcome::Answered(Answer {
+            status: settlement.status?,
+            content_type: settlement.content_type.as_deref().map(Into::into),
+            body: BASE64_STANDARD.decode(settlement.body_base64.as_deref()?).ok()?,
+        }),
+        OutcomeName::AnsweredTooLarge => Outcome::AnsweredTooLarge,
+        OutcomeName::Unknown => Outcome::Unknown,
+        OutcomeName::NotRun => Outcome::NotRun,
+    };
+    Some(Event::Settle {
+        key: KeyId(settings::check::decode_key_hash(&settlement.key)?),
+        owner: owner(&settlement.router, settlement.incarnation, settlement.nonce),
+        outcome,
+    })
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! `schema/` holds the schemas, `src/generated/` what `regenerate.sh` makes of them. The generated
 //! code is committed, so that a build needs no generator.
 
+pub mod claims;
 pub mod datagram;
 pub mod decode;
 pub mod peer;
