--- a/daemon/src/platform/claims.rs
+++ b/daemon/src/platform/claims.rs
@@ -31,6 +31,8 @@
 const PAGE_RECORDS: usize = 1000;
 /// Pause after a failed read or append.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at whether all events are in the log.
+const FLUSH_POLL: Duration = Duration::from_millis(5);
 /// Most events of one record.
 const MAX_BATCH_EVENTS: usize = 256;
 /// Most bytes of kept answers in one record.
@@ -135,6 +137,8 @@
     shard: Shard,
     claimant: Claimant,
     queue: Vec<Event>,
+    /// Whether events are on their way to the log.
+    is_appending: bool,
     waiters: HashMap<u64, oneshot::Sender<ClaimResult>>,
 }
 
@@ -153,6 +157,7 @@
                 shard: Shard::new(options.retention),
                 claimant: Claimant::new(options.router.clone()),
                 queue: Vec::new(),
+                is_appending: false,
                 waiters: HashMap::new(),
             }),
             queued: Notify::new(),
@@ -200,6 +205,20 @@
         result.unwrap_or(ClaimResult::Refused(ResultCode::LogUnavailable))
     }
 
+    /// Waits until all events are in the log, at most for `bound`.
+    pub async fn flush(&self, bound: Duration) {
+        let is_busy = |shard: &ShardState| {
+            let state = shard.lock();
+            state.is_appending || !state.queue.is_empty()
+        };
+        let flushed = async {
+            while self.inner.shards.iter().any(is_busy) {
+                time::sleep(FLUSH_POLL).await;
+            }
+        };
+        let _ = time::timeout(bound, flushed).await;
+    }
+
     fn shard(&self, key: &KeyId) -> &ShardState {
         &self.inner.shards[usize::try_from(key.shard()).unwrap_or(0)]
     }
@@ -282,14 +301,22 @@
 
     async fn append(&self, shard: &ShardState) {
         loop {
-            let batch = take_batch(&mut shard.lock().queue);
+            let batch = {
+                let mut state = shard.lock();
+                let batch = take_batch(&mut state.queue);
+                state.is_appending = !batch.is_empty();
+                batch
+            };
             if batch.is_empty() {
                 shard.queued.notified().await;
                 continue;
             }
             let record = Bytes::from(claims::encode(&batch));
             match self.inner.options.log.append(&shard.stream, record).await {
-                Ok(_) => time::sleep(self.inner.options.append_interval).await,
+                Ok(_) => {
+                    shard.lock().is_appending = false;
+                    time::sleep(self.inner.options.append_interval).await;
+                }
                 Err(err) => {
                     self.requeue(shard, batch, &err);
                     time::sleep(RETRY_PAUSE).await;
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -21,6 +21,10 @@
 
 /// Most ports that are tried for TCP and UDP together.
 const MAX_PORT_TRIES: u32 = 8;
+/// Least time between two appends of claims to one shard.
+const CLAIM_APPEND_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time at the shutdown to record how claimed calls ended.
+const FLUSH_BOUND: Duration = Duration::from_secs(3);
 
 quick_error! {
     /// Why a router can't start.
@@ -174,15 +178,9 @@
         phase: atomic::AtomicU8::new(Phase::Starting as u8),
     });
     let (stop, stopped) = tokio_sync::watch::channel(false);
-    let control_runtime =
-        runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
-    let traffic_runtime = runtime::Builder::new_multi_thread()
-        .worker_threads(usize::from(settings.traffic_threads))
-        .thread_name("traffic")
-        .enable_all()
-        .build()
-        .map_err(StartError::Runtime)?;
-    let traffic = traffic::Traffic::new(shared.clone(), &settings, pools);
+    let (control_runtime, traffic_runtime) = runtimes(&settings)?;
+    let claims = claims(&settings, shared.id.clone());
+    let traffic = traffic::Traffic::new(shared.clone(), &settings, pools, claims.clone());
     let control_thread = spawn("control", move || {
         let served = control::run(setup);
         if let Err(err) = tokio::task::LocalSet::new().block_on(&control_runtime, served) {
@@ -202,8 +200,16 @@
         let served = serve(shared, traffic, callers, (operators, routes), bounds, stopped);
         let served = async {
             let followed = tokio::spawn(followed);
+            let claiming =
+                claims.clone().map(|claims| tokio::spawn(async move { claims.run().await }));
             served.await;
+            if let Some(claims) = claims {
+                claims.flush(FLUSH_BOUND).await;
+            }
             followed.abort();
+            if let Some(claiming) = claiming {
+                claiming.abort();
+            }
         };
         traffic_runtime.block_on(served);
     })?;
@@ -268,6 +274,35 @@
     })
 }
 
+/// The runtimes of the control thread and of the traffic threads.
+fn runtimes(
+    settings: &settings::Settings,
+) -> Result<(runtime::Runtime, runtime::Runtime), StartError> {
+    let control = runtime::Builder::new_current_thread().enable_all().build();
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(usize::from(settings.traffic_threads))
+        .thread_name("traffic")
+        .enable_all()
+        .build();
+    Ok((control.map_err(StartError::Runtime)?, traffic.map_err(StartError::Runtime)?))
+}
+
+/// Claims of calls that run at most once, if the settings name a log.
+fn claims(settings: &settings::Settings, router: RouterId) -> Option<platform::claims::Claims> {
+    let url = settings.platform.log_url.as_deref()?;
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let longest_wait_ms = settings.table.classes.iter().map(|class| class.max_wait_ms).max();
+    let longest_call_ms = settings.services.iter().map(|service| service.timeout_ms).max();
+    let max_call_ms = longest_wait_ms.unwrap_or(0) + longest_call_ms.unwrap_or(0);
+    Some(platform::claims::Claims::new(platform::claims::Options {
+        log: platform::log::Log::new(url, timeout),
+        router,
+        retention: Duration::from_millis(settings.platform.log_retention_ms),
+        append_interval: CLAIM_APPEND_INTERVAL,
+        max_call: Duration::from_millis(max_call_ms),
+    }))
+}
+
 /// Lists the one router that a router without peers knows.
 fn only_this_router(
     settings: &settings::Settings,
@@ -282,7 +317,20 @@
 }
 
 /// Puts each table into force; the router is ready from the first on.
-async fn follow_table(
+///
+/// Without a log it is ready before the first caller can connect.
+fn follow_table(
+    shared: sync::Arc<Shared>,
+    table: platform::table::TableLog,
+    directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
+) -> impl Future<Output = ()> {
+    if table.subscribe().borrow().table.is_some() {
+        shared.set_ready();
+    }
+    apply_tables(shared, table, directory)
+}
+
+async fn apply_tables(
     shared: sync::Arc<Shared>,
     table: platform::table::TableLog,
     directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
--- a/daemon/src/traffic/mod.rs
+++ b/daemon/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 pub mod failure;
 mod intake;
 mod model;
+mod once;
 pub mod prompt;
 pub mod retry;
 mod service;
@@ -23,6 +24,7 @@
 use gentianhinge_core::ids::Name;
 use gentianhinge_wire::settings;
 
+use crate::platform::claims;
 use crate::{config, server};
 
 /// Bounds on one request's stay in the router.
@@ -54,6 +56,7 @@
     upstream: upstream::Upstream,
     retries: retry::Budgets,
     bounds: Bounds,
+    claims: Option<claims::Claims>,
     next_request: atomic::AtomicU64,
 }
 
@@ -63,6 +66,7 @@
         shared: sync::Arc<server::Shared>,
         settings: &settings::Settings,
         pools: Vec<config::Pool>,
+        claims: Option<claims::Claims>,
     ) -> Traffic {
         let (mut models, mut services) = (HashMap::new(), HashMap::new());
         for pool in pools {
@@ -83,6 +87,7 @@
             upstream: upstream::Upstream::new(&settings.upstream),
             retries: retry::Budgets::new(settings.upstream.retry_budget_ratio),
             bounds: Bounds::new(settings),
+            claims,
             next_request: atomic::AtomicU64::new(1),
         }
     }
--- a/daemon/src/traffic/service.rs
+++ b/daemon/src/traffic/service.rs
@@ -18,12 +18,15 @@
 use super::model::{self, ATTEMPT_HEADER, AttemptError};
 use super::slot::{self, Slot};
 use super::upstream::{self, Connection};
-use super::{PoolEntry, Traffic};
+use super::{PoolEntry, Traffic, once};
 use crate::config;
 
 /// Largest answer that is held until it is whole.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Header that marks a call that runs at most once.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
 /// Headers that concern one connection, or that are the router's own.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::AUTHORIZATION,
@@ -48,6 +51,9 @@
     idempotent: bool,
     timeout: Duration,
     cost: f64,
+    /// Marks a call that runs at most once, however often it is sent.
+    key: Option<HeaderValue>,
+    claim: once::ClaimSlot,
 }
 
 /// Serves a call of a plain service.
@@ -72,12 +78,34 @@
     let result = async {
         let mut call = read_call(traffic, arrival.clone(), parts)?;
         call.body = traffic.read_body(body).await?;
-        run(traffic, &call).await
+        run_claimed(traffic, &call).await
     };
     let result = result.await;
     if let Err(failure) = &result {
         arrival.close_failed(failure);
     }
+    let mut answer = result?;
+    failure::mark(answer.headers_mut(), ResultCode::Ok, &arrival.request_id);
+    Ok(answer.map(Into::into))
+}
+
+/// Runs a call, after a claim if it has an idempotency key.
+async fn run_claimed(
+    traffic: &Traffic,
+    call: &ServiceCall,
+) -> Result<http::Response<Bytes>, Failure> {
+    if let Some(key) = &call.key {
+        // The service's name is part of the call: two services may have the same path.
+        let place = format!("/services/{}{}", call.pool.name, call.path_and_query);
+        let hash = once::call_hash(&call.method, &place, &call.body);
+        let team = (&**call.arrival.team(), key);
+        if let Some(answer) = once::claim(traffic, &call.claim, team, hash).await? {
+            call.arrival.close_answered();
+            return Ok(answer);
+        }
+    }
+    let result = run(traffic, call).await;
+    call.claim.settle(&result);
     result
 }
 
@@ -96,17 +124,14 @@
         return Err(Failure::new(ResultCode::UnknownService, format!("no service {service}")));
     };
     arrival.set_pool(&pool.name);
-    if parts.headers.contains_key("idempotency-key") {
-        let message = "no log is set up to record calls that run at most once";
-        return Err(Failure::new(ResultCode::LogUnavailable, message));
-    }
+    let key = parts.headers.get(IDEMPOTENCY_KEY_HEADER).cloned();
     let path = if path.is_empty() { "/" } else { path };
     let path_and_query = match parts.uri.query() {
         Some(query) => format!("{path}?{query}"),
         None => path.to_string(),
     };
     Ok(ServiceCall {
-        idempotent: is_idempotent(routes, &parts.method, path),
+        idempotent: key.is_none() && is_idempotent(routes, &parts.method, path),
         timeout: *timeout,
         cost: *call_cost,
         arrival,
@@ -115,6 +140,8 @@
         path_and_query,
         headers: end_to_end(parts.headers),
         body: Bytes::new(),
+        key,
+        claim: once::ClaimSlot::default(),
     })
 }
 
@@ -139,7 +166,7 @@
     headers
 }
 
-async fn run(traffic: &Traffic, call: &ServiceCall) -> Result<response::Response, Failure> {
+async fn run(traffic: &Traffic, call: &ServiceCall) -> Result<http::Response<Bytes>, Failure> {
     for attempt in 1_u32.. {
         let wish = slot::Wish {
             pool: &call.pool,
@@ -171,10 +198,11 @@
     call: &ServiceCall,
     slot: &Slot,
     attempt: u32,
-) -> Result<response::Response, AttemptError> {
+) -> Result<http::Response<Bytes>, AttemptError> {
     let request = service_request(call, slot, attempt)
         .ok_or_else(|| AttemptError::NotSent("no request for the path".to_string()))?;
     let connection = if call.idempotent { Connection::Pooled } else { Connection::Fresh };
+    call.claim.sending();
     let answer = async {
         let answer = traffic.upstream.send(connection, request).await.map_err(|err| {
             let message = format!("{}: {err}", slot.target);
@@ -194,10 +222,9 @@
         Ok(answer) => answer?,
         Err(_) => return Err(model::timed_out(slot)),
     };
-    let mut response = response::Response::new(body.into());
+    let mut response = http::Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(parts.headers);
-    failure::mark(response.headers_mut(), ResultCode::Ok, &call.arrival.request_id);
     Ok(response)
 }
 
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -292,19 +292,30 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Answer {
+    try_send(method, addr, path, headers, body).await.expect("the call is answered")
+}
+
+/// Sends a request and reads the whole answer; `None` if the connection ends before.
+pub async fn try_send(
+    method: &str,
+    addr: net::SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
     let mut request = http::Request::builder().method(method).uri(format!("http://{addr}{path}"));
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
     let request = request.body(Full::from(body.to_string())).unwrap();
-    let answer = client().request(request).await.unwrap();
+    let answer = client().request(request).await.ok()?;
     let (parts, body) = answer.into_parts();
-    let body = body.collect().await.unwrap().to_bytes();
-    Answer {
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(Answer {
         status: parts.status.as_u16(),
         headers: parts.headers,
         body: String::from_utf8_lossy(&body).into_owned(),
-    }
+    })
 }
 
 /// Sends a chat request of the team `lanes`.
