Be ready before the first caller where there is neither log nor peers

Cause: readiness came from a task and from the control thread, so a call in the first milliseconds met not-ready (300): bad_input and faults failed now and then under load.

--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -158,7 +158,8 @@
     let (handle, commands) = control::Handle::channel();
     let peers = peer_sockets(&settings)?;
     let peers_addr = peers.as_ref().map(|peers| peers.addr);
-    let (ready, is_ready) = tokio_sync::watch::channel(false);
+    // Without peers there is no fleet to find: the router is ready before a caller can connect.
+    let (ready, is_ready) = tokio_sync::watch::channel(peers.is_none());
     let setup = control::Setup {
         id: id.clone(),
         settings: settings.clone(),
@@ -189,29 +190,12 @@
     })?;
     let bounds = listener::Bounds::new(&settings.callers);
     let table_log = table_log(&settings, table);
-    let api = platform::api::Context {
-        table: table_log.clone(),
-        router: settings.router.name.clone(),
-        live_routers: only_this_router(&settings, &table_log),
-    };
+    let api = api_context(&settings, &table_log);
     let followed = follow_table(shared.clone(), table_log, directory_sender, is_ready);
     let traffic_thread = spawn("server", move || {
         let routes = admin::routes(shared.clone()).merge(platform::api::routes(api));
         let served = serve(shared, traffic, callers, (operators, routes), bounds, stopped);
-        let served = async {
-            let followed = tokio::spawn(followed);
-            let claiming =
-                claims.clone().map(|claims| tokio::spawn(async move { claims.run().await }));
-            served.await;
-            if let Some(claims) = claims {
-                claims.flush(FLUSH_BOUND).await;
-            }
-            followed.abort();
-            if let Some(claiming) = claiming {
-                claiming.abort();
-            }
-        };
-        traffic_runtime.block_on(served);
+        traffic_runtime.block_on(run_with_log(served, followed, claims));
     })?;
     let threads = vec![traffic_thread, control_thread];
     Ok(Server { callers_addr, operators_addr, peers_addr, stop, threads })
@@ -303,6 +287,38 @@
     }))
 }
 
+/// Serves until the shutdown, and runs what reads and writes the log meanwhile.
+async fn run_with_log(
+    served: impl Future<Output = ()>,
+    followed: impl Future<Output = ()> + Send + 'static,
+    claims: Option<platform::claims::Claims>,
+) {
+    let followed = tokio::spawn(followed);
+    let running = claims.clone();
+    let claiming = tokio::spawn(async move {
+        if let Some(claims) = running {
+            claims.run().await;
+        }
+    });
+    served.await;
+    if let Some(claims) = claims {
+        claims.flush(FLUSH_BOUND).await;
+    }
+    followed.abort();
+    claiming.abort();
+}
+
+fn api_context(
+    settings: &settings::Settings,
+    table: &platform::table::TableLog,
+) -> platform::api::Context {
+    platform::api::Context {
+        table: table.clone(),
+        router: settings.router.name.clone(),
+        live_routers: only_this_router(settings, table),
+    }
+}
+
 /// Lists the one router that a router without peers knows.
 fn only_this_router(
     settings: &settings::Settings,
@@ -318,16 +334,17 @@
 
 /// Puts each table into force; the router is ready from the first on.
 ///
-/// Without a log it is ready before the first caller can connect.
+/// Without a log and without peers it is ready before the first caller can connect.
 fn follow_table(
     shared: sync::Arc<Shared>,
     table: platform::table::TableLog,
     directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
+    is_fleet_known: tokio_sync::watch::Receiver<bool>,
 ) -> impl Future<Output = ()> {
-    if table.subscribe().borrow().table.is_some() {
+    if *is_fleet_known.borrow() && table.subscribe().borrow().table.is_some() {
         shared.set_ready();
     }
-    apply_tables(shared, table, directory)
+    apply_tables(shared, table, directory, is_fleet_known)
 }
 
 async fn apply_tables(
