--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -21,6 +21,10 @@
 
 /// Most ports that are tried for TCP and UDP together.
 const MAX_PORT_TRIES: u32 = 8;
+/// Least time between two appends of claims to one shard.
+const CLAIM_APPEND_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time at the shutdown to record how claimed calls ended.
+const FLUSH_BOUND: Duration = Duration::from_secs(3);
 
 quick_error! {
     /// Why a router can't start.
@@ -154,7 +158,8 @@
     let (handle, commands) = control::Handle::channel();
     let peers = peer_sockets(&settings)?;
     let peers_addr = peers.as_ref().map(|peers| peers.addr);
-    let (ready, is_ready) = tokio_sync::watch::channel(false);
+    // Without peers there is no fleet to find: the router is ready before a caller can connect.
+    let (ready, is_ready) = tokio_sync::watch::channel(peers.is_none());
     let setup = control::Setup {
         id: id.clone(),
         settings: settings.clone(),
@@ -174,15 +179,9 @@
         phase: atomic::AtomicU8::new(Phase::Starting as u8),
     });
     let (stop, stopped) = tokio_sync::watch::channel(false);
-    let control_runtime =
-        runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
-    let traffic_runtime = runtime::Builder::new_multi_thread()
-        .worker_threads(usize::from(settings.traffic_threads))
-        .thread_name("traffic")
-        .enable_all()
-        .build()
-        .map_err(StartError::Runtime)?;
-    let traffic = traffic::Traffic::new(shared.clone(), &settings, pools);
+    let (control_runtime, traffic_runtime) = runtimes(&settings)?;
+    let claims = claims(&settings, shared.id.clone());
+    let traffic = traffic::Traffic::new(shared.clone(), &settings, pools, claims.clone());
     let control_thread = spawn("control", move || {
         let served = control::run(setup);
         if let Err(err) = tokio::task::LocalSet::new().block_on(&control_runtime, served) {
@@ -191,21 +190,12 @@
     })?;
     let bounds = listener::Bounds::new(&settings.callers);
     let table_log = table_log(&settings, table);
-    let api = platform::api::Context {
-        table: table_log.clone(),
-        router: settings.router.name.clone(),
-        live_routers: only_this_router(&settings, &table_log),
-    };
+    let api = api_context(&settings, &table_log);
     let followed = follow_table(shared.clone(), table_log, directory_sender, is_ready);
     let traffic_thread = spawn("server", move || {
         let routes = admin::routes(shared.clone()).merge(platform::api::routes(api));
         let served = serve(shared, traffic, callers, (operators, routes), bounds, stopped);
-        let served = async {
-            let followed = tokio::spawn(followed);
-            served.await;
-            followed.abort();
-        };
-        traffic_runtime.block_on(served);
+        traffic_runtime.block_on(run_with_log(served, followed, claims));
     })?;
     let threads = vec![traffic_thread, control_thread];
     Ok(Server { callers_addr, operators_addr, peers_addr, stop, threads })
@@ -268,6 +258,67 @@
     })
 }
 
+/// The runtimes of the control thread and of the traffic threads.
+fn runtimes(
+    settings: &settings::Settings,
+) -> Result<(runtime::Runtime, runtime::Runtime), StartError> {
+    let control = runtime::Builder::new_current_thread().enable_all().build();
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(usize::from(settings.traffic_threads))
+        .thread_name("traffic")
+        .enable_all()
+        .build();
+    Ok((control.map_err(StartError::Runtime)?, traffic.map_err(StartError::Runtime)?))
+}
+
+/// Claims of calls that run at most once, if the settings name a log.
+fn claims(settings: &settings::Settings, router: RouterId) -> Option<platform::claims::Claims> {
+    let url = settings.platform.log_url.as_deref()?;
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let longest_wait_ms = settings.table.classes.iter().map(|class| class.max_wait_ms).max();
+    let longest_call_ms = settings.services.iter().map(|service| service.timeout_ms).max();
+    let max_call_ms = longest_wait_ms.unwrap_or(0) + longest_call_ms.unwrap_or(0);
+    Some(platform::claims::Claims::new(platform::claims::Options {
+        log: platform::log::Log::new(url, timeout),
+        router,
+        retention: Duration::from_millis(settings.platform.log_retention_ms),
+        append_interval: CLAIM_APPEND_INTERVAL,
+        max_call: Duration::from_millis(max_call_ms),
+    }))
+}
+
+/// Serves until the shutdown, and runs what reads and writes the log meanwhile.
+async fn run_with_log(
+    served: impl Future<Output = ()>,
+    followed: impl Future<Output = ()> + Send + 'static,
+    claims: Option<platform::claims::Claims>,
+) {
+    let followed = tokio::spawn(followed);
+    let running = claims.clone();
+    let claiming = tokio::spawn(async move {
+        if let Some(claims) = running {
+            claims.run().await;
+        }
+    });
+    served.await;
+    if let Some(claims) = claims {
+        claims.flush(FLUSH_BOUND).await;
+    }
+    followed.abort();
+    claiming.abort();
+}
+
+fn api_context(
+    settings: &settings::Settings,
+    table: &platform::table::TableLog,
+) -> platform::api::Context {
+    platform::api::Context {
+        table: table.clone(),
+        router: settings.router.name.clone(),
+        live_routers: only_this_router(settings, table),
+    }
+}
+
 /// Lists the one router that a router without peers knows.
 fn only_this_router(
     settings: &settings::Settings,
@@ -282,7 +333,21 @@
 }
 
 /// Puts each table into force; the router is ready from the first on.
-async fn follow_table(
+///
+/// Without a log and without peers it is ready before the first caller can connect.
+fn follow_table(
+    shared: sync::Arc<Shared>,
+    table: platform::table::TableLog,
+    directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
+    is_fleet_known: tokio_sync::watch::Receiver<bool>,
+) -> impl Future<Output = ()> {
+    if *is_fleet_known.borrow() && table.subscribe().borrow().table.is_some() {
+        shared.set_ready();
+    }
+    apply_tables(shared, table, directory, is_fleet_known)
+}
+
+async fn apply_tables(
     shared: sync::Arc<Shared>,
     table: platform::table::TableLog,
     directory: tokio_sync::watch::Sender<sync::Arc<directory::Directory>>,
