--- a/scenario/tests/scenarios.rs
+++ b/scenario/tests/scenarios.rs
@@ -36,6 +36,7 @@
 
 scenarios! {
     adopted_requests_are_not_short,
+    declined_grants_free_their_slots,
     dispatcher_killed,
     fair_gap,
     fair_gap_32_routers,
@@ -48,6 +49,7 @@
     half_the_fleet_restarted,
     leaving_target,
     lost_requests_are_not_short,
+    new_dispatcher_counts_what_runs,
     new_team_after_failover,
     not_run_means_not_run,
     pair_crashed_target_and_killed_dispatcher,
