Spread leaving targets and the view of the fleet through membership

A drain told to a router that doesn't dispatch the target had no effect, and a leave that an engine reported was forgotten when the role moved. Whoever learns of a leave asks the target once for its incarnation and spreads both; each dispatcher takes over what membership knows. Routers of the host list become seeds, and the part of them that is seen goes to the dispatchers. Shown to fail first: leave not spread (a_drain_told_to_any_router_is_final...). One failure in seven runs of that test came from the test itself: fleets of one test binary shared a secret, and a killed router's port went to a router of another fleet; each has its own now (4 runs without a failure).

--- a/core/src/membership/mod.rs
+++ b/core/src/membership/mod.rs
@@ -280,6 +280,11 @@
         self.leaving_targets.get(name).is_some_and(|last| incarnation <= *last)
     }
 
+    /// All targets that take no new work, with the last incarnation that doesn't.
+    pub fn leaving_targets(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.leaving_targets.iter().map(|(name, incarnation)| (name, *incarnation))
+    }
+
     /// Leaves the fleet; the datagrams of the next poll say so.
     pub fn leave(&mut self) {
         self.me.status = Status::Left;
--- a/daemon/src/control/hosted.rs
+++ b/daemon/src/control/hosted.rs
@@ -64,6 +64,20 @@
         }
     }
 
+    /// Takes one incarnation of a target and all earlier ones out of use.
+    pub fn target_has_left(&mut self, target: &Name, incarnation: u64) {
+        for dispatcher in self.dispatchers.values_mut() {
+            dispatcher.target_leaving(target, incarnation);
+        }
+    }
+
+    /// Sets how many of the listed routers this one sees.
+    pub fn set_view(&mut self, live_count: u32, listed_count: u32) {
+        for dispatcher in self.dispatchers.values_mut() {
+            dispatcher.set_view(live_count, listed_count);
+        }
+    }
+
     /// Lets a router join a cell; `false` if this router isn't the cell's dispatcher.
     pub fn join(&mut self, key: peer::Key, router: RouterId, cell: Name, sink: peer::Sink) -> bool {
         let Some(dispatcher) = self.dispatchers.get_mut(&cell) else { return false };
--- a/daemon/src/control/hosts.rs
+++ b/daemon/src/control/hosts.rs
@@ -64,6 +64,22 @@
     }
 }
 
+impl HostList {
+    /// Peers addresses of the routers.
+    pub fn router_addrs(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.routers().map(|host| host.addr)
+    }
+
+    /// Number of routers that should be there.
+    pub fn live_router_count(&self) -> usize {
+        self.routers().filter(|host| host.state == HostState::Live).count()
+    }
+
+    fn routers(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.iter().filter(|host| host.kind == HostKind::Router)
+    }
+}
+
 /// Reads the list at each interval and sends it on until the receiver is gone.
 pub fn follow(
     url: http::Uri,
--- a/daemon/src/control/loads.rs
+++ b/daemon/src/control/loads.rs
@@ -74,6 +74,14 @@
     }
 }
 
+/// Asks a target once for its incarnation; 0 if it doesn't answer.
+pub async fn incarnation(addr: net::SocketAddr, timeout: Duration) -> u64 {
+    let client = fetch::client(timeout);
+    let Ok(uri) = format!("http://{addr}/load").parse::<http::Uri>() else { return 0 };
+    let report = fetch::get::<LoadReport>(&client, uri, timeout).await;
+    report.map_or(0, |report| report.incarnation)
+}
+
 struct Target {
     cell: Name,
     poll: Poll,
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -141,6 +141,8 @@
     /// Generation of the membership that the roles follow.
     generation: Option<u64>,
     report_at: Option<time::Instant>,
+    /// Live routers of the host list; 0 if there is no list.
+    listed_routers: u32,
     ready: watch::Sender<bool>,
     join_until: time::Instant,
     stopping: bool,
@@ -150,6 +152,7 @@
 struct Fleet {
     membership: Membership,
     gossip: gossip::Gossip,
+    settings_seeds: Vec<net::SocketAddr>,
 }
 
 /// Serves commands and other routers until the last handle is gone, then leaves the fleet.
@@ -221,11 +224,11 @@
         };
         let times = gossip::settings(&settings.peers);
         let mut membership = Membership::new(times, me, rand::random(), time::Instant::now());
-        membership.set_seeds(peers.seeds);
+        membership.set_seeds(peers.seeds.clone());
         let listener = tokio::net::TcpListener::from_std(peers.listener)?;
         tokio::task::spawn_local(peer::server::serve(listener, context.clone()));
         let gossip = gossip::Gossip::new(peers.socket, &settings.peers.secret)?;
-        Ok(Fleet { membership, gossip })
+        Ok(Fleet { membership, gossip, settings_seeds: peers.seeds })
     }
 
     fn step(&mut self, now: time::Instant) {
@@ -277,6 +280,7 @@
             waiters: HashMap::new(),
             generation: None,
             report_at: None,
+            listed_routers: 0,
             ready,
             join_until: time::Instant::now() + JOIN_TIMEOUT,
             stopping: false,
@@ -338,6 +342,10 @@
     fn take_news(&mut self, news: targets::News, now: time::Instant) {
         match news {
             targets::News::Load(event) => {
+                let leaving = event.load.as_ref().filter(|load| load.leaving);
+                if let Some(incarnation) = leaving.map(|load| load.incarnation) {
+                    self.spread_leave(&event.target, incarnation);
+                }
                 if let Some(dispatcher) = self.hosted.dispatcher(&event.cell) {
                     targets::take_load(dispatcher, event, now);
                 }
@@ -345,11 +353,37 @@
             targets::News::Hosts(list) => {
                 for target in self.targets.take_hosts(&list) {
                     self.hosted.target_leaving(&target);
+                    self.targets.ask_incarnation(&target);
+                }
+                self.listed_routers = u32::try_from(list.live_router_count()).unwrap_or(u32::MAX);
+                if let Some(fleet) = &mut self.fleet {
+                    let listed = list.router_addrs().take(membership::MAX_MEMBERS);
+                    let seeds = fleet.settings_seeds.iter().copied().chain(listed);
+                    fleet.membership.set_seeds(seeds.collect());
                 }
+                self.update_view();
             }
+            targets::News::Leaving(target, incarnation) => self.spread_leave(&target, incarnation),
+        }
+    }
+
+    /// Tells the fleet that a target takes no new work in an incarnation.
+    fn spread_leave(&mut self, target: &Name, incarnation: u64) {
+        self.hosted.target_has_left(target, incarnation);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.membership.add_leaving_target(target, incarnation);
         }
     }
 
+    /// Tells the dispatchers which part of the listed routers is seen.
+    ///
+    /// Without a list nothing tells a group that was cut off from routers that died.
+    fn update_view(&mut self) {
+        let Some(fleet) = self.fleet.as_ref().filter(|_| self.listed_routers > 0) else { return };
+        let live = 1 + fleet.membership.members().filter(|member| member.is_live()).count();
+        self.hosted.set_view(u32::try_from(live).unwrap_or(u32::MAX), self.listed_routers);
+    }
+
     fn take_event(&mut self, event: peer::Event, now: time::Instant) {
         match event {
             peer::Event::Join { session, router, cell, sink, reply } => {
@@ -438,8 +472,12 @@
                 self.host(name, now);
             }
         }
+        self.update_view();
         let Some(fleet) = &self.fleet else { return };
         let membership = &fleet.membership;
+        for (target, incarnation) in membership.leaving_targets() {
+            self.hosted.target_has_left(target, incarnation);
+        }
         self.hosted.retain_routers(|router| {
             let known = membership.member(&router.name);
             known.is_some_and(|member| member.id == *router && member.is_live())
--- a/daemon/src/control/targets.rs
+++ b/daemon/src/control/targets.rs
@@ -32,6 +32,8 @@
     Load(loads::LoadEvent),
     /// The host list as it is now.
     Hosts(hosts::HostList),
+    /// A target is to take no new work in this incarnation; 0 if it didn't tell.
+    Leaving(Name, u64),
 }
 
 /// Follows the targets of the cells that this router dispatches.
@@ -45,6 +47,8 @@
     _list_sender: mpsc::UnboundedSender<hosts::HostList>,
     host_lists: mpsc::UnboundedReceiver<hosts::HostList>,
     follower: Option<task::JoinHandle<()>>,
+    leave_sender: mpsc::UnboundedSender<(Name, u64)>,
+    leaves: mpsc::UnboundedReceiver<(Name, u64)>,
     /// Targets that the host list showed as leaving when it was last read.
     listed_leaving: BTreeSet<Name>,
     /// Targets that operators drained through this router.
@@ -64,6 +68,7 @@
     pub fn start(platform: Platform, pools: &[config::Pool]) -> Targets {
         let (load_sender, load_events) = mpsc::unbounded_channel();
         let (list_sender, host_lists) = mpsc::unbounded_channel();
+        let (leave_sender, leaves) = mpsc::unbounded_channel();
         let Platform { hosts_interval, timeout, .. } = platform;
         let url = platform.hosts_url.clone();
         let follower =
@@ -78,6 +83,8 @@
             _list_sender: list_sender,
             host_lists,
             follower,
+            leave_sender,
+            leaves,
             listed_leaving: BTreeSet::new(),
             drained: BTreeSet::new(),
         }
@@ -108,6 +115,7 @@
         tokio::select! {
             Some(event) = self.load_events.recv() => News::Load(event),
             Some(list) = self.host_lists.recv() => News::Hosts(list),
+            Some((target, incarnation)) = self.leaves.recv() => News::Leaving(target, incarnation),
             else => std::future::pending().await,
         }
     }
@@ -122,10 +130,22 @@
         self.listed_leaving.difference(&before).cloned().collect()
     }
 
-    /// Notes that an operator drains a target.
+    /// Notes that an operator drains a target; [`News::Leaving`] follows.
     pub fn drain(&mut self, target: Name) {
+        self.ask_incarnation(&target);
         self.drained.insert(target);
     }
+
+    /// Asks a leaving target for its incarnation, for which the leave is final.
+    pub fn ask_incarnation(&self, target: &Name) {
+        let Some(addr) = self.addrs.get(target).copied() else { return };
+        let (target, sender) = (target.clone(), self.leave_sender.clone());
+        let timeout = self.platform.timeout;
+        task::spawn_local(async move {
+            let incarnation = loads::incarnation(addr, timeout).await;
+            let _ = sender.send((target, incarnation));
+        });
+    }
 }
 
 /// Tells a dispatcher what a poll found out.
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net;
+use std::sync::atomic;
 use std::time::{Duration, Instant};
 
 use gentianhinge_core::cell;
@@ -14,6 +15,9 @@
 /// Time in which grants flow again after a dispatcher was lost.
 const FAILOVER_BOUND: Duration = Duration::from_secs(2);
 
+/// Longest time until a leaving target gets no new work.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+
 /// Longest time for a test's request; above the class's longest wait.
 const BOUND: Duration = Duration::from_secs(10);
 
@@ -32,6 +36,7 @@
 
 struct Fleet {
     routers: Vec<Router>,
+    engine_addrs: Vec<net::SocketAddr>,
     _engines: Vec<Process>,
     _service: Process,
 }
@@ -59,6 +64,10 @@
         let addrs = engines.iter().map(|engine| engine.addr("listening on ")).collect::<Vec<_>>();
         let service = Process::start("gentianhinge-standin", &[&["service"][..], &listen].concat());
         let service_addr = service.addr("listening on ");
+        // Each fleet has a secret of its own: ports of killed routers may be given to another one.
+        static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let secret = format!("shared by test fleet {number} of {}", std::process::id());
         let mut routers = Vec::<Router>::new();
         for name in NAMES {
             let seeds = routers.iter().map(|router| format!("\"{}\"", router.peers));
@@ -66,7 +75,7 @@
             // Probes by turn would take minutes to find a lost router in a large fleet; with these
             // rare ones only the sessions can find it in time.
             let more = format!(
-                r#""peers": {{ "secret": "shared by the test fleet", "probe_interval_ms": 60000,
+                r#""peers": {{ "secret": "{secret}", "probe_interval_ms": 60000,
                     "seed_addrs": [{seeds}] }},"#
             );
             let text = support::settings(&addrs, service_addr, &more);
@@ -74,7 +83,8 @@
                 .replace(r#""name": "r1", "region""#, &format!(r#""name": "{name}", "region""#));
             routers.push(Router::start(SettingsFile::new(&text)));
         }
-        let fleet = Fleet { routers, _engines: engines.into(), _service: service };
+        let fleet =
+            Fleet { routers, engine_addrs: addrs, _engines: engines.into(), _service: service };
         fleet.settle().await;
         fleet
     }
@@ -113,6 +123,11 @@
     answer.expect("no request hangs")
 }
 
+/// Requests that an engine has begun to run.
+async fn run_count(engine: net::SocketAddr) -> u64 {
+    support::send("GET", engine, "/stats", &[], "").await.json()["run_count"].as_u64().unwrap()
+}
+
 /// Sends a request to each address and returns the longest time to a whole answer.
 async fn all_answer(addrs: &[net::SocketAddr]) -> Duration {
     let start = Instant::now();
@@ -155,6 +170,27 @@
             assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
         }
     },
+    a_drain_told_to_any_router_is_final_also_for_the_next_dispatcher: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        let other = &fleet.routers[(dispatcher + 1) % NAMES.len()];
+        let auth = format!("Bearer {}", support::OPERATOR_KEY);
+        let headers = [("authorization", auth.as_str())];
+        let path = "/targets/m1/drain";
+        let answer = support::send("POST", other.operators, path, &headers, "").await;
+        assert_eq!(answer.status, 202);
+        time::sleep(LEAVE_BOUND).await;
+        let before = run_count(fleet.engine_addrs[0]).await;
+        // More than one engine has slots.
+        all_answer(&[other.callers; 12]).await;
+        assert_eq!(run_count(fleet.engine_addrs[0]).await, before);
+        fleet.routers[dispatcher].process.signal(Signal::KILL);
+        fleet.routers[dispatcher].process.wait(BOUND);
+        for _ in 0..5 {
+            all_answer(&[fleet.others(), fleet.others(), fleet.others()].concat()).await;
+        }
+        assert_eq!(run_count(fleet.engine_addrs[0]).await, before);
+    },
     a_restarted_dispatcher_serves_again: {
         let mut fleet = Fleet::start().await;
         let dispatcher = fleet.dispatcher();
