--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,6 +1,6 @@
 //! The control thread: holds all fleet state and answers the traffic threads.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net;
 use std::rc;
 use std::sync;
@@ -138,6 +138,8 @@
     targets: targets::Targets,
     fleet: Option<Fleet>,
     waiters: HashMap<RequestId, oneshot::Sender<Result<Name, code::ResultCode>>>,
+    /// Name of each cell's dispatcher, found anew only when the membership changes.
+    holders: BTreeMap<Name, Name>,
     /// Generation of the membership that the roles follow.
     generation: Option<u64>,
     report_at: Option<time::Instant>,
@@ -145,7 +147,6 @@
     listed_routers: u32,
     ready: watch::Sender<bool>,
     join_until: time::Instant,
-    stopping: bool,
 }
 
 /// The other routers.
@@ -278,12 +279,12 @@
             targets,
             fleet,
             waiters: HashMap::new(),
+            holders: BTreeMap::new(),
             generation: None,
             report_at: None,
             listed_routers: 0,
             ready,
             join_until: time::Instant::now() + JOIN_TIMEOUT,
-            stopping: false,
             id,
             table,
         }
@@ -311,7 +312,6 @@
                 self.router.finish(id);
             }
             Command::Drain => {
-                self.stopping = true;
                 if let Some(fleet) = &mut self.fleet {
                     fleet.membership.set_draining(true);
                 }
@@ -464,8 +464,10 @@
         let names = self.cells.names().cloned().collect::<Vec<_>>();
         for name in names {
             let role = cell::Role::Dispatcher { cell: name.clone() };
-            let mine = cell::holder(&role, &candidates) == Some(&self.id.name);
-            if !mine {
+            let holder = cell::holder(&role, &candidates).cloned();
+            let holder = holder.unwrap_or_else(|| self.id.name.clone());
+            self.holders.insert(name.clone(), holder.clone());
+            if holder != self.id.name {
                 self.hosted.stop(&name);
                 self.targets.end(&name);
             } else if !self.hosted.has(&name) {
@@ -504,7 +506,6 @@
         }
         let used = self.router.cells().map(|(cell, current)| (cell.clone(), current.cloned()));
         let used = used.collect::<Vec<_>>();
-        let candidates = if used.is_empty() { Vec::new() } else { self.candidates() };
         for (name, current) in used {
             if self.hosted.has(&name) {
                 self.uplinks.drop_session(&name);
@@ -515,10 +516,8 @@
                 }
                 continue;
             }
-            let role = cell::Role::Dispatcher { cell: name.clone() };
-            let holder = cell::holder(&role, &candidates);
-            let fleet = self.fleet.as_ref();
-            let member = holder.zip(fleet).and_then(|(h, fleet)| fleet.membership.member(h));
+            let holder = self.holders.get(&name).zip(self.fleet.as_ref());
+            let member = holder.and_then(|(holder, fleet)| fleet.membership.member(holder));
             if let Some(member) = member.filter(|member| member.id != self.id) {
                 self.uplinks.want(&name, &member.id, member.peers_addr, now);
             }
