--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -184,7 +184,7 @@
     /// Starts a router's session; the router's first report must be full.
     pub fn join(&mut self, router: RouterId) {
         self.leave(&router);
-        let delivered = self.departed.remove(&router).unwrap_or_default();
+        let delivered = self.departed.remove(&router);
         self.departed.retain(|other, _| other.name != router.name);
         let key = SessionKey(self.next_session);
         self.next_session += 1;
@@ -199,6 +199,9 @@
         self.clear_in_flight(key);
         self.dirty.remove(&key);
         let Some(session) = self.sessions.remove(&key) else { return };
+        if session.report_seq == 0 && !session.was_known {
+            return;
+        }
         if self.departed.len() >= MAX_DEPARTED_ROUTERS {
             self.departed.pop_first();
         }
@@ -291,8 +294,10 @@
     fn reconcile(&mut self, key: SessionKey, line: &Account) {
         let team = self.teams.index(&line.team, &self.table, self.now);
         let Some(session) = self.sessions.get_mut(&key) else { return };
-        let known = session.delivered.insert(team, line.delivered_cost);
-        let missed_cost = known.map_or(0.0, |known| (line.delivered_cost - known).max(0.0));
+        let known_cost = session.delivered.insert(team, line.delivered_cost);
+        // A team that a known router hadn't served by its last session counts from nothing.
+        let known_cost = known_cost.or(session.was_known.then_some(0.0));
+        let missed_cost = known_cost.map_or(0.0, |known| (line.delivered_cost - known).max(0.0));
         self.teams.get_mut(team).charge(missed_cost);
         self.teams.refresh(team, self.now);
     }
--- a/core/src/dispatch/session.rs
+++ b/core/src/dispatch/session.rs
@@ -70,6 +70,8 @@
     pub(super) router: RouterId,
     pub(super) lines: BTreeMap<FlowIndex, Line>,
     pub(super) in_flight: BTreeMap<GrantId, Running>,
+    /// Whether the router's incarnation had a session with this dispatcher before.
+    pub(super) was_known: bool,
     /// Delivered by the router's incarnation, as in its accounts.
     pub(super) delivered: BTreeMap<TeamIndex, f64>,
     pub(super) unacked: VecDeque<(u64, FlowIndex)>,
@@ -80,12 +82,13 @@
 }
 
 impl Session {
-    pub(super) fn new(router: RouterId, delivered: BTreeMap<TeamIndex, f64>) -> Session {
+    pub(super) fn new(router: RouterId, delivered: Option<BTreeMap<TeamIndex, f64>>) -> Session {
         Session {
             router,
             lines: BTreeMap::new(),
             in_flight: BTreeMap::new(),
-            delivered,
+            was_known: delivered.is_some(),
+            delivered: delivered.unwrap_or_default(),
             unacked: VecDeque::new(),
             grants: Vec::new(),
             moves: Vec::new(),
--- a/core/src/limits.rs
+++ b/core/src/limits.rs
@@ -37,10 +37,15 @@
         self.level_cost = (self.level_cost + passed.as_secs_f64() * self.rate_per_s).min(most);
         self.at = self.at.max(now);
         let missing_s = -self.level_cost / self.rate_per_s;
-        (missing_s > 0.0).then(|| now + Duration::from_secs_f64(missing_s.min(MAX_WAIT_S)))
+        (missing_s > 0.0)
+            .then(|| now + Duration::from_secs_f64(missing_s.clamp(MIN_WAIT_S, MAX_WAIT_S)))
     }
 }
 
+/// Shortest time until a limited team is looked at again, in seconds. A remainder that rounds to no
+/// time at all would have the caller wake for ever.
+const MIN_WAIT_S: f64 = 0.001;
+
 /// Longest time until a limited team is looked at again, in seconds.
 const MAX_WAIT_S: f64 = 3_600.0;
 
