--- /dev/null
+++ b/core/tests/fleet.rs
@@ -0,0 +1,208 @@
+//! Several cells of one model: sums over them, and moves between them.
+
+mod cellkit;
+
+use std::sync;
+
+use cellkit::{now, router_id, submit, table, target};
+use gentianhinge_core::aggregate::{Aggregator, Taken};
+use gentianhinge_core::ids::{Flow, Name, RequestId, RouterId};
+use gentianhinge_core::message::{CellLine, CellSummary, GrantBatch, Move, TeamSummary};
+use gentianhinge_core::{dispatch, router};
+
+fn summary(dispatcher: u64, seq: u64, full: bool, service_cost: f64) -> CellSummary {
+    let line = CellLine {
+        cell: "cell-a".into(),
+        dispatcher: RouterId::new("r1", dispatcher),
+        seq,
+        free_slots: 0,
+        waiting_count: 1,
+        least_virtual_time: 0.0,
+    };
+    let team = TeamSummary {
+        team: "lanes".into(),
+        service_cost,
+        lift_cost: 0.0,
+        waiting_count: 1,
+        running_count: 1,
+    };
+    CellSummary { line, full, teams: vec![team] }
+}
+
+fn service(aggregator: &mut Aggregator) -> f64 {
+    aggregator.summary(true).teams[0].service_cost
+}
+
+/// Two cells with one slot each and one router that knows both.
+struct Pair {
+    dispatchers: [dispatch::Dispatcher; 2],
+    router: router::Router,
+    zone: Aggregator,
+    top: Aggregator,
+}
+
+const CELLS: [&str; 2] = ["assistant-0", "assistant-1"];
+
+impl Pair {
+    fn new(slots: [u32; 2]) -> Pair {
+        let table = sync::Arc::new(table());
+        let mut router = router::Router::new(router_id(0), table.clone());
+        let dispatchers = [0, 1].map(|index| {
+            let cell = Name::from(CELLS[index]);
+            let mut dispatcher =
+                dispatch::Dispatcher::new(router_id(index), cell.clone(), table.clone());
+            dispatcher.set_targets(&[target(&format!("t{index}"), slots[index])]);
+            dispatcher.join(router_id(0));
+            router.set_dispatcher(&cell, router_id(index));
+            dispatcher
+        });
+        let zone = Aggregator::new("zone-a".into(), router_id(0));
+        Pair { dispatchers, router, zone, top: Aggregator::new("assistant".into(), router_id(0)) }
+    }
+
+    fn submit(&mut self, cell: usize, id: u64, team: &str) {
+        let cell = CELLS[cell].into();
+        self.router.submit(router::Submit { cell, ..submit(id, team, "later") }, now()).unwrap();
+    }
+
+    /// Carries all messages; returns the requests that started in each cell.
+    fn exchange(&mut self) -> [Vec<u64>; 2] {
+        [0, 1].map(|index| {
+            let dispatcher = &mut self.dispatchers[index];
+            if let Some(report) = self.router.take_report(&CELLS[index].into(), now()) {
+                dispatcher.report(report, now());
+            }
+            let batches = dispatcher.poll(now());
+            let starts = batches.iter().flat_map(|(_, batch)| self.router.take_grants(batch));
+            starts.map(|start| start.id.0).collect()
+        })
+    }
+
+    fn finish(&mut self, id: u64, cost: f64) {
+        self.router.progress(RequestId(id), cost);
+        self.router.finish(RequestId(id));
+    }
+
+    fn sum_up(&mut self) {
+        for dispatcher in &mut self.dispatchers {
+            self.zone.take_cell(dispatcher.summary(true, now()));
+        }
+        self.top.take_group(self.zone.summary(true));
+        let fleet = self.top.summary(true);
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.set_fleet(&fleet, now());
+        }
+    }
+}
+
+cases! {
+    a_summary_counts_once_however_often_it_comes: {
+        let mut zone = Aggregator::new("zone-a".into(), router_id(0));
+        assert_eq!(zone.take_cell(summary(1, 1, true, 100.0)), Taken::Yes);
+        assert_eq!(zone.take_cell(summary(1, 2, false, 150.0)), Taken::Yes);
+        assert_eq!(zone.take_cell(summary(1, 2, false, 150.0)), Taken::Old);
+        assert_eq!(zone.take_cell(summary(1, 1, true, 100.0)), Taken::Old);
+        assert_eq!(service(&mut zone), 150.0);
+    },
+    a_change_after_a_lost_summary_asks_for_a_full_one: {
+        let mut zone = Aggregator::new("zone-a".into(), router_id(0));
+        assert_eq!(zone.take_cell(summary(1, 4, false, 100.0)), Taken::NeedsFull);
+        assert_eq!(zone.take_cell(summary(1, 5, true, 100.0)), Taken::Yes);
+        assert_eq!(zone.take_cell(summary(1, 7, false, 150.0)), Taken::NeedsFull);
+        assert_eq!(zone.take_cell(summary(1, 8, true, 150.0)), Taken::Yes);
+        assert_eq!(service(&mut zone), 150.0);
+    },
+    a_cells_new_dispatcher_replaces_the_old_ones_part: {
+        let mut zone = Aggregator::new("zone-a".into(), router_id(0));
+        zone.take_cell(summary(1, 9, true, 100.0));
+        assert_eq!(zone.take_cell(summary(2, 1, true, 30.0)), Taken::Yes);
+        assert_eq!(service(&mut zone), 30.0);
+    },
+    a_cells_own_service_does_not_come_back_to_it: {
+        let mut pair = Pair::new([1, 1]);
+        pair.submit(0, 1, "lanes");
+        pair.exchange();
+        pair.finish(1, 400.0);
+        pair.exchange();
+        for _ in 0..3 {
+            pair.sum_up();
+        }
+        assert_eq!(pair.dispatchers[0].virtual_time("lanes"), Some(200.0));
+        assert_eq!(pair.dispatchers[1].virtual_time("lanes"), Some(200.0));
+    },
+    a_team_served_elsewhere_goes_later: {
+        let mut pair = Pair::new([1, 1]);
+        for id in 0..4 {
+            pair.submit(0, id, "large");
+        }
+        pair.exchange();
+        pair.finish(0, 4_000.0);
+        pair.submit(1, 10, "other");
+        pair.exchange();
+        pair.submit(1, 11, "large");
+        pair.submit(1, 12, "other");
+        pair.exchange();
+        pair.sum_up();
+        pair.finish(10, 10.0);
+        assert_eq!(pair.exchange()[1], [12]);
+    },
+    waiting_work_moves_to_an_idle_cell_once: {
+        let mut pair = Pair::new([0, 2]);
+        for id in 0..5 {
+            pair.submit(0, id, "lanes");
+        }
+        pair.exchange();
+        pair.sum_up();
+        let started = pair.exchange();
+        assert_eq!(started[1].len(), 2, "{started:?}");
+        // The idle cell is full now, and nothing goes back.
+        pair.dispatchers[0].set_targets(&[target("t0", 8)]);
+        assert_eq!(pair.exchange()[0].len(), 3);
+    },
+    a_team_that_waits_elsewhere_is_not_lifted: {
+        let mut pair = Pair::new([0, 1]);
+        for id in 0..8 {
+            pair.submit(1, id, "busy");
+        }
+        pair.submit(0, 20, "poor");
+        for _ in 0..4 {
+            let id = pair.exchange()[1][0];
+            pair.finish(id, 1_000.0);
+        }
+        // It waits in the first cell, so it has had no pause and no lift is due in the second.
+        for dispatcher in &mut pair.dispatchers {
+            pair.zone.take_cell(dispatcher.summary(true, now()));
+        }
+        let fleet = pair.zone.summary(true);
+        pair.dispatchers[1].set_fleet(&fleet, now());
+        pair.submit(1, 21, "poor");
+        pair.exchange();
+        assert!(pair.dispatchers[1].virtual_time("poor").unwrap() < 1_000.0);
+    },
+    a_moved_request_does_not_go_back: {
+        let mut pair = Pair::new([0, 2]);
+        for id in 0..5 {
+            pair.submit(0, id, "lanes");
+        }
+        pair.exchange();
+        pair.sum_up();
+        pair.dispatchers[1].set_targets(&[]);
+        assert_eq!(pair.exchange(), [vec![], vec![]]);
+        let back = Move {
+            flow: Flow::new("lanes", "later"),
+            request_count: 5,
+            to_cell: CELLS[0].into(),
+        };
+        let batch = GrantBatch {
+            dispatcher: router_id(1),
+            cell: CELLS[1].into(),
+            seq: 1_000,
+            grants: Vec::new(),
+            moves: vec![back],
+            virtual_times: Vec::new(),
+        };
+        pair.router.take_grants(&batch);
+        pair.dispatchers[0].set_targets(&[target("t0", 8)]);
+        assert_eq!(pair.exchange()[0].len(), 3);
+    },
+}
