--- a/core/src/fair.rs
+++ b/core/src/fair.rs
@@ -197,12 +197,14 @@
 }
 
 /// Greatest difference in delivered service per weight between two teams that have been
-/// backlogged since both were last lifted, whatever requests cost.
+/// backlogged since both were last lifted, whatever requests cost, as long as none delivers more
+/// than the largest cost within a report interval.
 ///
 /// The derivation is in `docs/design/dispatch.md`.
 pub fn gap_bound(limits: &GapLimits) -> f64 {
     let in_flight_cost = f64::from(limits.in_flight_count) * limits.largest_cost;
-    let within_cell = in_flight_cost * (1.0 + MAX_PENDING_RATIO);
+    // What is in flight, what is charged ahead, and what is believed delivered though it stalled.
+    let within_cell = in_flight_cost * (1.0 + MAX_PENDING_RATIO + 1.0);
     let across_cells = if limits.cell_count > 1 {
         limits.stale_service_cost + MOVE_LAG_RATIO * limits.largest_cost
     } else {
--- a/core/tests/slots.rs
+++ b/core/tests/slots.rs
@@ -145,7 +145,12 @@
         let mut targets = Targets::default();
         targets.set(&[TargetSpec { lookahead_slots: 1, ..target("t1", 8) }]);
         assert_eq!(fill(&mut targets), 9);
+        // One that broke off early doesn't make them short.
         targets.record_time(&"t1".into(), 0.005);
+        assert_eq!(fill(&mut targets), 0);
+        for _ in 0..60 {
+            targets.record_time(&"t1".into(), 0.005);
+        }
         assert_eq!(fill(&mut targets), 7);
     },
     work_at_a_removed_target_is_left_to_end: {
