--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,28 +1,34 @@
 //! The control thread: holds all fleet state and answers the traffic threads.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net;
 use std::rc;
 use std::sync;
 use std::time::Duration;
 
 use gentianhinge_core::ids::{Name, RequestId, RouterId};
-use gentianhinge_core::membership::{Event, Member, Membership};
+use gentianhinge_core::membership::Member;
 use gentianhinge_core::{cell, code, dispatch, membership, router, table};
 use gentianhinge_wire::settings;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
-use crate::{config, gossip, peer};
+use crate::{config, peer};
 
 mod cells;
+mod command;
 pub mod fetch;
+mod fleet;
 mod hosted;
 pub mod hosts;
 pub mod loads;
 pub mod targets;
 mod uplink;
 
+pub use command::{Command, Handle};
+pub use fleet::PeerSockets;
+
+use fleet::Fleet;
+
 /// Longest time between two looks at sessions and deadlines.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -32,66 +38,6 @@
 /// Most commands taken in before grants are given out.
 const COMMAND_BATCH: usize = 256;
 
-/// What the traffic threads tell the control thread.
-#[derive(Debug)]
-pub enum Command {
-    /// A request asks for a slot.
-    Submit {
-        /// The request.
-        submit: router::Submit,
-        /// Gets the target, or why there is none.
-        reply: oneshot::Sender<Result<Name, code::ResultCode>>,
-    },
-    /// A running request has cost so much up to now.
-    Progress {
-        /// The request.
-        id: RequestId,
-        /// Cost so far, before the class's price.
-        cost: f64,
-    },
-    /// A running request couldn't be sent, since its target didn't take the connection.
-    Fail {
-        /// The request.
-        id: RequestId,
-    },
-    /// An operator takes a target out of use.
-    DrainTarget {
-        /// Name of the target.
-        target: Name,
-    },
-    /// Another table is in force.
-    SetTable(sync::Arc<table::Table>),
-    /// A request has ended.
-    Finish {
-        /// The request.
-        id: RequestId,
-    },
-    /// The router takes no more requests; its roles go to others.
-    Drain,
-}
-
-/// Sends commands to the control thread.
-///
-/// The channel is unbounded: each request has at most a few commands under way, and the listener
-/// bounds the requests.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    commands: mpsc::UnboundedSender<Command>,
-}
-
-impl Handle {
-    /// Creates a handle and the end that the control thread reads.
-    pub fn channel() -> (Handle, mpsc::UnboundedReceiver<Command>) {
-        let (commands, receiver) = mpsc::unbounded_channel();
-        (Handle { commands }, receiver)
-    }
-
-    /// Sends a command; after the control thread's end it is dropped.
-    pub fn send(&self, command: Command) {
-        let _ = self.commands.send(command);
-    }
-}
-
 /// What the control thread starts with.
 pub struct Setup {
     /// Name and incarnation of the router.
@@ -112,18 +58,6 @@
     pub ready: watch::Sender<bool>,
 }
 
-/// Sockets for other routers.
-pub struct PeerSockets {
-    /// Accepts sessions.
-    pub listener: net::TcpListener,
-    /// Carries membership.
-    pub socket: net::UdpSocket,
-    /// Address of both.
-    pub addr: net::SocketAddr,
-    /// Addresses to join through.
-    pub seeds: Vec<net::SocketAddr>,
-}
-
 /// Fleet state of one router.
 struct Control {
     id: RouterId,
@@ -149,13 +83,6 @@
     join_until: time::Instant,
 }
 
-/// The other routers.
-struct Fleet {
-    membership: Membership,
-    gossip: gossip::Gossip,
-    settings_seeds: Vec<net::SocketAddr>,
-}
-
 /// Serves commands and other routers until the last handle is gone, then leaves the fleet.
 ///
 /// # Errors
@@ -189,7 +116,7 @@
                 }
             }
             news = control.targets.news() => control.take_news(news, time::Instant::now()),
-            _ = readable(&control.fleet) => {}
+            _ = fleet::readable(&control.fleet) => {}
             () = time::sleep_until(wakeup) => {}
         }
         control.step(time::Instant::now());
@@ -198,61 +125,6 @@
     Ok(())
 }
 
-async fn readable(fleet: &Option<Fleet>) {
-    match fleet {
-        // A socket that failed is tried again at the next wakeup.
-        Some(fleet) if fleet.gossip.readable().await.is_ok() => {}
-        _ => std::future::pending().await,
-    }
-}
-
-impl Fleet {
-    fn start(
-        id: &RouterId,
-        settings: &settings::Settings,
-        peers: PeerSockets,
-        context: &rc::Rc<peer::Context>,
-    ) -> std::io::Result<Fleet> {
-        let me = Member {
-            id: id.clone(),
-            version: 0,
-            status: membership::Status::Alive,
-            draining: false,
-            applied_offset: 0,
-            peers_addr: peers.addr,
-            region: settings.router.region.as_str().into(),
-            zone: settings.router.zone.as_str().into(),
-        };
-        let times = gossip::settings(&settings.peers);
-        let mut membership = Membership::new(times, me, rand::random(), time::Instant::now());
-        membership.set_seeds(peers.seeds.clone());
-        let listener = tokio::net::TcpListener::from_std(peers.listener)?;
-        tokio::task::spawn_local(peer::server::serve(listener, context.clone()));
-        let gossip = gossip::Gossip::new(peers.socket, &settings.peers.secret)?;
-        Ok(Fleet { membership, gossip, settings_seeds: peers.seeds })
-    }
-
-    fn step(&mut self, now: time::Instant) {
-        for message in self.gossip.read() {
-            self.membership.handle(message, now);
-        }
-        let envelopes = self.membership.poll(now);
-        self.gossip.send(&envelopes);
-        for event in self.membership.take_events() {
-            match event {
-                Event::Alive(router) => tracing::info!(%router, "router lives"),
-                Event::Suspect(router) => tracing::info!(%router, "router doesn't answer"),
-                Event::Dead(router) => tracing::warn!(%router, "router is dead"),
-                Event::Left(router) => tracing::info!(%router, "router has left"),
-                Event::Superseded(router) => {
-                    metrics::counter!("membership_superseded_total").increment(1);
-                    tracing::debug!(%router, "a later life of this router is known");
-                }
-            }
-        }
-    }
-}
-
 type Outside = (rc::Rc<peer::Context>, targets::Targets, Option<Fleet>, watch::Sender<bool>);
 
 impl Control {
