--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -111,6 +111,30 @@
         names.iter().position(|name| name == holder).unwrap()
     }
 
+    fn everywhere(&self) -> Vec<net::SocketAddr> {
+        self.routers.iter().map(|router| router.callers).collect()
+    }
+
+    /// Kills routers at once and starts them anew at the same peers addresses, without memory.
+    fn restart(&mut self, indexes: &[usize]) {
+        for index in indexes {
+            self.routers[*index].process.signal(Signal::KILL);
+            self.routers[*index].process.wait(BOUND);
+        }
+        let kept = (0..self.routers.len()).find(|i| !indexes.contains(i)).unwrap();
+        let seed = self.routers[kept].peers;
+        for index in indexes {
+            let old = &self.routers[*index];
+            let text = std::fs::read_to_string(old.settings.path()).unwrap();
+            let peers_addr = format!(r#""peers_addr": "{}""#, old.peers);
+            let text = text.replace(r#""peers_addr": "127.0.0.1:0""#, &peers_addr);
+            let (head, rest) = text.split_once(r#""seed_addrs": ["#).unwrap();
+            let (_, tail) = rest.split_once(']').unwrap();
+            let text = format!(r#"{head}"seed_addrs": ["{seed}"]{tail}"#);
+            self.routers[*index] = Router::start(SettingsFile::new(&text));
+        }
+    }
+
     fn others(&self) -> Vec<net::SocketAddr> {
         let dispatcher = self.dispatcher();
         let others = self.routers.iter().enumerate().filter(|(i, _)| *i != dispatcher);
@@ -165,8 +189,7 @@
         assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
         dispatcher.process.signal(Signal::CONT);
         for _ in 0..20 {
-            let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
-            let took = all_answer(&everywhere).await;
+            let took = all_answer(&fleet.everywhere()).await;
             assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
         }
     },
@@ -194,26 +217,34 @@
     a_restarted_dispatcher_serves_again: {
         let mut fleet = Fleet::start().await;
         let dispatcher = fleet.dispatcher();
-        let old = fleet.routers.remove(dispatcher);
-        let text = std::fs::read_to_string(old.settings.path()).unwrap();
-        let (peers, seed) = (old.peers, fleet.routers[0].peers);
-        drop(old);
-        let text = text.replace(r#""peers_addr": "127.0.0.1:0""#, &format!(r#""peers_addr": "{peers}""#));
-        let seeds = text.split(r#""seed_addrs": ["#).nth(1).unwrap().split(']').next().unwrap();
-        let seeds = format!(r#""seed_addrs": [{seeds}]"#);
-        let text = text.replace(&seeds, &format!(r#""seed_addrs": ["{seed}"]"#));
-        fleet.routers.insert(dispatcher, Router::start(SettingsFile::new(&text)));
+        fleet.restart(&[dispatcher]);
         fleet.settle().await;
         for _ in 0..10 {
-            let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
-            let took = all_answer(&everywhere).await;
+            let took = all_answer(&fleet.everywhere()).await;
             assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
         }
     },
+    most_of_the_fleet_restarts_at_once: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        let other = fleet.others()[0];
+        let call = tokio::spawn(chat(other, 300));
+        time::sleep(Duration::from_millis(100)).await;
+        // All but the router that the call runs through.
+        let kept = fleet.routers.iter().position(|router| router.callers == other).unwrap();
+        let killed = (0..NAMES.len()).filter(|i| *i != kept).collect::<Vec<_>>();
+        assert!(killed.contains(&dispatcher));
+        fleet.restart(&killed);
+        fleet.settle().await;
+        let answer = call.await.unwrap();
+        assert_eq!(answer.result(), 0, "{answer:?}");
+        let took = all_answer(&fleet.everywhere()).await;
+        assert!(took < FAILOVER_BOUND + RUN_BOUND, "{took:?}");
+    },
     a_graceful_shutdown_of_the_dispatcher_cuts_nothing: {
         let mut fleet = Fleet::start().await;
         let dispatcher = fleet.dispatcher();
-        let everywhere = fleet.routers.iter().map(|router| router.callers).collect::<Vec<_>>();
+        let everywhere = fleet.everywhere();
         // Three times as many as there are slots, so that some wait when the signal comes.
         let calls = (0..24).map(|i| tokio::spawn(chat(everywhere[i % 3], 100)));
         let calls = calls.collect::<Vec<_>>();
