--- a/cli/tests/table.rs
+++ b/cli/tests/table.rs
@@ -31,13 +31,16 @@
     }
 }
 
-fn router(log: net::SocketAddr, name: &str) -> server::Server {
+fn router(log: net::SocketAddr, name: &str, seed: Option<net::SocketAddr>) -> server::Server {
+    let seeds = seed.map(|seed| format!("{seed:?}")).unwrap_or_default();
+    let seeds = if seeds.is_empty() { seeds } else { format!("\"{seeds}\"") };
     let hash = blake3::hash(OPERATOR_KEY.as_bytes()).to_hex();
     let text = format!(
         r#"{{
         "router": {{ "name": "{name}", "region": "here", "zone": "a" }},
         "listen": {{ "callers_addr": "127.0.0.1:0", "operators_addr": "127.0.0.1:0",
                     "peers_addr": "127.0.0.1:0" }},
+        "peers": {{ "secret": "secret of this test's fleet", "seed_addrs": [{seeds}] }},
         "platform": {{ "log_url": "http://{log}", "timeout_ms": 300 }},
         "table": {{
             "classes": [{{ "name": "now", "price_ratio": 1.0, "max_wait_ms": 10000 }}],
@@ -58,7 +61,9 @@
         fs::write(dir.join("wrong-key"), "key-of-nobody").unwrap();
         let runtime = runtime::Builder::new_multi_thread().enable_all().build().unwrap();
         let log = runtime.block_on(standin_log::spawn(standin_log::Config::default())).unwrap();
-        let routers = vec![router(log.addr(), "r1"), router(log.addr(), "r2")];
+        let first = router(log.addr(), "r1", None);
+        let second = router(log.addr(), "r2", first.peers_addr());
+        let routers = vec![first, second];
         let fleet = Fleet { _runtime: runtime, log, routers, dir };
         // Ready as soon as the log's first snapshot has been read back.
         fleet.wait("up to offset", &["show"]);
@@ -103,6 +108,11 @@
         }
     }
 
+    /// Waits until the routers know each other.
+    fn wait_joined(&self) {
+        self.wait("in force on 2 of 2", &["set", "team", "clubs", "weight=1"]);
+    }
+
     fn set(&self, faults: standin_log::Faults) {
         self.log.log().set_faults(faults);
     }
@@ -121,7 +131,12 @@
 
 cases! {
     set_waits_until_in_force(fleet) {
-        fleet.expect(&["set", "team", "lanes", "weight=2.5"], 0, "live routers after");
+        fleet.wait_joined();
+        fleet.expect(
+            &["set", "team", "lanes", "weight=2.5"],
+            0,
+            "in force on 2 of 2 live routers after",
+        );
         fleet.expect(&["show"], 0, "weight=2.5");
         fleet.expect(&["history"], 0, "accepted team      lanes");
         fleet.expect(&["history", "team", "clubs"], 0, "");
--- a/core/src/cell.rs
+++ b/core/src/cell.rs
@@ -41,6 +41,8 @@
         /// Name of the model or service.
         pool: Name,
     },
+    /// Writes snapshots of the table.
+    TableWriter,
     /// Writes one shard of the claims.
     ClaimWriter {
         /// Number of the shard.
@@ -62,6 +64,7 @@
             Role::Dispatcher { cell } => hash(&["dispatcher", cell, router]),
             Role::ZoneSummary { pool, zone } => hash(&["zone-summary", pool, zone, router]),
             Role::FleetSummary { pool } => hash(&["fleet-summary", pool, router]),
+            Role::TableWriter => hash(&["table-writer", router]),
             Role::ClaimWriter { shard } => hash(&["claim-writer", &shard.to_string(), router]),
             Role::LogTailer { zone, index } => {
                 hash(&["log-tailer", zone, &index.to_string(), router])
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod hosted;
 pub mod hosts;
 pub mod loads;
+pub mod members;
 pub mod targets;
 mod uplink;
 
@@ -61,6 +62,13 @@
     },
     /// Another table is in force.
     SetTable(sync::Arc<table::Table>),
+    /// The table in force holds all records of the log before an offset.
+    SetAppliedOffset(u64),
+    /// Asks how far each live router has applied the log.
+    ListRouters {
+        /// Gets one line for each router, this one among them.
+        reply: oneshot::Sender<Vec<members::AppliedOffset>>,
+    },
     /// A request has ended.
     Finish {
         /// The request.
@@ -307,6 +315,15 @@
                 self.hosted.set_table(&table);
                 self.table = table;
             }
+            Command::SetAppliedOffset(offset) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.membership.set_applied_offset(offset);
+                }
+            }
+            Command::ListRouters { reply } => {
+                let members = self.fleet.iter().flat_map(|fleet| fleet.membership.members());
+                let _ = reply.send(members::applied_offsets(members));
+            }
             Command::Finish { id } => {
                 self.waiters.remove(&id);
                 self.router.finish(id);
--- a/daemon/src/platform/api.rs
+++ b/daemon/src/platform/api.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use axum::{Json, extract, response, routing};
+use futures_util::future;
 use gentianhinge_core::table::KeyHash;
 use gentianhinge_core::table::record::Edit;
 use gentianhinge_core::table::replica::{EditOutcome, HistoryEntry};
@@ -34,7 +35,8 @@
 }
 
 /// Lists the live routers.
-pub type LiveRouters = sync::Arc<dyn Fn() -> Vec<RouterOffset> + Send + Sync>;
+pub type LiveRouters =
+    sync::Arc<dyn Fn() -> future::BoxFuture<'static, Vec<RouterOffset>> + Send + Sync>;
 
 /// Routes to be merged into those of the operators' listener.
 pub fn routes(context: Context) -> axum::Router {
@@ -214,5 +216,5 @@
     headers: HeaderMap,
 ) -> Result<Json<InForceAnswer>, Refusal> {
     operator(&context, &headers)?;
-    Ok(Json(InForceAnswer { routers: (context.live_routers)() }))
+    Ok(Json(InForceAnswer { routers: (context.live_routers)().await }))
 }
--- a/daemon/src/platform/table.rs
+++ b/daemon/src/platform/table.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use futures_util::future;
 use gentianhinge_core::table::record::{Edit, LogRecord, Record, STREAM, Snapshot};
 use gentianhinge_core::table::replica::{self, EditOutcome, HistoryEntry, Replica};
 use gentianhinge_core::table::row::{Rows, VersionedRow, rows_of};
@@ -62,7 +63,7 @@
     /// Time for which the log keeps a record.
     pub retention: Duration,
     /// Whether this router writes snapshots, as the live routers now choose.
-    pub is_snapshot_writer: Box<dyn Fn() -> bool + Send + Sync>,
+    pub is_snapshot_writer: Box<dyn Fn() -> future::BoxFuture<'static, bool> + Send + Sync>,
 }
 
 /// What became of an edit.
@@ -327,6 +328,9 @@
             let Some(snapshot) = self.due_snapshot(time::Instant::now(), SystemTime::now()) else {
                 continue;
             };
+            if !(self.inner.options.is_snapshot_writer)().await {
+                continue;
+            }
             let bytes = Bytes::from(record::encode_snapshot(&snapshot));
             // A lost reply does no harm: a snapshot that is there twice changes nothing.
             if let Err(err) = log.append(STREAM, bytes).await {
@@ -335,7 +339,7 @@
         }
     }
 
-    /// The snapshot to write now, if one is due and this router is to write it.
+    /// The snapshot to write now, if one is due.
     fn due_snapshot(&self, now: time::Instant, wall_now: SystemTime) -> Option<Snapshot> {
         let mut state = self.state();
         let end_offset = state.log_end_offset?;
@@ -361,7 +365,7 @@
                     || snapshot.as_of_offset - place.as_of_offset > SNAPSHOT_RECORDS
             }
         };
-        if !is_due || !(self.inner.options.is_snapshot_writer)() {
+        if !is_due {
             return None;
         }
         state.last_snapshot_at = Some(now);
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -6,8 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
-use gentianhinge_core::ids::RouterId;
-use gentianhinge_core::table;
+use gentianhinge_core::ids::{Name, RouterId};
+use gentianhinge_core::{cell, table};
 use gentianhinge_wire::{record, settings};
 use quick_error::quick_error;
 use tokio::runtime;
@@ -189,8 +189,8 @@
         }
     })?;
     let bounds = listener::Bounds::new(&settings.callers);
-    let table_log = table_log(&settings, table);
-    let api = api_context(&settings, &table_log);
+    let table_log = table_log(&settings, table, shared.control.clone());
+    let api = api_context(&settings, &table_log, shared.control.clone());
     let followed = follow_table(shared.clone(), table_log, directory_sender, is_ready);
     let traffic_thread = spawn("server", move || {
         let routes = admin::routes(shared.clone()).merge(platform::api::routes(api));
@@ -247,14 +247,18 @@
 fn table_log(
     settings: &settings::Settings,
     settings_table: sync::Arc<table::Table>,
+    control: control::Handle,
 ) -> platform::table::TableLog {
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let url = settings.platform.log_url.as_deref();
+    let me = Name::from(settings.router.name.as_str());
     platform::table::TableLog::new(platform::table::Options {
         log: url.map(|url| platform::log::Log::new(url, timeout)),
         settings_table,
         retention: Duration::from_millis(settings.platform.log_retention_ms),
-        is_snapshot_writer: Box::new(|| true),
+        is_snapshot_writer: Box::new(move || {
+            Box::pin(is_table_writer(control.clone(), me.clone()))
+        }),
     })
 }
 
@@ -271,6 +275,15 @@
     Ok((control.map_err(StartError::Runtime)?, traffic.map_err(StartError::Runtime)?))
 }
 
+/// Whether this router is the one of the live routers that writes snapshots of the table.
+async fn is_table_writer(control: control::Handle, me: Name) -> bool {
+    let (reply, lines) = tokio_sync::oneshot::channel();
+    control.send(control::Command::ListRouters { reply });
+    let lines = lines.await.unwrap_or_default();
+    let names = lines.iter().map(|line| &line.router).chain([&me]);
+    cell::holder(&cell::Role::TableWriter, names) == Some(&me)
+}
+
 /// Claims of calls that run at most once, if the settings name a log.
 fn claims(settings: &settings::Settings, router: RouterId) -> Option<platform::claims::Claims> {
     let url = settings.platform.log_url.as_deref()?;
@@ -311,24 +324,39 @@
 fn api_context(
     settings: &settings::Settings,
     table: &platform::table::TableLog,
+    control: control::Handle,
 ) -> platform::api::Context {
     platform::api::Context {
         table: table.clone(),
         router: settings.router.name.clone(),
-        live_routers: only_this_router(settings, table),
+        live_routers: live_routers(settings, control, table.subscribe()),
     }
 }
 
-/// Lists the one router that a router without peers knows.
-fn only_this_router(
+/// Lists the live routers; a router without peers knows only itself.
+fn live_routers(
     settings: &settings::Settings,
-    table: &platform::table::TableLog,
+    control: control::Handle,
+    view: tokio_sync::watch::Receiver<platform::table::View>,
 ) -> platform::api::LiveRouters {
     let (router, zone) = (settings.router.name.clone(), settings.router.zone.clone());
-    let view = table.subscribe();
     sync::Arc::new(move || {
         let applied_offset = view.borrow().applied_offset;
-        vec![record::RouterOffset { router: router.clone(), zone: zone.clone(), applied_offset }]
+        let me =
+            record::RouterOffset { router: router.clone(), zone: zone.clone(), applied_offset };
+        let control = control.clone();
+        Box::pin(async move {
+            let (reply, lines) = tokio_sync::oneshot::channel();
+            control.send(control::Command::ListRouters { reply });
+            let others = lines.await.unwrap_or_default();
+            let others = others.iter().filter(|line| *line.router != *me.router);
+            let others = others.map(|line| record::RouterOffset {
+                router: line.router.to_string(),
+                zone: line.zone.to_string(),
+                applied_offset: Some(line.offset).filter(|offset| *offset > 0),
+            });
+            [me.clone()].into_iter().chain(others).collect()
+        })
     })
 }
 
@@ -357,11 +385,19 @@
     let apply = async {
         let mut present = None;
         loop {
-            let table = views.borrow_and_update().table.clone();
+            let view = views.borrow_and_update().clone();
+            if let Some(offset) = view.applied_offset {
+                shared.control.send(control::Command::SetAppliedOffset(offset));
+            }
+            let table = view.table;
             if let Some(table) = table.filter(|table| present.as_ref() != Some(table)) {
                 let entries = directory::Directory::new(&table, &shared.telemetry);
                 directory.send_replace(sync::Arc::new(entries));
                 shared.control.send(control::Command::SetTable(table.clone()));
+                for (target, _) in table.targets.iter().filter(|(_, policy)| policy.is_leaving) {
+                    let target = target.clone();
+                    shared.control.send(control::Command::DrainTarget { target });
+                }
                 present = Some(table);
                 let _ = is_fleet_known.wait_for(|known| *known).await;
                 shared.set_ready();
--- a/daemon/tests/table.rs
+++ b/daemon/tests/table.rs
@@ -58,7 +58,7 @@
             log: Some(Log::new(&fleet.url(), Duration::from_millis(300))),
             settings_table: Arc::new(settings_table),
             retention: Duration::from_secs(3600),
-            is_snapshot_writer: Box::new(move || is_snapshot_writer),
+            is_snapshot_writer: Box::new(move || Box::pin(async move { is_snapshot_writer })),
         });
         let followed = table.clone();
         let task = tokio::spawn(async move { followed.run().await });
