--- a/daemon/src/control/command.rs
+++ b/daemon/src/control/command.rs
@@ -6,6 +6,8 @@
 use gentianhinge_core::{code, router, table};
 use tokio::sync::{mpsc, oneshot};
 
+use super::members;
+
 /// What the traffic threads tell the control thread.
 #[derive(Debug)]
 pub enum Command {
@@ -35,6 +37,13 @@
     },
     /// Another table is in force.
     SetTable(sync::Arc<table::Table>),
+    /// The table in force holds all records of the log before an offset.
+    SetAppliedOffset(u64),
+    /// Asks how far each live router has applied the log.
+    ListRouters {
+        /// Gets one line for each router, this one among them.
+        reply: oneshot::Sender<Vec<members::AppliedOffset>>,
+    },
     /// A request has ended.
     Finish {
         /// The request.
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod hosted;
 pub mod hosts;
 pub mod loads;
+pub mod members;
 pub mod targets;
 mod uplink;
 
@@ -179,6 +180,15 @@
                 self.hosted.set_table(&table);
                 self.table = table;
             }
+            Command::SetAppliedOffset(offset) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.membership.set_applied_offset(offset);
+                }
+            }
+            Command::ListRouters { reply } => {
+                let members = self.fleet.iter().flat_map(|fleet| fleet.membership.members());
+                let _ = reply.send(members::applied_offsets(members));
+            }
             Command::Finish { id } => {
                 self.waiters.remove(&id);
                 self.router.finish(id);
