dispatch: don't charge twice what another dispatcher charged meanwhile

Cause: a router that comes back to a dispatcher brings its accounts and what another dispatcher has told; both hold the same service, and both were added. Now the greater of both counts. The test fails if the missed service is charged as usual.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -298,7 +298,7 @@
         // A team that a known router hadn't served by its last session counts from nothing.
         let known_cost = known_cost.or(session.was_known.then_some(0.0));
         let missed_cost = known_cost.map_or(0.0, |known| (line.delivered_cost - known).max(0.0));
-        self.teams.get_mut(team).charge(missed_cost);
+        self.teams.get_mut(team).account.charge_missed(missed_cost);
         self.teams.refresh(team, self.now);
     }
 
--- a/core/src/fair.rs
+++ b/core/src/fair.rs
@@ -50,6 +50,11 @@
     /// Added on returns. The greatest of all cells counts, so that two cells that lift a team for
     /// one pause don't lift it twice.
     lift: f64,
+    /// Delivered by known routers while they had no session here, per weight.
+    missed: f64,
+    /// Added for what an earlier dispatcher has told. It may hold what was missed, so the greater
+    /// of both counts.
+    raised: f64,
     /// Expected remaining cost of running requests, not divided by weight.
     pending_cost: f64,
     /// Share of `pending_cost` that is charged ahead.
@@ -68,6 +73,8 @@
             weight,
             service: 0.0,
             lift: 0.0,
+            missed: 0.0,
+            raised: 0.0,
             pending_cost: 0.0,
             pending_ratio: MAX_PENDING_RATIO,
             unreported_cost: 0.0,
@@ -121,7 +128,7 @@
 
     /// Virtual time by what is reported, without what is charged ahead.
     pub fn settled(&self) -> f64 {
-        self.service + self.others_service + self.lift.max(self.others_lift)
+        self.service + self.others_service + self.total_lift()
     }
 
     /// Virtual time.
@@ -133,15 +140,20 @@
     pub fn lift_to(&mut self, virtual_time: f64) {
         let missing = virtual_time - self.virtual_time();
         if missing > 0.0 {
-            self.lift = self.lift.max(self.others_lift) + missing;
+            self.lift = self.total_lift() + missing - self.missed.max(self.raised);
         }
     }
 
+    /// Charges service that a known router delivered while it had no session here.
+    pub fn charge_missed(&mut self, cost: f64) {
+        self.missed += cost / self.weight;
+    }
+
     /// Lifts the settled virtual time to one that an earlier dispatcher has told.
     pub fn raise_settled(&mut self, settled: f64) {
         let missing = settled - self.settled();
         if missing > 0.0 {
-            self.lift = self.lift.max(self.others_lift) + missing;
+            self.raised = self.total_lift() + missing - self.lift;
         }
     }
 
@@ -152,7 +164,11 @@
 
     /// Lifts of this cell.
     pub fn own_lift(&self) -> f64 {
-        self.lift
+        self.lift + self.missed.max(self.raised)
+    }
+
+    fn total_lift(&self) -> f64 {
+        self.own_lift().max(self.others_lift)
     }
 
     fn ahead(&self) -> f64 {
--- a/core/tests/failover.rs
+++ b/core/tests/failover.rs
@@ -6,6 +6,7 @@
 
 use cellkit::{CELL, Cell, now, router_id, table};
 use gentianhinge_core::ids::{RequestId, RouterId};
+use gentianhinge_core::message::TeamVirtualTime;
 use tokio::time;
 
 /// Serves `count` requests of 100 each, one at a time; returns how many were of team `a`.
@@ -154,4 +155,20 @@
         cell.dispatcher.report(late, now());
         assert!(cell.dispatcher.poll(now()).is_empty());
     },
+    what_another_dispatcher_charged_meanwhile_is_not_charged_twice: {
+        let mut cell = backlogged(1);
+        let id = cell.exchange()[0];
+        let index = usize::from(id % 2 == 1);
+        cell.dispatcher.leave(&router_id(index));
+        cell.finish(index, id, 7_000.0);
+        cell.dispatcher.join(router_id(index));
+        cell.routers[index].set_dispatcher(&CELL.into(), router_id(0));
+        let mut report = cell.routers[index].take_report(&CELL.into(), now()).unwrap();
+        let team = if id < 1_000 { "a" } else { "b" };
+        // Another dispatcher had the cell and has told what it charged.
+        report.virtual_times = vec![TeamVirtualTime { team: team.into(), cost: 3_500.0 }];
+        cell.dispatcher.report(report, now());
+        let charged = cell.dispatcher.virtual_time(team).unwrap();
+        assert!((3_500.0..4_500.0).contains(&charged), "{charged}");
+    },
 }
