End a router's own session when it gives up a role

Cause: a router that lost its dispatcher's role and got it back before it had joined another kept its session with the dispatcher that was gone, since both have the router's id; its requests waited until they expired. Ruled out: the wait for fresh load reports.

--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -327,8 +327,7 @@
         tracing::warn!("the process stood still");
         let hosted = self.cells.names().filter(|name| self.hosted.has(name));
         for name in hosted.cloned().collect::<Vec<_>>() {
-            self.hosted.stop(&name);
-            self.targets.end(&name);
+            self.give_up(&name);
             self.targets.distrust(&name);
         }
         let used = self.router.cells().map(|(name, _)| name.clone()).collect::<Vec<_>>();
@@ -391,8 +390,7 @@
             let holder = holder.unwrap_or_else(|| self.id.name.clone());
             self.holders.insert(name.clone(), holder.clone());
             if holder != self.id.name {
-                self.hosted.stop(&name);
-                self.targets.end(&name);
+                self.give_up(&name);
             } else if !self.hosted.has(&name) {
                 self.host(name, now);
             }
@@ -409,6 +407,18 @@
         });
     }
 
+    /// Ends this router's role for a cell, if it has it.
+    ///
+    /// Its own session ends, too: a dispatcher that it begins later has the same name, and the
+    /// session would pass for one with that.
+    fn give_up(&mut self, cell: &Name) {
+        if self.hosted.has(cell) {
+            self.hosted.stop(cell);
+            self.targets.end(cell);
+            self.router.end_session(cell);
+        }
+    }
+
     fn host(&mut self, name: Name, now: time::Instant) {
         let (id, table) = (self.id.clone(), self.table.clone());
         let mut dispatcher = dispatch::Dispatcher::new(id, name.clone(), table);
