Lift teams that return from a pause while the dispatcher's role moves

Cause: a new dispatcher knows each team's last virtual time but not who was in service, so a team that returned during the take-over claimed its whole pause: teams_return_while_the_role_moves had one team without service for 119.9 s (bound 5 s). Now a backlogged team with nothing in flight is lifted to the least time of those with something in flight; it loses at most the gap's bound. Weighed: telling the time of the last grant in each batch, which needs a message change.

--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -344,13 +344,20 @@
         self.list.iter().map(|team| team.waiting_count).sum()
     }
 
-    /// Lifts backlogged teams of which no earlier virtual time is known to the least that is.
+    /// Lifts backlogged teams that weren't in service when this dispatcher took over to the least
+    /// virtual time of those that were.
     ///
-    /// Their own times begin at 0, and the others would wait for all that they were ever served.
+    /// The time of a team of which none is known begins at 0; that of a team that returned from a
+    /// pause during the take-over stands where the pause began. The others would wait for all that
+    /// these missed. What tells a team in service is that it has requests in flight. One that waited
+    /// without any loses what it was behind, at most the bound of the gap.
     pub(super) fn lift_unknown(&mut self, now: time::Instant) {
-        let inherited = self.list.iter().filter(|team| team.inherited && team.backlogged);
-        let times = inherited.map(|team| team.account.virtual_time());
-        let least = times.fold(f64::INFINITY, f64::min);
+        let serves = |team: &Team| team.running_count > 0;
+        let some_run =
+            self.list.iter().any(|team| team.inherited && team.backlogged && serves(team));
+        let is_known = |team: &Team| team.inherited && (serves(team) || !some_run);
+        let known = self.list.iter().filter(|team| team.backlogged && is_known(team));
+        let least = known.map(|team| team.account.virtual_time()).fold(f64::INFINITY, f64::min);
         if !least.is_finite() {
             return;
         }
@@ -358,7 +365,7 @@
         for index in self.indexes() {
             let team = &mut self.list[index.number()];
             team.idle_since = None;
-            if team.backlogged && !team.inherited {
+            if team.backlogged && !is_known(team) {
                 team.account.lift_to(least);
                 self.refresh(index, now);
             }
