--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::ids::{Name, RequestId, RouterId};
-use gentianhinge_core::membership::Member;
-use gentianhinge_core::{cell, code, dispatch, membership, pause, router, table};
+use gentianhinge_core::{code, membership, pause, router, table};
 use gentianhinge_wire::settings;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
@@ -22,6 +21,7 @@
 pub mod hosts;
 pub mod loads;
 pub mod members;
+mod roles;
 pub mod targets;
 mod uplink;
 
@@ -275,15 +275,6 @@
         }
     }
 
-    /// Tells the dispatchers which part of the listed routers is seen.
-    ///
-    /// Without a list nothing tells a group that was cut off from routers that died.
-    fn update_view(&mut self) {
-        let Some(fleet) = self.fleet.as_ref().filter(|_| self.listed_routers > 0) else { return };
-        let live = 1 + fleet.membership.members().filter(|member| member.is_live()).count();
-        self.hosted.set_view(u32::try_from(live).unwrap_or(u32::MAX), self.listed_routers);
-    }
-
     fn take_event(&mut self, event: peer::Event, now: time::Instant) {
         match event {
             peer::Event::Join { session, router, cell, sink, reply } => {
@@ -316,28 +307,6 @@
         }
     }
 
-    /// Gives up roles, sessions and grants if the process stood still.
-    ///
-    /// What was received before the standstill may be void: slots given to others, targets left. So
-    /// a dispatcher that this router begins next uses a target only after a fresh load report.
-    fn check_pause(&mut self, now: time::Instant) {
-        if !self.pause.check(now) {
-            return;
-        }
-        tracing::warn!("the process stood still");
-        let hosted = self.cells.names().filter(|name| self.hosted.has(name));
-        for name in hosted.cloned().collect::<Vec<_>>() {
-            self.give_up(&name);
-            self.targets.distrust(&name);
-        }
-        let used = self.router.cells().map(|(name, _)| name.clone()).collect::<Vec<_>>();
-        for name in used {
-            self.uplinks.drop_session(&name);
-            self.router.end_session(&name);
-        }
-        self.generation = None;
-    }
-
     /// Does all that is due.
     fn step(&mut self, now: time::Instant) {
         if let Some(fleet) = &mut self.fleet {
@@ -361,102 +330,6 @@
         }
     }
 
-    /// Routers of this region that may hold roles; if there are none, those that live.
-    fn candidates(&self) -> Vec<Name> {
-        let Some(fleet) = &self.fleet else { return vec![self.id.name.clone()] };
-        let here = |member: &&Member| member.region == self.region;
-        let eligible = fleet.membership.eligible().filter(here);
-        let eligible = eligible.map(|member| member.id.name.clone()).collect::<Vec<_>>();
-        if !eligible.is_empty() {
-            return eligible;
-        }
-        let live = fleet.membership.members().filter(here).filter(|member| member.is_live());
-        let live = live.map(|member| member.id.name.clone());
-        live.chain([self.id.name.clone()]).collect()
-    }
-
-    /// Lets the roles follow the membership.
-    fn assign_roles(&mut self, now: time::Instant) {
-        let generation = self.fleet.as_ref().map_or(0, |fleet| fleet.membership.generation());
-        if self.generation == Some(generation) || !*self.ready.borrow() {
-            return;
-        }
-        self.generation = Some(generation);
-        let candidates = self.candidates();
-        let names = self.cells.names().cloned().collect::<Vec<_>>();
-        for name in names {
-            let role = cell::Role::Dispatcher { cell: name.clone() };
-            let holder = cell::holder(&role, &candidates).cloned();
-            let holder = holder.unwrap_or_else(|| self.id.name.clone());
-            self.holders.insert(name.clone(), holder.clone());
-            if holder != self.id.name {
-                self.give_up(&name);
-            } else if !self.hosted.has(&name) {
-                self.host(name, now);
-            }
-        }
-        self.update_view();
-        let Some(fleet) = &self.fleet else { return };
-        let membership = &fleet.membership;
-        for (target, incarnation) in membership.leaving_targets() {
-            self.hosted.target_has_left(target, incarnation);
-        }
-        self.hosted.retain_routers(|router| {
-            let known = membership.member(&router.name);
-            known.is_some_and(|member| member.id == *router && member.is_live())
-        });
-    }
-
-    /// Ends this router's role for a cell, if it has it.
-    ///
-    /// Its own session ends, too: a dispatcher that it begins later has the same name, and the
-    /// session would pass for one with that.
-    fn give_up(&mut self, cell: &Name) {
-        if self.hosted.has(cell) {
-            self.hosted.stop(cell);
-            self.targets.end(cell);
-            self.router.end_session(cell);
-        }
-    }
-
-    fn host(&mut self, name: Name, now: time::Instant) {
-        let (id, table) = (self.id.clone(), self.table.clone());
-        let mut dispatcher = dispatch::Dispatcher::new(id, name.clone(), table);
-        dispatcher.set_targets(self.cells.targets(&name));
-        let others = self.fleet.iter().flat_map(|fleet| fleet.membership.members());
-        let others = others.filter(|member| member.is_live() && member.region == self.region);
-        let others = others.map(|member| member.id.clone()).collect::<Vec<_>>();
-        dispatcher.settle(&others, now + self.settle);
-        let targets = self.cells.targets(&name).iter().map(|spec| spec.name.clone());
-        self.targets.begin(&name, &mut dispatcher, &targets.collect::<Vec<_>>(), now);
-        self.hosted.start(name, dispatcher);
-    }
-
-    /// Joins the dispatcher of each cell in use.
-    fn open_sessions(&mut self, now: time::Instant) {
-        if self.generation.is_none() {
-            return;
-        }
-        let used = self.router.cells().map(|(cell, current)| (cell.clone(), current.cloned()));
-        let used = used.collect::<Vec<_>>();
-        for (name, current) in used {
-            if self.hosted.has(&name) {
-                self.uplinks.drop_session(&name);
-                let joined = current.as_ref() == Some(&self.id);
-                if let Some(dispatcher) = self.hosted.dispatcher(&name).filter(|_| !joined) {
-                    dispatcher.join(self.id.clone());
-                    self.router.set_dispatcher(&name, self.id.clone());
-                }
-                continue;
-            }
-            let holder = self.holders.get(&name).zip(self.fleet.as_ref());
-            let member = holder.and_then(|(holder, fleet)| fleet.membership.member(holder));
-            if let Some(member) = member.filter(|member| member.id != self.id) {
-                self.uplinks.want(&name, &member.id, member.peers_addr, now);
-            }
-        }
-    }
-
     fn doubt(&mut self, router: &RouterId, now: time::Instant) {
         if let Some(fleet) = &mut self.fleet {
             fleet.membership.doubt(&router.name, now);
--- a/daemon/src/traffic/failure.rs
+++ b/daemon/src/traffic/failure.rs
@@ -49,6 +49,14 @@
         answer
     }
 
+    /// The answer that a request got, or the one that tells its failure.
+    pub fn answer(
+        result: Result<response::Response, Failure>,
+        request_id: &str,
+    ) -> response::Response {
+        result.unwrap_or_else(|failure| failure.into_response(request_id))
+    }
+
     /// The last event of a stream that breaks off.
     pub fn into_event(self, request_id: &str) -> Bytes {
         Bytes::from(format!("event: error\ndata: {}\n\n", self.body(request_id)))
--- a/daemon/src/traffic/service.rs
+++ b/daemon/src/traffic/service.rs
@@ -62,10 +62,7 @@
     request: extract::Request,
 ) -> response::Response {
     let request_id = traffic.request_id();
-    match serve(&traffic, request_id.clone(), request).await {
-        Ok(answer) => answer,
-        Err(failure) => failure.into_response(&request_id),
-    }
+    Failure::answer(serve(&traffic, request_id.clone(), request).await, &request_id)
 }
 
 async fn serve(
