Show the control thread's counters and gauges among the metrics

Cause: the control thread counted through the process-wide recorder, which nothing installs, so its counters were lost. It now runs with the router's own recorder. Also gauges of live routers, dispatched cells, waiting and running requests. The new case failed before: no such lines.

--- a/daemon/src/control/fleet.rs
+++ b/daemon/src/control/fleet.rs
@@ -39,6 +39,11 @@
 }
 
 impl Fleet {
+    /// Number of routers that live, this one among them.
+    pub fn live_count(&self) -> usize {
+        1 + self.membership.members().filter(|member| member.is_live()).count()
+    }
+
     /// Begins to take sessions and to look for the other routers.
     pub(super) fn start(
         id: &RouterId,
@@ -79,7 +84,7 @@
                 Event::Dead(router) => tracing::warn!(%router, "router is dead"),
                 Event::Left(router) => tracing::info!(%router, "router has left"),
                 Event::Superseded(router) => {
-                    metrics::counter!("membership_superseded_total").increment(1);
+                    metrics::counter!("gentianhinge_membership_superseded_total").increment(1);
                     tracing::debug!(%router, "a later life of this router is known");
                 }
             }
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -40,6 +40,9 @@
 /// timeout: others doubt it by then, and may have given its roles and slots to others.
 const PAUSE_RATIO: f64 = 0.25;
 
+/// Time between two updates of the gauges.
+const SHOW_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Most commands taken in before grants are given out.
 const COMMAND_BATCH: usize = 256;
 
@@ -87,6 +90,7 @@
     ready: watch::Sender<bool>,
     join_until: time::Instant,
     pause: pause::Watch,
+    show_at: time::Instant,
 }
 
 /// Serves commands and other routers until the last handle is gone, then leaves the fleet.
@@ -175,6 +179,7 @@
             listed_routers: 0,
             ready,
             join_until: time::Instant::now() + JOIN_TIMEOUT,
+            show_at: time::Instant::now(),
             pause: pause::Watch::new(timeout.mul_f64(PAUSE_RATIO), time::Instant::now()),
             id,
             table,
@@ -321,6 +326,23 @@
         self.expire(now);
         self.dispatch(now);
         self.report(now);
+        self.show(now);
+    }
+
+    /// Brings the gauges up to date, now and then.
+    fn show(&mut self, now: time::Instant) {
+        if now < self.show_at {
+            return;
+        }
+        self.show_at = now + SHOW_INTERVAL;
+        let live = self.fleet.as_ref().map_or(1, Fleet::live_count);
+        metrics::gauge!("gentianhinge_live_routers").set(live as f64);
+        let cells = self.cells.names().filter(|name| self.hosted.has(name)).count();
+        metrics::gauge!("gentianhinge_dispatched_cells").set(cells as f64);
+        let running = self.router.running_count();
+        metrics::gauge!("gentianhinge_running_requests").set(running as f64);
+        let waiting = self.router.request_count() - running;
+        metrics::gauge!("gentianhinge_waiting_requests").set(waiting as f64);
     }
 
     fn update_ready(&mut self, now: time::Instant) {
--- a/daemon/src/control/roles.rs
+++ b/daemon/src/control/roles.rs
@@ -13,7 +13,7 @@
     /// Without a list nothing tells a group that was cut off from routers that died.
     pub(super) fn update_view(&mut self) {
         let Some(fleet) = self.fleet.as_ref().filter(|_| self.listed_routers > 0) else { return };
-        let live = 1 + fleet.membership.members().filter(|member| member.is_live()).count();
+        let live = fleet.live_count();
         self.hosted.set_view(u32::try_from(live).unwrap_or(u32::MAX), self.listed_routers);
     }
 
--- a/daemon/src/control/uplink.rs
+++ b/daemon/src/control/uplink.rs
@@ -214,7 +214,7 @@
             }
         }
         for router in &silent {
-            metrics::counter!("peer_sessions_silent_total").increment(1);
+            metrics::counter!("gentianhinge_peer_sessions_silent_total").increment(1);
             self.cut(router, now);
         }
         doubted
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -44,10 +44,10 @@
         let mut messages = Vec::new();
         for _ in 0..READ_BATCH {
             let Ok((len, _)) = self.socket.try_recv_from(&mut self.buffer) else { break };
-            metrics::counter!("membership_received_bytes_total").increment(len as u64);
+            metrics::counter!("gentianhinge_membership_received_bytes_total").increment(len as u64);
             match self.sealer.open(&self.buffer[..len]) {
                 Ok(message) => messages.push(message),
-                Err(_) => metrics::counter!("membership_dropped_total").increment(1),
+                Err(_) => metrics::counter!("gentianhinge_membership_dropped_total").increment(1),
             }
         }
         messages
@@ -57,7 +57,8 @@
     pub fn send(&self, envelopes: &[membership::Envelope]) {
         for envelope in envelopes {
             let bytes = self.sealer.seal(&envelope.message);
-            metrics::counter!("membership_sent_bytes_total").increment(bytes.len() as u64);
+            metrics::counter!("gentianhinge_membership_sent_bytes_total")
+                .increment(bytes.len() as u64);
             let _ = self.socket.try_send_to(&bytes, envelope.to);
         }
     }
--- a/daemon/src/peer/client.rs
+++ b/daemon/src/peer/client.rs
@@ -80,7 +80,9 @@
     let (network, channel) =
         network::Network::new(reader, writer, Side::Client, |_| sessions.on_frame());
     let mut system = RpcSystem::new(Box::new(network), None);
-    system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
+    system.set_background_error_handler(|_| {
+        metrics::counter!("gentianhinge_peer_errors_total").increment(1)
+    });
     let gate = system.bootstrap::<peer_capnp::gate::Client>(Side::Server);
     let system = task::spawn_local(system);
     let _abort = AbortOnDrop(system.abort_handle());
--- a/daemon/src/peer/server.rs
+++ b/daemon/src/peer/server.rs
@@ -54,14 +54,16 @@
     let gate = Gate { context, channel, sessions, proved: cell::Cell::new(Some(proved)) };
     let gate = capnp_rpc::new_client::<peer_capnp::gate::Client, _>(gate);
     let mut system = RpcSystem::new(Box::new(network), Some(gate.client));
-    system.set_background_error_handler(|_| metrics::counter!("peer_errors_total").increment(1));
+    system.set_background_error_handler(|_| {
+        metrics::counter!("gentianhinge_peer_errors_total").increment(1)
+    });
     let mut system = tokio::task::spawn_local(system);
     let proved = tokio::select! {
         proved = time::timeout(HANDSHAKE_TIMEOUT, proof) => matches!(proved, Ok(Ok(()))),
         _ = &mut system => return,
     };
     if !proved {
-        metrics::counter!("peer_handshakes_failed_total").increment(1);
+        metrics::counter!("gentianhinge_peer_handshakes_failed_total").increment(1);
         system.abort();
     }
     let _ = system.await;
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -63,7 +63,7 @@
     /// Name and incarnation of the router.
     pub id: RouterId,
     /// Metrics of the router.
-    pub telemetry: telemetry::Telemetry,
+    pub telemetry: sync::Arc<telemetry::Telemetry>,
     /// What became of recent requests.
     pub journal: sync::Arc<journal::Journal>,
     /// Way to the control thread.
@@ -152,7 +152,7 @@
     let callers_addr = local_addr(&callers)?;
     let operators_addr = local_addr(&operators)?;
     let id = RouterId::new(settings.router.name.as_str(), incarnation());
-    let telemetry = telemetry::Telemetry::new();
+    let telemetry = sync::Arc::new(telemetry::Telemetry::new());
     let snapshot = sync::Arc::new(directory::Directory::new(&table, &telemetry));
     let (directory_sender, directory) = tokio_sync::watch::channel(snapshot);
     let (handle, commands) = control::Handle::channel();
@@ -172,7 +172,7 @@
     };
     let shared = sync::Arc::new(Shared {
         id,
-        telemetry,
+        telemetry: telemetry.clone(),
         journal: sync::Arc::default(),
         control: handle,
         directory,
@@ -184,7 +184,8 @@
     let traffic = traffic::Traffic::new(shared.clone(), &settings, pools, claims.clone());
     let control_thread = spawn("control", move || {
         let served = control::run(setup);
-        if let Err(err) = tokio::task::LocalSet::new().block_on(&control_runtime, served) {
+        let local = tokio::task::LocalSet::new();
+        if let Err(err) = telemetry.collect(|| local.block_on(&control_runtime, served)) {
             tracing::error!(%err, "control thread");
         }
     })?;
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -106,6 +106,11 @@
         self.recorder.register_gauge(&metrics::Key::from_name(name), &METADATA)
     }
 
+    /// Runs the body of a thread whose `metrics` macros are to count for this router.
+    pub fn collect<T>(&self, body: impl FnOnce() -> T) -> T {
+        metrics::with_local_recorder(&self.recorder, body)
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.recorder.handle().render()
--- a/daemon/src/traffic/model.rs
+++ b/daemon/src/traffic/model.rs
@@ -135,7 +135,7 @@
     body: body::Body,
 ) -> Result<response::Response, Failure> {
     if parts.headers.contains_key("idempotency-key") {
-        let message = "no log is set up to record calls that run at most once";
+        let message = "the model API doesn't take idempotency keys";
         return Err(Failure::new(ResultCode::LogUnavailable, message));
     }
     let body = traffic.read_body(body).await?;
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -244,6 +244,19 @@
         }
         assert_eq!(run_count(fleet.engine_addrs[0]).await, before);
     },
+    the_metrics_show_the_fleet: {
+        let fleet = Fleet::start().await;
+        let until = time::Instant::now() + FAILOVER_BOUND;
+        let mut seen = String::new();
+        while time::Instant::now() < until && !seen.contains("gentianhinge_live_routers 3") {
+            let router = &fleet.routers[fleet.dispatcher()];
+            seen = support::send("GET", router.operators, "/metrics", &[], "").await.body;
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        for line in ["live_routers 3", "dispatched_cells ", "membership_sent_bytes_total "] {
+            assert!(seen.contains(&format!("gentianhinge_{line}")), "{line} in {seen}");
+        }
+    },
     a_restarted_dispatcher_serves_again: {
         let mut fleet = Fleet::start().await;
         let dispatcher = fleet.dispatcher();
