--- a/scenario/src/faults.rs
+++ b/scenario/src/faults.rs
@@ -171,6 +171,8 @@
 
     fn drain(&mut self, node: usize) {
         self.nodes[node].draining = true;
+        // Like the daemon, which gives its roles up before others hear of it.
+        self.tick(node);
     }
 
     /// Ends a draining process once all its requests are answered and its role is another's.
