Give a target all the slots back for which it reports room

Cause: after two groups had overfilled a target, its slots came back one for each load report, so slots stood idle for seconds. The new case fails with slots given back by ones.

--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -131,7 +131,9 @@
             self.adjusted_at = Some(now);
         } else if load.waiting_count == 0 && self.busy_count >= self.ceiling && self.ceiling < most
         {
-            self.ceiling += 1;
+            // What the target says it could run besides; by ones if it doesn't say.
+            let room = load.max_running_count.saturating_sub(load.running_count).max(1);
+            self.ceiling = (self.ceiling + room).min(most);
             self.adjusted_at = Some(now);
         }
     }
--- a/core/tests/slots.rs
+++ b/core/tests/slots.rs
@@ -57,6 +57,19 @@
         }
         assert_eq!(targets.busy_count(), 16);
     },
+    a_target_that_tells_its_room_gets_it_all_back_at_once: {
+        let mut targets = targets(&["t1"], 16);
+        fill(&mut targets);
+        targets.set_load(&"t1".into(), load(10, 6), now());
+        for _ in 0..16 {
+            targets.release(&"t1".into());
+        }
+        assert_eq!(fill(&mut targets), 11);
+        time::advance(Duration::from_secs(1)).await;
+        let report = TargetLoad { max_running_count: 16, ..load(11, 0) };
+        targets.set_load(&"t1".into(), report, now());
+        assert_eq!(fill(&mut targets), 5);
+    },
     a_report_from_before_the_last_change_changes_nothing: {
         let mut targets = targets(&["t1"], 16);
         let old = load(10, 6);
