--- /dev/null
+++ b/core/src/hold.rs
@@ -0,0 +1,144 @@
+//! Holds requests back while targets are busy, and turns away what has no chance.
+//!
+//! Load pattern: more work arrives than targets can read. A target serves in order of arrival, so
+//! what is sent early makes everything behind it late. Requests wait at their router instead, and
+//! are sent when their target will begin them soon: first those that can still be on time, of the
+//! most urgent kind, of teams below their share.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Settings of the wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Unread work at a target, in ms, below which it gets the most urgent requests.
+    pub threshold_ms: f64,
+    /// Factor on the threshold for each step of urgency below the first.
+    pub urgency_factor: f64,
+    /// Factor on the threshold for a request that can't be on time any more.
+    pub late_factor: f64,
+    /// Factor on the threshold for a team above its share.
+    pub over_share_factor: f64,
+    /// Longest wait at the router.
+    pub max_wait: Duration,
+    /// Factor on the longest wait for a team above its share.
+    pub over_share_wait_factor: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            threshold_ms: 300.0,
+            urgency_factor: 0.6,
+            late_factor: 0.1,
+            over_share_factor: 0.1,
+            max_wait: Duration::from_millis(1000),
+            over_share_wait_factor: 0.5,
+        }
+    }
+}
+
+impl Policy {
+    /// The policy for a request that goes on at another target: at once if there is a slot.
+    pub fn for_repeats() -> Policy {
+        Policy {
+            threshold_ms: f64::INFINITY,
+            urgency_factor: 1.0,
+            late_factor: 1.0,
+            over_share_factor: 1.0,
+            ..Policy::default()
+        }
+    }
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    /// When it arrived at the router.
+    pub arrived_at: Instant,
+    /// Time at which it stops being on time.
+    pub due_at: Instant,
+    /// Time at which the caller stops waiting.
+    pub deadline: Instant,
+    /// Steps of urgency below the most urgent kind of the service.
+    pub urgency_step: u32,
+    /// What its team has got, as a ratio of the fair share.
+    pub share_ratio: f64,
+}
+
+/// What a request's best target looks like.
+#[derive(Clone, Copy, Debug)]
+pub struct Outlook {
+    /// Time until the target has read what was sent before.
+    pub wait_ms: f64,
+    /// Time to read this request.
+    pub read_ms: f64,
+    /// Whether the target has a free slot.
+    pub has_slot: bool,
+}
+
+/// What to do with a request now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it to its best target.
+    Send,
+    /// Look again soon.
+    Wait,
+    /// Tell the caller that it wasn't run, and when to come back.
+    Refuse {
+        /// Time after which the caller is likely to be served.
+        retry_after: Duration,
+    },
+}
+
+/// Share ratio above which a team counts as above its share.
+pub const OVER_SHARE: f64 = 1.0;
+
+/// Least time to come back in, as a queue of that length clears in about that time.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+impl Waiter {
+    /// Whether the first event can still come in time.
+    pub fn can_be_on_time(&self, outlook: &Outlook, now: Instant) -> bool {
+        let expected = now + Duration::from_secs_f64((outlook.wait_ms + outlook.read_ms) / 1e3);
+        expected <= self.due_at
+    }
+
+    /// Order in which requests are looked at; the least goes first.
+    pub fn rank(&self, now: Instant) -> (bool, bool, u32, Instant) {
+        (self.share_ratio > OVER_SHARE, now >= self.due_at, self.urgency_step, self.arrived_at)
+    }
+}
+
+/// Decides on one request; `outlook` is `None` if no target is there.
+pub fn decide(
+    policy: &Policy,
+    waiter: &Waiter,
+    outlook: Option<&Outlook>,
+    now: Instant,
+) -> Verdict {
+    let waited = now.duration_since(waiter.arrived_at);
+    let is_over = waiter.share_ratio > OVER_SHARE;
+    if let Some(outlook) = outlook {
+        let mut threshold_ms = policy.threshold_ms;
+        threshold_ms *= policy.urgency_factor.powi(waiter.urgency_step.min(8) as i32);
+        if !waiter.can_be_on_time(outlook, now) {
+            threshold_ms *= policy.late_factor;
+        }
+        if is_over {
+            threshold_ms *= policy.over_share_factor;
+        }
+        if outlook.has_slot && outlook.wait_ms <= threshold_ms {
+            return Verdict::Send;
+        }
+    }
+    let wait_factor = if is_over { policy.over_share_wait_factor } else { 1.0 };
+    let max_wait = policy.max_wait.mul_f64(wait_factor);
+    if waited < max_wait && now < waiter.deadline {
+        return Verdict::Wait;
+    }
+    let backlog_ms = outlook.map_or(0.0, |outlook| outlook.wait_ms);
+    let retry_after = Duration::from_secs_f64(backlog_ms / 1e3).max(MIN_RETRY_AFTER);
+    Verdict::Refuse { retry_after }
+}
--- /dev/null
+++ b/core/src/load.rs
@@ -0,0 +1,211 @@
+//! The load of targets as one router sees it: its own requests, and what the others report.
+//!
+//! Load pattern: many routers send to the same targets, and what a target says of itself is old.
+//! Counting what was sent shows load before the target reports it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::ids::Name;
+use crate::prompt::{Part, Prompt};
+use crate::report::{self, Hash};
+
+/// Silence after which another router's load no longer counts: what it had sent is then mostly
+/// done, or was cut off with it.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Time for which a part is taken to be kept after its last use.
+pub const KEPT_TIME: Duration = Duration::from_secs(60);
+
+/// Most parts remembered for one target; the least recently used are forgotten beyond it.
+pub const MAX_KEPT_PARTS: usize = 4096;
+
+/// Load of one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Prompt tokens sent, of requests that have no event yet.
+    pub unread_tokens: f64,
+    /// Requests in flight.
+    pub running_count: f64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: u64,
+    seq: u64,
+    heard_at: Instant,
+    targets: HashMap<Hash, report::TargetLoad>,
+}
+
+/// Load of all targets, and what they keep of prompts.
+#[derive(Debug, Default)]
+pub struct LoadView {
+    own: HashMap<Hash, Load>,
+    /// Lines of the last report, to leave out what hasn't changed.
+    reported: HashMap<Hash, report::TargetLoad>,
+    others: HashMap<Hash, Load>,
+    peers: HashMap<Name, Peer>,
+    kept: HashMap<Hash, HashMap<u64, Instant>>,
+    news: Vec<report::KeptPart>,
+}
+
+impl LoadView {
+    /// Load of a target from all routers.
+    pub fn load(&self, target: Hash) -> Load {
+        let own = self.own.get(&target).copied().unwrap_or_default();
+        let others = self.others.get(&target).copied().unwrap_or_default();
+        Load {
+            unread_tokens: own.unread_tokens + others.unread_tokens,
+            running_count: own.running_count + others.running_count,
+        }
+    }
+
+    /// Load that this router has put on a target.
+    pub fn own_load(&self, target: Hash) -> Load {
+        self.own.get(&target).copied().unwrap_or_default()
+    }
+
+    /// Tokens of a prompt that a target has to read: what lies behind the parts that it keeps.
+    pub fn unread_of(&self, target: Hash, prompt: &Prompt, now: Instant) -> u32 {
+        let Some(kept) = self.kept.get(&target) else { return prompt.prompt_tokens };
+        let is_kept = |part: &&Part| {
+            kept.get(&part.id).is_some_and(|used_at| now.duration_since(*used_at) < KEPT_TIME)
+        };
+        let kept_tokens = prompt.parts.iter().take_while(is_kept).map(|part| part.tokens);
+        prompt.prompt_tokens.saturating_sub(kept_tokens.sum())
+    }
+
+    /// Whether a target keeps a part.
+    pub fn keeps(&self, target: Hash, part: u64) -> bool {
+        self.kept.get(&target).is_some_and(|kept| kept.contains_key(&part))
+    }
+
+    /// Counts a request that is sent to a target.
+    pub fn begin(&mut self, target: Hash, unread_tokens: u32, prompt: &Prompt, now: Instant) {
+        let load = self.own.entry(target).or_default();
+        load.unread_tokens += f64::from(unread_tokens);
+        load.running_count += 1.0;
+        for part in &prompt.parts {
+            if !self.keeps(target, part.id) {
+                self.news.push(report::KeptPart { target, part: part.id });
+            }
+            self.keep(target, part.id, now);
+        }
+    }
+
+    /// Counts the first event of a request: its prompt is read.
+    pub fn read(&mut self, target: Hash, unread_tokens: u32) {
+        if let Some(load) = self.own.get_mut(&target) {
+            load.unread_tokens = (load.unread_tokens - f64::from(unread_tokens)).max(0.0);
+        }
+    }
+
+    /// Counts the end of a request at a target; `unread_tokens` is 0 if its prompt was read.
+    pub fn end(&mut self, target: Hash, unread_tokens: u32) {
+        self.read(target, unread_tokens);
+        if let Some(load) = self.own.get_mut(&target) {
+            load.running_count = (load.running_count - 1.0).max(0.0);
+        }
+    }
+
+    /// Forgets all that a target keeps, as after a failure of its process.
+    pub fn forget(&mut self, target: Hash) {
+        self.kept.remove(&target);
+        self.own.remove(&target);
+    }
+
+    fn keep(&mut self, target: Hash, part: u64, now: Instant) {
+        let kept = self.kept.entry(target).or_default();
+        kept.insert(part, now);
+        if kept.len() > MAX_KEPT_PARTS {
+            let mut ages = kept.iter().map(|(part, at)| (*at, *part)).collect::<Vec<_>>();
+            ages.sort_unstable();
+            for (_, part) in &ages[..MAX_KEPT_PARTS / 4] {
+                kept.remove(part);
+            }
+        }
+    }
+
+    /// Takes another router's report; returns whether it is newer than what is known.
+    pub fn hear(&mut self, heard: &report::LoadReport, now: Instant) -> bool {
+        for kept in &heard.kept {
+            self.keep(kept.target, kept.part, now);
+        }
+        let peer = self.peers.entry(heard.sender.clone()).or_insert_with(|| Peer {
+            incarnation: 0,
+            seq: 0,
+            heard_at: now,
+            targets: HashMap::new(),
+        });
+        if (heard.incarnation, heard.seq) <= (peer.incarnation, peer.seq) {
+            return false;
+        }
+        if heard.is_full || heard.incarnation != peer.incarnation {
+            peer.targets.clear();
+        }
+        (peer.incarnation, peer.seq, peer.heard_at) = (heard.incarnation, heard.seq, now);
+        peer.targets.extend(heard.targets.iter().map(|line| (line.target, *line)));
+        self.sum_others(now);
+        true
+    }
+
+    /// Drops the load of routers that are silent.
+    pub fn expire(&mut self, now: Instant) {
+        let is_old = |peer: &Peer| now.duration_since(peer.heard_at) > PEER_SILENCE;
+        if self.peers.values().any(|peer| is_old(peer) && !peer.targets.is_empty()) {
+            for peer in self.peers.values_mut().filter(|peer| is_old(peer)) {
+                peer.targets.clear();
+            }
+            self.sum_others(now);
+        }
+    }
+
+    /// Number of routers that were heard lately, this one included.
+    pub fn router_count(&self, now: Instant) -> usize {
+        let fresh = |peer: &&Peer| now.duration_since(peer.heard_at) <= PEER_SILENCE;
+        1 + self.peers.values().filter(fresh).count()
+    }
+
+    fn sum_others(&mut self, now: Instant) {
+        self.others.clear();
+        let peers = self.peers.values();
+        let fresh = peers.filter(|peer| now.duration_since(peer.heard_at) <= PEER_SILENCE);
+        for line in fresh.flat_map(|peer| peer.targets.values()) {
+            let load = self.others.entry(line.target).or_default();
+            load.unread_tokens += f64::from(line.unread_tokens);
+            load.running_count += f64::from(line.running_count);
+        }
+    }
+
+    /// This router's load by target, for its report: all of it, or what has changed since the last.
+    pub fn own_lines(&mut self, is_full: bool) -> Vec<report::TargetLoad> {
+        let mut lines = self.own.iter().map(|(target, load)| line(*target, load)).collect::<Vec<_>>();
+        if is_full {
+            lines.retain(|line| line.running_count > 0);
+            self.reported.clear();
+        } else {
+            lines.retain(|line| match self.reported.get(&line.target) {
+                Some(reported) => reported != line,
+                None => line.running_count > 0,
+            });
+        }
+        self.reported.extend(lines.iter().map(|line| (line.target, *line)));
+        lines
+    }
+
+    /// Parts that targets have been sent since the last call, for this router's report.
+    pub fn take_news(&mut self) -> Vec<report::KeptPart> {
+        std::mem::take(&mut self.news)
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Counts of requests.
+fn line(target: Hash, load: &Load) -> report::TargetLoad {
+    report::TargetLoad {
+        target,
+        unread_tokens: load.unread_tokens as u32,
+        running_count: load.running_count as u32,
+    }
+}
--- /dev/null
+++ b/core/src/place.rs
@@ -0,0 +1,137 @@
+//! Chooses the target for a request: the one where its first event is expected first.
+//!
+//! Load pattern: prompts share long parts, and a target that keeps a part reads 3 to 5 times less.
+//! Without homes the fleet reads every part everywhere and has half the capacity that it needs.
+
+use tokio::time::Instant;
+
+use crate::load::{Load, LoadView};
+use crate::prompt::Prompt;
+use crate::registry::Target;
+use crate::report::Hash;
+
+/// What the choice weighs, all in milliseconds of a target's time.
+#[derive(Clone, Copy, Debug)]
+pub struct Weights {
+    /// Prompt tokens that a target reads in a millisecond beside the tokens that it generates.
+    pub read_tokens_per_ms: f64,
+    /// Charge for a shared part that is read again, as a multiple of the time to read it.
+    pub miss_factor: f64,
+    /// Charge for a target in another zone.
+    pub other_zone_ms: f64,
+    /// Time that each request in flight adds to the first event of the next one.
+    pub running_ms: f64,
+    /// Extra wait up to which a part without a home goes to its first target by rendezvous.
+    pub home_slack_ms: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights {
+            read_tokens_per_ms: 40.0,
+            miss_factor: 2.0,
+            other_zone_ms: 40.0,
+            running_ms: 1.0,
+            home_slack_ms: 150.0,
+        }
+    }
+}
+
+/// A target that may get the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The target.
+    pub target: &'a Target,
+    /// Hash of its incarnation.
+    pub hash: Hash,
+    /// Factor on its times, 1 for a target as fast as expected.
+    pub slowness: f64,
+    /// Requests that it may have in flight.
+    pub slots: f64,
+}
+
+/// The chosen target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Position among the candidates.
+    pub at: usize,
+    /// Time until the target has read what was sent before.
+    pub wait_ms: f64,
+    /// Time to read what the target lacks of the prompt.
+    pub read_ms: f64,
+    /// Tokens that the target lacks of the prompt.
+    pub unread_tokens: u32,
+    /// Load of the target.
+    pub load: Load,
+    /// Whether the target has a free slot.
+    pub has_slot: bool,
+}
+
+/// Chooses the target for a request with a prompt.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    view: &LoadView,
+    prompt: &Prompt,
+    zone: &str,
+    weights: &Weights,
+    now: Instant,
+) -> Option<Choice> {
+    let home = prompt.home_part().map(|part| part.id);
+    let is_at_home = home.is_none_or(|part| candidates.iter().any(|c| view.keeps(c.hash, part)));
+    let mut best: Option<(f64, Choice)> = None;
+    for (at, candidate) in candidates.iter().enumerate() {
+        let load = view.load(candidate.hash);
+        let unread_tokens = view.unread_of(candidate.hash, prompt, now);
+        let missed = f64::from(unread_tokens.saturating_sub(prompt.own_tokens()));
+        let rate = weights.read_tokens_per_ms;
+        let wait_ms = load.unread_tokens / rate * candidate.slowness;
+        let read_ms = f64::from(unread_tokens) / rate * candidate.slowness;
+        let mut cost_ms = wait_ms + read_ms + weights.miss_factor * missed / rate;
+        cost_ms += load.running_count * weights.running_ms * candidate.slowness;
+        if &*candidate.target.zone != zone {
+            cost_ms += weights.other_zone_ms;
+        }
+        if let Some(part) = home.filter(|_| !is_at_home) {
+            cost_ms += weights.home_slack_ms * rendezvous_rank(candidate.hash, part);
+        }
+        let has_slot = load.running_count < candidate.slots;
+        let choice = Choice { at, wait_ms, read_ms, unread_tokens, load, has_slot };
+        let is_better = best.as_ref().is_none_or(|(least_ms, chosen)| {
+            (!has_slot, cost_ms) < (!chosen.has_slot, *least_ms)
+        });
+        if is_better {
+            best = Some((cost_ms, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// Chooses the target for a request of a plain service: the one with the most room.
+pub fn choose_plain(
+    candidates: &[Candidate<'_>],
+    view: &LoadView,
+    zone: &str,
+    weights: &Weights,
+) -> Option<Choice> {
+    let costs = candidates.iter().enumerate().map(|(at, candidate)| {
+        let load = view.load(candidate.hash);
+        let other_zone = f64::from(u8::from(&*candidate.target.zone != zone));
+        let used = load.running_count / candidate.slots.max(1.0) * candidate.slowness;
+        // A target in the own zone is preferred while less than a third of its slots is used more.
+        let cost = used + other_zone / 3.0 + (candidate.slowness - 1.0);
+        let has_slot = load.running_count < candidate.slots;
+        let wait_ms = load.running_count * weights.running_ms;
+        (cost, Choice { at, wait_ms, read_ms: 0.0, unread_tokens: 0, load, has_slot })
+    });
+    costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+}
+
+/// A number from 0 to 1 that all routers agree on for a target and a part.
+#[allow(clippy::cast_precision_loss)] // 53 bits are plenty for an order.
+fn rendezvous_rank(target: Hash, part: u64) -> f64 {
+    // Finalizer of splitmix64.
+    let mut z = target ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (z ^ (z >> 31)) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/core/src/report.rs
@@ -0,0 +1,86 @@
+//! What routers tell each other several times a second: the load that each has put on targets.
+//!
+//! All figures are totals of one router, so that a lost report is made good by the next full one.
+//! Reports between full ones hold only what has changed.
+
+use crate::ids::Name;
+
+/// Hash of a name, for reports and maps.
+pub type Hash = u64;
+
+/// Hashes a name, or a name and a number, to 64 bits.
+pub fn hash(name: &str, number: u64) -> Hash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&number.to_le_bytes()).update(name.as_bytes());
+    let digest = hasher.finalize();
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// One router's report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Name of the router.
+    pub sender: Name,
+    /// Start of the router, in milliseconds since 1970.
+    pub incarnation: u64,
+    /// Number of the report within the incarnation.
+    pub seq: u64,
+    /// Load by target.
+    pub targets: Vec<TargetLoad>,
+    /// Tokens by team.
+    pub teams: Vec<TeamUse>,
+    /// Requests and repeats by service.
+    pub services: Vec<ServiceUse>,
+    /// Parts of prompts that targets have read lately.
+    pub kept: Vec<KeptPart>,
+    /// Whether the router shuts down.
+    pub draining: bool,
+    /// Version of the configuration in force at the router.
+    pub config_version: u64,
+    /// Whether targets that aren't listed have no load of the sender; else they are as before.
+    pub is_full: bool,
+}
+
+/// Load that one router has put on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Prompt tokens of requests that have no event yet.
+    pub unread_tokens: u32,
+    /// Requests in flight.
+    pub running_count: u32,
+}
+
+/// Tokens of a team at one router, within the share window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TeamUse {
+    /// Hash of the team's name.
+    pub team: Hash,
+    /// Tokens that the team asked for.
+    pub asked_tokens: u32,
+    /// Tokens of requests that were sent to a target.
+    pub begun_tokens: u32,
+}
+
+/// Requests and repeats for a service at one router, within the retry window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceUse {
+    /// Hash of the service's name.
+    pub service: Hash,
+    /// Requests of callers.
+    pub request_count: u32,
+    /// Attempts beyond each request's first.
+    pub repeat_count: u32,
+}
+
+/// A part of a prompt that a target has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptPart {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Identity of the part.
+    pub part: u64,
+}
--- /dev/null
+++ b/daemon/src/edge/attempt.rs
@@ -0,0 +1,211 @@
+//! One sending of a request to one target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gentianhinge_core::health;
+use gentianhinge_core::ids::Name;
+use gentianhinge_core::registry::Target;
+use gentianhinge_core::report::Hash;
+use gentianhinge_core::routing::{Answer, Repeat, Route};
+use gentianhinge_platform::{answer, caller};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::time::{self, Instant};
+
+use super::queue::Flight;
+use super::serve::Traffic;
+use super::upstream::{Lease, SendError};
+use super::whole::{self, Whole};
+
+/// A request as the caller sent it, ready to be sent to targets.
+pub struct Request {
+    /// Its head.
+    pub head: http::request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Id of the request.
+    pub id: Name,
+    /// Its route.
+    pub route: std::sync::Arc<Route>,
+    /// The team that asks.
+    pub team: Option<Name>,
+    /// When the caller, or the route, stops waiting.
+    pub deadline: Instant,
+    /// When the caller stops waiting.
+    pub caller_deadline: Instant,
+}
+
+impl Request {
+    /// Whether the request may run more than once.
+    pub fn may_repeat(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+            || self.route.answer == Answer::Events { is_resumable: true }
+    }
+
+    /// Whether the answer is a series of events.
+    pub fn wants_events(&self) -> bool {
+        self.route.answer != Answer::Whole
+    }
+}
+
+/// An answer whose events are still to come.
+pub struct EventStream {
+    /// Head of the answer.
+    pub head: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// What the head says.
+    pub said: answer::Said,
+    /// The connection.
+    pub lease: Lease,
+}
+
+/// How a sending ended.
+pub enum Outcome {
+    /// A complete answer.
+    Whole(Whole),
+    /// A series of events begins.
+    Events(Box<EventStream>),
+    /// The target surely hasn't run the request and won't.
+    NotRun(String),
+    /// The target may have run it.
+    Lost(String),
+}
+
+/// Sends a request to the target of a flight.
+pub async fn send(
+    traffic: &Rc<Traffic>,
+    request: &Request,
+    flight: &Flight,
+    last_event_id: Option<u64>,
+    limit: Instant,
+) -> Outcome {
+    let (target, hash) = (&flight.placed.target, flight.placed.hash);
+    let outcome = match time::timeout_at(limit, exchange(traffic, request, target, hash, last_event_id)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Outcome::Lost("time limit of the attempt".to_string()),
+    };
+    note_health(traffic, target, hash, &outcome);
+    outcome
+}
+
+async fn exchange(
+    traffic: &Rc<Traffic>,
+    request: &Request,
+    target: &Target,
+    hash: Hash,
+    last_event_id: Option<u64>,
+) -> Outcome {
+    let outgoing = match outgoing(request, target, last_event_id) {
+        Ok(outgoing) => outgoing,
+        Err(err) => return Outcome::NotRun(err.to_string()),
+    };
+    let sent = traffic.upstream.send(target, hash, outgoing, !request.may_repeat()).await;
+    let (answer, lease) = match sent {
+        Ok(sent) => sent,
+        Err(SendError::NotSent(message)) => return Outcome::NotRun(message),
+        Err(err @ SendError::Unknown(_)) => return Outcome::Lost(err.to_string()),
+    };
+    let said = answer::decode(answer.status(), answer.headers(), &request.id);
+    if said.is_strange {
+        return Outcome::Lost("the answer belongs to another request".to_string());
+    }
+    let is_success = answer.status().is_success();
+    if said.is_encoded || (is_success && !said.is_signed) {
+        return Outcome::Lost("the answer isn't the target's own".to_string());
+    }
+    if is_success && request.wants_events() {
+        let (head, body) = answer.into_parts();
+        return Outcome::Events(Box::new(EventStream { head, body, said, lease }));
+    }
+    let is_not_run = said.is_not_run;
+    let status = answer.status();
+    if is_not_run {
+        // The body of such an answer is of no use; the connection may be.
+        let _ = whole::read(answer, said, lease, &traffic.upstream).await;
+        return Outcome::NotRun(format!("the target answers {status}: not run"));
+    }
+    match whole::read(answer, said, lease, &traffic.upstream).await {
+        Ok(whole) => Outcome::Whole(whole),
+        Err(message) => Outcome::Lost(message),
+    }
+}
+
+fn outgoing(
+    request: &Request,
+    target: &Target,
+    last_event_id: Option<u64>,
+) -> Result<http::Request<Full<Bytes>>, http::Error> {
+    let time_left = request.caller_deadline.min(request.deadline);
+    let told = caller::Told {
+        target_id: &target.id,
+        team: request.team.as_deref(),
+        time_left: time_left.saturating_duration_since(Instant::now()),
+        last_event_id,
+    };
+    let mut outgoing = http::Request::builder()
+        .method(request.head.method.clone())
+        .uri(request.head.uri.path_and_query().map_or("/", |path| path.as_str()))
+        .body(Full::new(request.body.clone()))?;
+    *outgoing.headers_mut() = caller::head_for_target(&request.head.headers, &told);
+    Ok(outgoing)
+}
+
+/// Least time that an attempt gets before another target is asked.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(150);
+
+/// Part of the time left that the first attempt of an idempotent request gets.
+const FIRST_ATTEMPT_PART: f64 = 0.4;
+
+/// Multiple of the latency target after which a stream without an event is given up.
+const FIRST_EVENT_TARGETS: f64 = 2.5;
+
+/// Time at which an attempt is given up, so that another target has time to serve.
+pub fn limit(request: &Request, has_another: bool, now: Instant) -> Instant {
+    if !has_another || !request.may_repeat() {
+        return request.deadline;
+    }
+    let time_left = request.deadline.saturating_duration_since(now);
+    let patience = if request.wants_events() {
+        request.route.latency_target.mul_f64(FIRST_EVENT_TARGETS)
+    } else {
+        time_left.mul_f64(FIRST_ATTEMPT_PART).max(MIN_ATTEMPT_TIME)
+    };
+    (now + patience).min(request.deadline)
+}
+
+fn note_health(traffic: &Rc<Traffic>, target: &Target, hash: Hash, outcome: &Outcome) {
+    let now = Instant::now();
+    let mut brain = traffic.context.brain();
+    let change = match outcome {
+        Outcome::Whole(whole) if whole.status.is_server_error() => {
+            brain.health.failed(hash, false, now)
+        }
+        Outcome::Whole(_) => brain.health.succeeded(hash),
+        // The first event tells more than the head.
+        Outcome::Events(_) | Outcome::NotRun(_) => health::Change::None,
+        Outcome::Lost(_) => brain.health.failed(hash, false, now),
+    };
+    drop(brain);
+    let cause = match outcome {
+        Outcome::NotRun(message) | Outcome::Lost(message) => message.as_str(),
+        Outcome::Whole(whole) => whole.status.as_str(),
+        Outcome::Events(_) => "",
+    };
+    log_health(traffic, target, change, cause);
+}
+
+/// Logs that a target is left out, or takes work again.
+pub fn log_health(traffic: &Rc<Traffic>, target: &Target, change: health::Change, cause: &str) {
+    let outcome = match change {
+        health::Change::None => return,
+        health::Change::Ejected => "left out",
+        health::Change::Restored => "takes work again",
+    };
+    traffic.context.log.state(json!({
+        "event": "health", "target": &*target.id, "outcome": outcome, "cause": cause,
+    }));
+}
--- /dev/null
+++ b/daemon/src/edge/brain.rs
@@ -0,0 +1,242 @@
+//! What a router believes, and the decisions that rest on it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentianhinge_core::ids::Name;
+use gentianhinge_core::load::LoadView;
+use gentianhinge_core::prompt::Prompt;
+use gentianhinge_core::registry::{Registry, Target};
+use gentianhinge_core::repeat::RepeatBudget;
+use gentianhinge_core::report::{self, Hash};
+use gentianhinge_core::routing::RouteTable;
+use gentianhinge_core::share::Shares;
+use gentianhinge_core::{health, hold, place};
+use gentianhinge_wire::edge;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+/// What a request needs of a target.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Id of the request.
+    pub request_id: Name,
+    /// Service that runs it.
+    pub service: Name,
+    /// The prompt, if it is one for a model.
+    pub prompt: Option<Prompt>,
+    /// Hash of the team's name; 0 if there is none.
+    pub team: Hash,
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// When it stops being on time.
+    pub due_at: Instant,
+    /// When the caller, or the route, stops waiting.
+    pub deadline: Instant,
+    /// Steps of urgency below the most urgent kind of the service.
+    pub urgency_step: u32,
+    /// Targets that have had this request.
+    pub tried: SmallVec<[Hash; 2]>,
+    /// Whether a target has begun it, so that it goes before new requests.
+    pub is_repeat: bool,
+}
+
+impl Ask {
+    /// Tokens that its team is charged.
+    pub fn share_tokens(&self) -> u32 {
+        self.prompt.as_ref().map_or(0, Prompt::share_tokens)
+    }
+}
+
+/// A target that was chosen, and why.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Hash of its incarnation.
+    pub hash: Hash,
+    /// Figures of the choice.
+    pub choice: place::Choice,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Send it; its load is counted already.
+    Send(Placed),
+    /// Look again soon.
+    Wait,
+    /// Refuse it.
+    Refuse {
+        /// Time after which it is likely to be served.
+        retry_after: Duration,
+        /// Whether no target was there at all.
+        has_no_target: bool,
+    },
+}
+
+/// All beliefs of a router.
+#[derive(Debug)]
+pub struct Brain {
+    /// Configuration in force.
+    pub table: Option<Arc<RouteTable>>,
+    /// Targets.
+    pub registry: Registry,
+    /// Load of targets.
+    pub load: LoadView,
+    /// Shares of teams.
+    pub shares: Shares,
+    /// Budget of repeats.
+    pub repeats: RepeatBudget,
+    /// Health of targets.
+    pub health: health::Health,
+    weights: place::Weights,
+    policy: hold::Policy,
+    by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
+    listed_revision: u64,
+    knows_targets: bool,
+}
+
+impl Brain {
+    /// Creates a router's beliefs: nothing is known.
+    pub fn new(bounds: &edge::EdgeBounds) -> Brain {
+        Brain {
+            table: None,
+            registry: Registry::default(),
+            load: LoadView::default(),
+            shares: Shares::new(Duration::from_millis(bounds.share_window_ms)),
+            repeats: budget(bounds),
+            health: health::Health::default(),
+            weights: place::Weights::default(),
+            policy: hold::Policy::default(),
+            by_service: HashMap::new(),
+            listed_revision: 0,
+            knows_targets: false,
+        }
+    }
+
+    /// Takes over bounds that have changed.
+    pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
+        self.repeats.set_bounds(bounds.retry_ratio, bounds.extra_retries);
+    }
+
+    /// Whether enough is known to serve callers.
+    pub fn can_serve(&self) -> bool {
+        self.table.is_some() && self.knows_targets
+    }
+
+    /// Notes that the registry was read as a whole.
+    pub fn set_targets_known(&mut self) {
+        self.knows_targets = true;
+    }
+
+    /// Forgets what is believed of an incarnation of a target.
+    pub fn forget(&mut self, hash: Hash) {
+        self.load.forget(hash);
+        self.health.forget(hash);
+    }
+
+    /// Lists targets anew by service if the registry has changed.
+    fn refresh(&mut self) {
+        if self.listed_revision == self.registry.revision() {
+            return;
+        }
+        self.listed_revision = self.registry.revision();
+        self.by_service.clear();
+        for target in self.registry.targets().filter(|target| !target.is_leaving) {
+            let listed = self.by_service.entry(target.service.clone()).or_default();
+            listed.push((target.clone(), target.hash()));
+        }
+    }
+
+    fn choose(&mut self, ask: &Ask, zone: &str, now: Instant) -> Option<Placed> {
+        self.refresh();
+        let all = self.by_service.get(&ask.service)?;
+        let untried = all.iter().filter(|(_, hash)| !ask.tried.contains(hash));
+        let candidates = untried.clone().filter(|(_, hash)| !self.health.is_ejected(*hash, now));
+        let mut candidates = candidates.map(candidate).collect::<SmallVec<[_; 32]>>();
+        let fewest = all.len() as f64 * (1.0 - health::MAX_EJECTED_PART);
+        if (candidates.len() as f64) < fewest.min(untried.clone().count() as f64) {
+            // Too many are left out: the rest would drown.
+            candidates = untried.map(candidate).collect();
+        }
+        let weights = &self.weights;
+        let choice = match &ask.prompt {
+            Some(prompt) => place::choose(&candidates, &self.load, prompt, zone, weights, now),
+            None => place::choose_plain(&candidates, &self.load, zone, weights),
+        }?;
+        let chosen = candidates.get(choice.at)?;
+        let (hash, id) = (chosen.hash, chosen.target.id.clone());
+        let target = self.registry.get(&id)?.clone();
+        Some(Placed { target, hash, choice })
+    }
+
+    /// Decides on one request; if it is to be sent, its load counts from now on.
+    pub fn decide(&mut self, ask: &Ask, zone: &str, now: Instant) -> Decision {
+        let placed = self.choose(ask, zone, now);
+        let outlook = placed.as_ref().map(|placed| hold::Outlook {
+            wait_ms: placed.choice.wait_ms,
+            read_ms: placed.choice.read_ms,
+            has_slot: placed.choice.has_slot,
+        });
+        let waiter = self.waiter(ask);
+        let policy = if ask.is_repeat { hold::Policy::for_repeats() } else { self.policy };
+        match hold::decide(&policy, &waiter, outlook.as_ref(), now) {
+            hold::Verdict::Send => match placed {
+                Some(placed) => {
+                    self.begin(ask, &placed, now);
+                    Decision::Send(placed)
+                }
+                None => Decision::Wait,
+            },
+            hold::Verdict::Wait => Decision::Wait,
+            hold::Verdict::Refuse { retry_after } => {
+                Decision::Refuse { retry_after, has_no_target: placed.is_none() }
+            }
+        }
+    }
+
+    fn begin(&mut self, ask: &Ask, placed: &Placed, now: Instant) {
+        let nothing = Prompt::default();
+        let prompt = ask.prompt.as_ref().unwrap_or(&nothing);
+        self.load.begin(placed.hash, placed.choice.unread_tokens, prompt, now);
+        self.health.sent(placed.hash, now);
+        if !ask.is_repeat {
+            self.shares.begin(ask.team, ask.share_tokens(), now);
+        }
+    }
+
+    /// What the wait depends on.
+    pub fn waiter(&self, ask: &Ask) -> hold::Waiter {
+        hold::Waiter {
+            arrived_at: ask.arrived_at,
+            due_at: ask.due_at,
+            deadline: ask.deadline,
+            urgency_step: ask.urgency_step,
+            share_ratio: self.shares.ratio(ask.team),
+        }
+    }
+
+    /// Takes another router's report.
+    pub fn hear(&mut self, heard: report::LoadReport, now: Instant) {
+        if !self.load.hear(&heard, now) {
+            return;
+        }
+        if !heard.teams.is_empty() {
+            self.shares.hear(&heard.sender, heard.teams, now);
+        }
+        if !heard.services.is_empty() {
+            self.repeats.hear(&heard.sender, heard.services, now);
+        }
+    }
+}
+
+fn candidate((target, hash): &(Arc<Target>, Hash)) -> place::Candidate<'_> {
+    place::Candidate { target, hash: *hash, slowness: 1.0, slots: f64::from(target.slots) }
+}
+
+fn budget(bounds: &edge::EdgeBounds) -> RepeatBudget {
+    let window = Duration::from_millis(bounds.retry_window_ms);
+    RepeatBudget::new(bounds.retry_ratio, bounds.extra_retries, window)
+}
--- /dev/null
+++ b/daemon/src/edge/decisions.rs
@@ -0,0 +1,177 @@
+//! The log of decisions: one JSON object a line on standard output.
+//!
+//! Lines go through a bounded channel to a thread of their own, so that a reader that is slow costs
+//! lines and never a request. Beyond the rate lines are left out and counted by kind; those on
+//! failed requests are left out last.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gentianhinge_wire::edge;
+use serde_json::Value;
+
+/// Lines that wait for the writer; some seconds at the usual rate.
+const CHANNEL_LINES: usize = 2048;
+
+/// Time for which lines are gathered before they are written.
+const GATHER_TIME: Duration = Duration::from_millis(100);
+
+/// Part of the rate that is kept for failed requests and changes of state.
+const RESERVED_PART: f64 = 0.3;
+
+/// What a line is about; decides what is left out first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// A change of state.
+    State,
+    /// A request that wasn't served.
+    Failed,
+    /// A request that was served, and steps on the way.
+    Request,
+}
+
+impl Kind {
+    fn name(self) -> &'static str {
+        match self {
+            Kind::State => "state",
+            Kind::Failed => "failed",
+            Kind::Request => "request",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Rate {
+    tokens: f64,
+    at: Instant,
+    left_out: BTreeMap<Kind, u64>,
+}
+
+/// Writes decisions; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Log {
+    lines: mpsc::SyncSender<String>,
+    started_at: Instant,
+    max_lines_per_s: Arc<AtomicU32>,
+    rate: Arc<Mutex<Rate>>,
+    written: Arc<AtomicU64>,
+    sent: Arc<AtomicU64>,
+}
+
+impl Log {
+    /// Starts the writer on standard output.
+    ///
+    /// # Errors
+    ///
+    /// Its thread can't be started.
+    pub fn start(settings: &edge::EdgeLog) -> io::Result<Log> {
+        Log::start_on(settings.max_lines_per_s, io::stdout())
+    }
+
+    /// Starts the writer on any output.
+    ///
+    /// # Errors
+    ///
+    /// Its thread can't be started.
+    pub fn start_on(max_lines_per_s: u32, out: impl Write + Send + 'static) -> io::Result<Log> {
+        let (lines, receiver) = mpsc::sync_channel(CHANNEL_LINES);
+        let written = Arc::new(AtomicU64::new(0));
+        let count = written.clone();
+        let thread = thread::Builder::new().name("log".to_string());
+        thread.spawn(move || write_lines(&receiver, out, &count))?;
+        let (tokens, at) = (f64::from(max_lines_per_s), Instant::now());
+        Ok(Log {
+            lines,
+            started_at: at,
+            max_lines_per_s: Arc::new(AtomicU32::new(max_lines_per_s)),
+            rate: Arc::new(Mutex::new(Rate { tokens, at, left_out: BTreeMap::new() })),
+            written,
+            sent: Arc::new(AtomicU64::new(0)),
+        })
+    }
+
+    /// Sets the most lines a second.
+    pub fn set_rate(&self, max_lines_per_s: u32) {
+        self.max_lines_per_s.store(max_lines_per_s, Ordering::Relaxed);
+    }
+
+    /// Logs a change of state.
+    pub fn state(&self, fields: Value) {
+        self.write(Kind::State, fields);
+    }
+
+    /// Logs a decision.
+    pub fn write(&self, kind: Kind, fields: Value) {
+        let left_out = {
+            let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+            if !self.admit(&mut rate, kind) {
+                *rate.left_out.entry(kind).or_default() += 1;
+                return;
+            }
+            std::mem::take(&mut rate.left_out)
+        };
+        if !left_out.is_empty() {
+            let counts = left_out.iter().map(|(kind, count)| (kind.name().to_string(), (*count).into()));
+            let counts = counts.collect::<serde_json::Map<_, _>>();
+            self.send(Kind::State, serde_json::json!({ "event": "left-out", "lines": counts }));
+        }
+        self.send(kind, fields);
+    }
+
+    fn admit(&self, rate: &mut Rate, kind: Kind) -> bool {
+        let max = f64::from(self.max_lines_per_s.load(Ordering::Relaxed));
+        let now = Instant::now();
+        rate.tokens += now.duration_since(rate.at).as_secs_f64() * max;
+        rate.tokens = rate.tokens.min(max);
+        rate.at = now;
+        let reserve = if kind == Kind::Request { max * RESERVED_PART } else { 0.0 };
+        let is_admitted = rate.tokens >= 1.0 + reserve;
+        if is_admitted {
+            rate.tokens -= 1.0;
+        }
+        is_admitted
+    }
+
+    fn send(&self, kind: Kind, mut fields: Value) {
+        if let Some(map) = fields.as_object_mut() {
+            let at_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            map.insert("t_ms".to_string(), at_ms.into());
+        }
+        if self.lines.try_send(format!("{fields}\n")).is_err() {
+            let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+            *rate.left_out.entry(kind).or_default() += 1;
+        } else {
+            self.sent.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits a moment for the writer to finish what was logged.
+    pub fn flush(&self) {
+        const TRIES: u32 = 5;
+        for _ in 0..TRIES {
+            if self.written.load(Ordering::Relaxed) >= self.sent.load(Ordering::Relaxed) {
+                return;
+            }
+            thread::sleep(GATHER_TIME / 2);
+        }
+    }
+}
+
+fn write_lines(lines: &mpsc::Receiver<String>, mut out: impl Write, written: &AtomicU64) {
+    while let Ok(first) = lines.recv() {
+        thread::sleep(GATHER_TIME);
+        let mut text = first;
+        let mut count = 1;
+        while let Ok(line) = lines.try_recv() {
+            text.push_str(&line);
+            count += 1;
+        }
+        // Without a reader there is nobody to tell.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        written.fetch_add(count, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/daemon/src/edge/operators.rs
@@ -0,0 +1,130 @@
+//! Metrics, and the operators' address.
+
+use std::collections::HashMap;
+use std::net;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use gentianhinge_platform::names;
+use serde_json::json;
+
+use super::Context;
+use crate::telemetry;
+
+/// Counters and histograms of the process.
+pub struct Metrics {
+    telemetry: telemetry::Telemetry,
+    flows: Mutex<HashMap<(String, String), Arc<Flow>>>,
+    /// Calls to the store that failed.
+    pub store_failures: metrics::Counter,
+    /// Records of the store that can't be read.
+    pub unreadable_records: metrics::Counter,
+    /// Reports that couldn't be sent, received or understood.
+    pub report_failures: metrics::Counter,
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+/// Histograms of one team on one route.
+pub struct Flow {
+    /// Time from arrival to the target, in seconds.
+    pub waiting: metrics::Histogram,
+    /// Time from arrival to the first event or the whole answer, in seconds.
+    pub first: metrics::Histogram,
+    /// Time from arrival to the end, in seconds.
+    pub whole: metrics::Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Creates the counters.
+    pub fn new() -> Metrics {
+        let telemetry = telemetry::Telemetry::new();
+        Metrics {
+            store_failures: telemetry.counter("gentianhinge_store_failures_total"),
+            unreadable_records: telemetry.counter("gentianhinge_unreadable_records_total"),
+            report_failures: telemetry.counter("gentianhinge_report_failures_total"),
+            flows: Mutex::default(),
+            telemetry,
+        }
+    }
+
+    /// The recorder behind the counters.
+    pub fn recorder(&self) -> &telemetry::Telemetry {
+        &self.telemetry
+    }
+
+    /// The histograms of a team on a route.
+    pub fn flow(&self, team: &str, route: &str) -> Arc<Flow> {
+        let mut flows = self.flows.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (team.to_string(), route.to_string());
+        let flow = flows.entry(key).or_insert_with(|| {
+            let labels = [("team", team), ("route", route)];
+            Arc::new(Flow {
+                waiting: self.telemetry.histogram("gentianhinge_waiting_seconds", &labels),
+                first: self.telemetry.histogram("gentianhinge_first_event_seconds", &labels),
+                whole: self.telemetry.histogram("gentianhinge_whole_seconds", &labels),
+            })
+        });
+        flow.clone()
+    }
+
+    /// Counts the outcome of a request.
+    pub fn count_outcome(&self, outcome: &str) {
+        let labels = [("outcome", outcome)];
+        self.telemetry.labelled_counter("gentianhinge_requests_total", &labels).increment(1);
+    }
+}
+
+/// Serves operators; never returns.
+pub async fn serve(context: Arc<Context>, listener: net::TcpListener) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(err) => {
+            context.log.state(json!({ "event": "operators", "outcome": err.to_string() }));
+            return;
+        }
+    };
+    let metrics_context = context.clone();
+    let status_context = context.clone();
+    let app = axum::Router::new()
+        .route(
+            names::METRICS_PATH,
+            axum::routing::get(async move || {
+                metrics_context.metrics.telemetry.run_upkeep();
+                metrics_context.metrics.telemetry.render()
+            }),
+        )
+        .route("/status", axum::routing::get(async move || axum::Json(status(&status_context))));
+    if let Err(err) = axum::serve(listener, app).await {
+        context.log.state(json!({ "event": "operators", "outcome": err.to_string() }));
+    }
+}
+
+/// What the router believes, for operators.
+fn status(context: &Context) -> serde_json::Value {
+    let now = tokio::time::Instant::now();
+    let brain = context.brain();
+    let targets = brain.registry.targets().map(|target| {
+        let load = brain.load.load(target.hash());
+        json!({
+            "id": &*target.id, "service": &*target.service, "addr": target.addr.to_string(),
+            "zone": &*target.zone, "leaving": target.is_leaving, "slots": target.slots,
+            "running": load.running_count, "unread_tokens": load.unread_tokens,
+            "ejected": brain.health.is_ejected(target.hash(), now),
+        })
+    });
+    json!({
+        "router": &*context.name, "zone": &*context.zone, "phase": format!("{:?}", context.phase()),
+        "ready": brain.can_serve(), "config_version": brain.table.as_ref().map(|table| table.version),
+        "routers": brain.load.router_count(now), "targets": targets.collect::<Vec<_>>(),
+    })
+}
--- /dev/null
+++ b/daemon/src/edge/queue.rs
@@ -0,0 +1,141 @@
+//! Requests that wait for a target at this router, and the order in which they go.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{self, Instant};
+
+use super::Context;
+use super::brain::{Ask, Decision, Placed};
+
+/// Time between two looks at requests that wait: a small part of the shortest latency target.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A request's load at its target; taken back when dropped.
+#[derive(Debug)]
+pub struct Flight {
+    context: Arc<Context>,
+    /// Where the request goes, and why.
+    pub placed: Placed,
+    unread_tokens: u32,
+}
+
+impl Flight {
+    /// Counts the first event: the prompt is read.
+    pub fn first_event(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        if unread_tokens > 0 {
+            self.context.brain().load.read(self.placed.hash, unread_tokens);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.context.brain().load.end(self.placed.hash, self.unread_tokens);
+    }
+}
+
+/// What became of the wait.
+#[derive(Debug)]
+pub enum Admission {
+    /// The request goes to a target.
+    Send(Flight),
+    /// The request is refused.
+    Refuse {
+        /// Time after which it is likely to be served.
+        retry_after: Duration,
+        /// Whether no target was there at all.
+        has_no_target: bool,
+    },
+}
+
+struct Waiting {
+    ask: Ask,
+    answer: oneshot::Sender<Admission>,
+}
+
+/// The requests that wait.
+pub struct Queue {
+    context: Arc<Context>,
+    waiting: RefCell<Vec<Waiting>>,
+    wake: Notify,
+}
+
+impl Queue {
+    /// Creates an empty queue.
+    pub fn new(context: Arc<Context>) -> Queue {
+        Queue { context, waiting: RefCell::default(), wake: Notify::new() }
+    }
+
+    /// Waits until the request goes to a target or is refused.
+    pub async fn admit(&self, ask: Ask) -> Admission {
+        let (answer, admitted) = oneshot::channel();
+        self.waiting.borrow_mut().push(Waiting { ask, answer });
+        self.look();
+        let refused = Admission::Refuse { retry_after: Duration::ZERO, has_no_target: true };
+        admitted.await.unwrap_or(refused)
+    }
+
+    /// Looks at the requests that wait from time to time; never returns.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            if self.waiting.borrow().is_empty() {
+                self.wake.notified().await;
+            }
+            time::sleep(LOOK_INTERVAL).await;
+            self.look();
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.borrow().is_empty()
+    }
+
+    /// Decides on all requests that wait, in their order.
+    pub fn look(&self) {
+        let now = Instant::now();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|entry| !entry.answer.is_closed());
+        let mut brain = self.context.brain();
+        waiting.sort_by_cached_key(|entry| brain.waiter(&entry.ask).rank(now));
+        let mut left = Vec::new();
+        let mut decided = Vec::new();
+        for entry in waiting.drain(..) {
+            match brain.decide(&entry.ask, &self.context.zone, now) {
+                Decision::Wait => left.push(entry),
+                decision => decided.push((entry, decision)),
+            }
+        }
+        drop(brain);
+        *waiting = left;
+        if !waiting.is_empty() {
+            self.wake.notify_one();
+        }
+        drop(waiting);
+        for (entry, decision) in decided {
+            let admission = match decision {
+                Decision::Send(placed) => {
+                    let unread_tokens = placed.choice.unread_tokens;
+                    let context = self.context.clone();
+                    Admission::Send(Flight { context, placed, unread_tokens })
+                }
+                Decision::Refuse { retry_after, has_no_target } => {
+                    Admission::Refuse { retry_after, has_no_target }
+                }
+                Decision::Wait => continue,
+            };
+            // A caller that has left in the meantime gives its load back.
+            let _ = entry.answer.send(admission);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/edge/reply.rs
@@ -0,0 +1,109 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gentianhinge_platform::answer;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use quick_error::quick_error;
+
+quick_error! {
+    /// A stream that ends before its end.
+    #[derive(Debug)]
+    pub enum Broken {
+        /// The connection is closed, so that the answer doesn't look complete.
+        Cut {
+            display("the stream broke off")
+        }
+    }
+}
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// Why a request isn't served by a target's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// No configuration is known yet.
+    NoConfig,
+    /// No route fits.
+    NoRoute,
+    /// No team has the key.
+    UnknownKey,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body broke off.
+    BodyBroken,
+    /// No target is there.
+    NoTarget,
+    /// Targets are too busy for it to be served in time.
+    Overload,
+    /// All targets that were asked say that they didn't run it.
+    NotRun,
+    /// The time limit came before it was sent.
+    TooLate,
+    /// A target may have run it, and gave no answer.
+    Unknown,
+    /// The time limit came after it was sent.
+    Timeout,
+}
+
+impl Reason {
+    /// Status for the caller. 429 and 503 promise that the request wasn't run and won't be.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::UnknownKey => StatusCode::UNAUTHORIZED,
+            Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyBroken => StatusCode::BAD_REQUEST,
+            Reason::NoConfig
+            | Reason::NoTarget
+            | Reason::Overload
+            | Reason::NotRun
+            | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::Unknown => StatusCode::BAD_GATEWAY,
+            Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::NoConfig => "no-config",
+            Reason::NoRoute => "no-route",
+            Reason::UnknownKey => "unknown-key",
+            Reason::BodyTooLarge => "body-too-large",
+            Reason::BodyBroken => "body-broken",
+            Reason::NoTarget => "no-target",
+            Reason::Overload => "overload",
+            Reason::NotRun => "not-run",
+            Reason::TooLate => "too-late",
+            Reason::Unknown => "unknown-outcome",
+            Reason::Timeout => "timeout",
+        }
+    }
+}
+
+/// An answer of our own.
+pub fn refusal(
+    reason: Reason,
+    request_id: &str,
+    retry_after: Option<Duration>,
+) -> http::Response<Body> {
+    let mut answer = http::Response::new(whole(Bytes::from(format!("{}\n", reason.name()))));
+    *answer.status_mut() = reason.status();
+    *answer.headers_mut() = answer::own_head(request_id, retry_after);
+    answer
+}
+
+/// A body that is there as a whole.
+pub fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Tells the caller to use another connection for its next request.
+pub fn close(headers: &mut HeaderMap) {
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/daemon/src/edge/serve.rs
@@ -0,0 +1,203 @@
+//! Accepts callers, and answers the balancer.
+
+use std::convert::Infallible;
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gentianhinge_core::report;
+use gentianhinge_platform::{connection, names};
+use http_body_util::Empty;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::sync::Semaphore;
+use tokio::task;
+use tokio::time::{self, Instant};
+
+use super::queue::Queue;
+use super::upstream::Upstream;
+use super::{Context, Phase, handle};
+
+/// Wait after an accept that failed, as it does when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Longest wait at the end of the process for answers that are being written.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
+/// What requests share on the traffic thread.
+pub struct Traffic {
+    /// What all parts of the process share.
+    pub context: Arc<Context>,
+    /// Requests that wait.
+    pub queue: Rc<Queue>,
+    /// Connections to targets.
+    pub upstream: Upstream,
+}
+
+impl Traffic {
+    /// Takes a repeat from the budget of a service.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        self.context.brain().repeats.take(report::hash(service, 0), Instant::now())
+    }
+
+    /// Whether the budget of a service has a repeat left.
+    pub fn has_repeat(&self, service: &str) -> bool {
+        self.context.brain().repeats.has(report::hash(service, 0), Instant::now())
+    }
+}
+
+/// Runs the traffic thread until the process ends.
+pub fn run(
+    context: Arc<Context>,
+    callers: net::TcpListener,
+    readiness: net::TcpListener,
+    max_connections: usize,
+) {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            context.log.state(json!({ "event": "stop", "outcome": err.to_string() }));
+            return;
+        }
+    };
+    let local = task::LocalSet::new();
+    let result = local.block_on(&runtime, serve(context.clone(), callers, readiness, max_connections));
+    if let Err(err) = result {
+        context.log.state(json!({ "event": "stop", "outcome": err.to_string() }));
+    }
+}
+
+async fn serve(
+    context: Arc<Context>,
+    callers: net::TcpListener,
+    readiness: net::TcpListener,
+    max_connections: usize,
+) -> std::io::Result<()> {
+    let queue = Rc::new(Queue::new(context.clone()));
+    task::spawn_local(queue.clone().run());
+    let upstream = Upstream::default();
+    let traffic = Rc::new(Traffic { context: context.clone(), queue, upstream });
+    let tidied = traffic.clone();
+    task::spawn_local(async move { tidied.upstream.tidy().await });
+    task::spawn_local(answer_balancer(context.clone(), TcpListener::from_std(readiness)?));
+    let callers = TcpListener::from_std(callers)?;
+    let permits = Rc::new(Semaphore::new(max_connections));
+    let mut phase = context.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&callers, &permits) => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+        };
+        if let Some((stream, permit)) = accepted {
+            task::spawn_local(converse(traffic.clone(), stream, permit));
+        }
+    }
+    drop(callers);
+    while context.open_requests.load(std::sync::atomic::Ordering::Relaxed) > 0 {
+        time::sleep(CLOSE_TIME).await;
+    }
+    time::sleep(CLOSE_TIME).await;
+    Ok(())
+}
+
+async fn accept(
+    callers: &TcpListener,
+    permits: &Rc<Semaphore>,
+) -> Option<(tokio::net::TcpStream, impl Sized + use<>)> {
+    let permit = {
+        // The semaphore is never closed.
+        let permits = permits.clone();
+        OwnedPermit::take(permits).await
+    };
+    match callers.accept().await {
+        Ok((stream, _)) => Some((stream, permit)),
+        Err(err) => {
+            tracing::debug!("accept: {err}");
+            time::sleep(ACCEPT_RETRY).await;
+            None
+        }
+    }
+}
+
+/// Room for one connection, given back when dropped.
+struct OwnedPermit(Rc<Semaphore>);
+
+impl OwnedPermit {
+    async fn take(permits: Rc<Semaphore>) -> OwnedPermit {
+        if let Ok(permit) = permits.acquire().await {
+            permit.forget();
+        }
+        OwnedPermit(permits)
+    }
+}
+
+impl Drop for OwnedPermit {
+    fn drop(&mut self) {
+        self.0.add_permits(1);
+    }
+}
+
+/// Serves one caller's connection.
+async fn converse(traffic: Rc<Traffic>, stream: tokio::net::TcpStream, permit: impl Sized) {
+    if let Err(err) = connection::guard(&stream) {
+        tracing::debug!("caller's socket: {err}");
+    }
+    let limits = traffic.context.brain().table.as_ref().map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    let mut phase = traffic.context.phase.subscribe();
+    let service = service::service_fn(move |request| {
+        let traffic = traffic.clone();
+        async move { Ok::<_, Infallible>(handle::handle(traffic, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A broken connection shows in the request that it carries.
+        _ = connection.as_mut() => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.as_mut().await;
+        }
+    }
+    drop(permit);
+}
+
+/// Least buffer that hyper takes.
+const MIN_BUF_BYTES: usize = 8192;
+
+/// Answers the balancer whether new callers are welcome; never returns.
+async fn answer_balancer(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let context = context.clone();
+        task::spawn_local(async move {
+            let service = service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
+                let status = match request.uri().path() {
+                    names::READINESS_PATH if context.is_ready() => http::StatusCode::OK,
+                    names::READINESS_PATH => http::StatusCode::SERVICE_UNAVAILABLE,
+                    _ => http::StatusCode::NOT_FOUND,
+                };
+                let mut answer = http::Response::new(Empty::<Bytes>::new());
+                *answer.status_mut() = status;
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // The balancer asks again on another connection.
+            let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/edge/story.rs
@@ -0,0 +1,121 @@
+//! What became of one request, told in one line of the log.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use gentianhinge_core::ids::Name;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::queue::Flight;
+use super::{Context, decisions, operators};
+
+/// Collects what decided a request; the line is written when the story is dropped.
+pub struct Story {
+    context: Arc<Context>,
+    request_id: Name,
+    arrived_at: Instant,
+    route: Option<Name>,
+    team: Option<Name>,
+    config_version: u64,
+    flow: Option<Arc<operators::Flow>>,
+    sends: Vec<Value>,
+    first_ms: Option<u64>,
+    outcome: &'static str,
+    status: u16,
+    is_served: bool,
+    detail: String,
+}
+
+impl Story {
+    /// Begins the story of a request that has arrived.
+    pub fn new(context: Arc<Context>, request_id: &str, arrived_at: Instant) -> Story {
+        context.open_requests.fetch_add(1, Ordering::Relaxed);
+        Story {
+            context,
+            request_id: request_id.into(),
+            arrived_at,
+            route: None,
+            team: None,
+            config_version: 0,
+            flow: None,
+            sends: Vec::new(),
+            first_ms: None,
+            outcome: "caller-left",
+            status: 0,
+            is_served: false,
+            detail: String::new(),
+        }
+    }
+
+    /// Notes where the configuration sends the request.
+    pub fn routed(&mut self, route: &Name, team: Option<&Name>, config_version: u64) {
+        self.route = Some(route.clone());
+        self.team = team.cloned();
+        self.config_version = config_version;
+        let team = team.map_or("", |team| team);
+        self.flow = Some(self.context.metrics.flow(team, route));
+    }
+
+    /// Notes that the request is sent to a target, and what chose it.
+    pub fn sent(&mut self, flight: &Flight) {
+        let choice = &flight.placed.choice;
+        let waited = self.arrived_at.elapsed();
+        if let Some(flow) = self.flow.as_ref().filter(|_| self.sends.is_empty()) {
+            flow.waiting.record(waited.as_secs_f64());
+        }
+        self.sends.push(json!({
+            "target": &*flight.placed.target.id, "at_ms": waited.as_millis() as u64,
+            "wait_ms": choice.wait_ms as u64, "read_ms": choice.read_ms as u64,
+            "unread": choice.unread_tokens, "running": choice.load.running_count as u64,
+        }));
+    }
+
+    /// Notes how the last sending ended.
+    pub fn send_ended(&mut self, result: &str) {
+        if let Some(send) = self.sends.last_mut().and_then(Value::as_object_mut) {
+            send.insert("result".to_string(), result.into());
+        }
+    }
+
+    /// Notes the first event, or the whole answer.
+    pub fn first_event(&mut self) {
+        let first = self.arrived_at.elapsed();
+        self.first_ms = u64::try_from(first.as_millis()).ok();
+        if let Some(flow) = &self.flow {
+            flow.first.record(first.as_secs_f64());
+        }
+    }
+
+    /// Notes the outcome; the last one counts.
+    pub fn ended(&mut self, outcome: &'static str, status: u16, is_served: bool) {
+        (self.outcome, self.status, self.is_served) = (outcome, status, is_served);
+    }
+
+    /// Adds figures to the outcome.
+    pub fn detail(&mut self, detail: String) {
+        self.detail = detail;
+    }
+}
+
+impl Drop for Story {
+    fn drop(&mut self) {
+        self.context.open_requests.fetch_sub(1, Ordering::Relaxed);
+        let whole = self.arrived_at.elapsed();
+        if let Some(flow) = &self.flow {
+            flow.whole.record(whole.as_secs_f64());
+        }
+        self.context.metrics.count_outcome(self.outcome);
+        let kind = if self.is_served { decisions::Kind::Request } else { decisions::Kind::Failed };
+        let mut line = json!({
+            "event": "request", "id": &*self.request_id, "route": self.route.as_deref(),
+            "team": self.team.as_deref(), "config": self.config_version, "sends": self.sends,
+            "first_ms": self.first_ms, "whole_ms": whole.as_millis() as u64,
+            "outcome": self.outcome, "status": self.status,
+        });
+        if !self.detail.is_empty() {
+            line["detail"] = self.detail.as_str().into();
+        }
+        self.context.log.write(kind, line);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod control;
 pub mod directory;
+pub mod edge;
 pub mod gossip;
 pub mod journal;
 pub mod listener;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,12 +2,13 @@
 
 use std::fs;
 use std::io::Write;
+use std::path;
 use std::process;
 use std::thread;
 
 use clap::{Arg, ArgAction, Command};
 use gentianhinge_wire::settings;
-use gentianhinged::{config, server, telemetry};
+use gentianhinged::{config, edge, server, telemetry};
 use tokio::runtime;
 use tokio::signal::unix;
 
@@ -18,6 +19,9 @@
 
 fn main() -> process::ExitCode {
     let matches = command().get_matches();
+    if matches.get_flag("platform") {
+        return run_on_platform(matches.get_one::<String>("settings"));
+    }
     let Some(path) = matches.get_one::<String>("settings") else {
         return process::ExitCode::from(EXIT_SETTINGS);
     };
@@ -50,9 +54,15 @@
         .arg(
             Arg::new("settings")
                 .value_name("FILE")
-                .required(true)
+                .required_unless_present("platform")
                 .help("Settings: JSON with comments"),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .action(ArgAction::SetTrue)
+                .help("Run on the users' platform, which names the settings file if FILE is left out"),
+        )
         .arg(
             Arg::new("check-settings")
                 .long("check-settings")
@@ -61,6 +71,25 @@
         )
 }
 
+/// Runs the router on the users' platform.
+fn run_on_platform(path: Option<&String>) -> process::ExitCode {
+    let Some(path) = path.map(path::PathBuf::from).or_else(edge::settings_path) else {
+        eprintln!("gentianhinged: neither FILE nor the platform's variable names the settings");
+        return process::ExitCode::from(EXIT_SETTINGS);
+    };
+    match edge::run(&path) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(err @ (edge::EdgeError::Settings(..) | edge::EdgeError::Unreadable(..))) => {
+            eprintln!("{err}");
+            process::ExitCode::from(EXIT_SETTINGS)
+        }
+        Err(err) => {
+            eprintln!("gentianhinged: {err}");
+            process::ExitCode::from(EXIT_START)
+        }
+    }
+}
+
 fn read(path: &str) -> Result<settings::Settings, Vec<String>> {
     let text = fs::read_to_string(path).map_err(|err| vec![err.to_string()])?;
     config::load(&text)
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -101,6 +101,24 @@
         self.recorder.register_counter(&metrics::Key::from_name(name), &METADATA)
     }
 
+    /// A counter with labels.
+    pub fn labelled_counter(
+        &self,
+        name: &'static str,
+        labels: &[(&'static str, &str)],
+    ) -> metrics::Counter {
+        self.recorder.register_counter(&labelled_key(name, labels), &METADATA)
+    }
+
+    /// A histogram with labels.
+    pub fn histogram(
+        &self,
+        name: &'static str,
+        labels: &[(&'static str, &str)],
+    ) -> metrics::Histogram {
+        self.recorder.register_histogram(&labelled_key(name, labels), &METADATA)
+    }
+
     /// A gauge without labels.
     pub fn gauge(&self, name: &'static str) -> metrics::Gauge {
         self.recorder.register_gauge(&metrics::Key::from_name(name), &METADATA)
@@ -123,7 +141,12 @@
 }
 
 fn key(name: &'static str, labels: &[(&'static str, sync::Arc<str>)]) -> metrics::Key {
-    let labels = labels.iter().map(|(key, value)| metrics::Label::new(*key, value.to_string()));
+    let labels = labels.iter().map(|(key, value)| (*key, &**value)).collect::<Vec<_>>();
+    labelled_key(name, &labels)
+}
+
+fn labelled_key(name: &'static str, labels: &[(&'static str, &str)]) -> metrics::Key {
+    let labels = labels.iter().map(|(key, value)| metrics::Label::new(*key, (*value).to_string()));
     metrics::Key::from_parts(name, labels.collect::<Vec<_>>())
 }
 
--- a/wire/generator/src/main.rs
+++ b/wire/generator/src/main.rs
@@ -12,6 +12,7 @@
 fn main() -> Result<(), Box<dyn error::Error>> {
     generate_messages()?;
     generate_json("settings")?;
+    generate_json("edge")?;
     generate_json("record")
 }
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod claims;
 pub mod datagram;
 pub mod decode;
+pub mod edge;
+pub mod load;
 pub mod peer;
 pub mod record;
 pub mod settings;
@@ -21,6 +23,8 @@
 #[allow(missing_docs, clippy::all, unused_parens, dead_code)]
 #[rustfmt::skip]
 pub mod generated {
+    pub mod edge;
+    pub mod load_capnp;
     pub mod membership_capnp;
     pub mod peer_capnp;
     pub mod record;
--- /dev/null
+++ b/wire/src/load.rs
@@ -0,0 +1,120 @@
+//! Load reports between routers: one datagram each, in the packed form.
+//!
+//! Names travel as hashes of 64 bits, so that a report of 20 targets and 16 teams fits one datagram.
+
+use gentianhinge_core::report;
+use quick_error::quick_error;
+
+use crate::decode::{self, DecodeError};
+use crate::generated::load_capnp;
+
+/// Largest datagram that is read, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 8192;
+
+/// Most words that reading one datagram may visit.
+const MAX_WORDS: usize = 8192;
+
+quick_error! {
+    /// Why a datagram is dropped.
+    #[derive(Debug)]
+    pub enum LoadError {
+        /// The message can't be read.
+        Decode(err: DecodeError) {
+            display("{err}")
+            source(err)
+            from()
+        }
+    }
+}
+
+/// Encodes a report.
+pub fn encode(report: &report::LoadReport) -> Vec<u8> {
+    let mut builder = capnp::message::Builder::new_default();
+    write(builder.init_root(), report);
+    let mut bytes = Vec::new();
+    // Writing to a vector can't fail.
+    let _ = capnp::serialize_packed::write_message(&mut bytes, &builder);
+    bytes
+}
+
+/// Decodes a report.
+///
+/// # Errors
+///
+/// The bytes are no report.
+pub fn decode(mut bytes: &[u8]) -> Result<report::LoadReport, LoadError> {
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_WORDS)).nesting_limit(4);
+    let reader = capnp::serialize_packed::read_message(&mut bytes, options);
+    let reader = reader.map_err(DecodeError::from)?;
+    Ok(read(reader.get_root().map_err(DecodeError::from)?)?)
+}
+
+#[allow(clippy::cast_possible_truncation)] // A report has far fewer lines than 2^32.
+fn write(mut builder: load_capnp::load_report::Builder<'_>, report: &report::LoadReport) {
+    builder.set_sender(&*report.sender);
+    builder.set_incarnation(report.incarnation);
+    builder.set_seq(report.seq);
+    builder.set_draining(report.draining);
+    builder.set_config_version(report.config_version);
+    builder.set_is_full(report.is_full);
+    let mut targets = builder.reborrow().init_targets(report.targets.len() as u32);
+    for (i, line) in report.targets.iter().enumerate() {
+        let mut target = targets.reborrow().get(i as u32);
+        target.set_target(line.target);
+        target.set_unread_tokens(line.unread_tokens);
+        target.set_running_count(line.running_count);
+    }
+    let mut teams = builder.reborrow().init_teams(report.teams.len() as u32);
+    for (i, line) in report.teams.iter().enumerate() {
+        let mut team = teams.reborrow().get(i as u32);
+        team.set_team(line.team);
+        team.set_asked_tokens(line.asked_tokens);
+        team.set_begun_tokens(line.begun_tokens);
+    }
+    let mut services = builder.reborrow().init_services(report.services.len() as u32);
+    for (i, line) in report.services.iter().enumerate() {
+        let mut service = services.reborrow().get(i as u32);
+        service.set_service(line.service);
+        service.set_request_count(line.request_count);
+        service.set_repeat_count(line.repeat_count);
+    }
+    let mut kept = builder.init_kept(report.kept.len() as u32);
+    for (i, line) in report.kept.iter().enumerate() {
+        let mut part = kept.reborrow().get(i as u32);
+        part.set_target(line.target);
+        part.set_part(line.part);
+    }
+}
+
+fn read(reader: load_capnp::load_report::Reader<'_>) -> Result<report::LoadReport, DecodeError> {
+    let targets = reader.get_targets()?.iter().map(|line| report::TargetLoad {
+        target: line.get_target(),
+        unread_tokens: line.get_unread_tokens(),
+        running_count: line.get_running_count(),
+    });
+    let teams = reader.get_teams()?.iter().map(|line| report::TeamUse {
+        team: line.get_team(),
+        asked_tokens: line.get_asked_tokens(),
+        begun_tokens: line.get_begun_tokens(),
+    });
+    let services = reader.get_services()?.iter().map(|line| report::ServiceUse {
+        service: line.get_service(),
+        request_count: line.get_request_count(),
+        repeat_count: line.get_repeat_count(),
+    });
+    let kept = reader.get_kept()?.iter();
+    let kept = kept.map(|line| report::KeptPart { target: line.get_target(), part: line.get_part() });
+    Ok(report::LoadReport {
+        sender: decode::name(reader.get_sender(), decode::MAX_NAME_BYTES)?,
+        incarnation: reader.get_incarnation(),
+        seq: reader.get_seq(),
+        targets: targets.collect(),
+        teams: teams.collect(),
+        services: services.collect(),
+        kept: kept.collect(),
+        draining: reader.get_draining(),
+        config_version: reader.get_config_version(),
+        is_full: reader.get_is_full(),
+    })
+}
--- a/wire/src/settings.rs
+++ b/wire/src/settings.rs
@@ -105,6 +105,17 @@
 /// assert!(mistakes.iter().any(|mistake| mistake.to_string() == "line 2: routers: unknown key"));
 /// ```
 pub fn parse(text: &str) -> Result<Settings, Vec<Mistake>> {
+    static VALIDATOR: sync::LazyLock<jsonschema::Validator> =
+        sync::LazyLock::new(|| validator(SCHEMA));
+    parse_checked(text, &VALIDATOR, check::check)
+}
+
+/// Parses a text and checks it against a schema and beyond it.
+pub(crate) fn parse_checked<T: serde::de::DeserializeOwned>(
+    text: &str,
+    validator: &jsonschema::Validator,
+    check: impl Fn(&serde_json::Value) -> Vec<check::Found>,
+) -> Result<T, Vec<Mistake>> {
     if text.len() > MAX_SETTINGS_BYTES {
         let message = format!("longer than {MAX_SETTINGS_BYTES} bytes");
         return Err(vec![Mistake { line: 1, key: String::new(), message }]);
@@ -113,8 +124,8 @@
     integral_floats_to_integers(&mut json);
     let places = places::Places::new(text, &root);
     let mut mistakes = places.repeated_keys();
-    mistakes.extend(schema_mistakes(&places, &json));
-    let found = check::check(&json);
+    mistakes.extend(schema_mistakes(validator, &places, &json));
+    let found = check(&json);
     mistakes.extend(found.into_iter().map(|found| places.mistake(&found.pointer, found.message)));
     if !mistakes.is_empty() {
         mistakes.sort();
@@ -159,14 +170,20 @@
     map.values_mut().for_each(bound_formats);
 }
 
-fn schema_mistakes(places: &places::Places<'_>, json: &serde_json::Value) -> Vec<Mistake> {
-    static VALIDATOR: sync::LazyLock<jsonschema::Validator> = sync::LazyLock::new(|| {
-        let mut schema = serde_json::from_str(SCHEMA).expect("the schema is valid JSON");
-        bound_formats(&mut schema);
-        jsonschema::validator_for(&schema).expect("the schema is valid")
-    });
+/// Compiles one of the crate's own schemas.
+pub(crate) fn validator(schema: &str) -> jsonschema::Validator {
+    let mut schema = serde_json::from_str(schema).expect("the schema is valid JSON");
+    bound_formats(&mut schema);
+    jsonschema::validator_for(&schema).expect("the schema is valid")
+}
+
+fn schema_mistakes(
+    validator: &jsonschema::Validator,
+    places: &places::Places<'_>,
+    json: &serde_json::Value,
+) -> Vec<Mistake> {
     let mut mistakes = Vec::new();
-    for err in VALIDATOR.iter_errors(json).take(MAX_MISTAKES) {
+    for err in validator.iter_errors(json).take(MAX_MISTAKES) {
         let at = err.instance_path().as_str();
         if let jsonschema::error::ValidationErrorKind::AdditionalProperties { unexpected } =
             err.kind()
