--- a/core/src/prompt.rs
+++ b/core/src/prompt.rs
@@ -39,8 +39,11 @@
         self.prompt_tokens.saturating_sub(self.shared_tokens())
     }
 
-    /// What a team is charged: tokens of its own once, generated ones twice.
+    /// What a team is charged: each token of the prompt once, each generated one twice.
+    ///
+    /// Shared parts count whether a target keeps them or not, so that a team's share doesn't depend
+    /// on where its requests were sent.
     pub fn share_tokens(&self) -> u32 {
-        self.own_tokens() + 2 * self.max_output_tokens
+        self.prompt_tokens + 2 * self.max_output_tokens
     }
 }
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -69,8 +69,20 @@
     Whole(Whole),
     /// A series of events begins.
     Events(Box<EventStream>),
-    /// The target surely hasn't run the request and won't.
-    NotRun(String),
+    /// The request never reached the target.
+    NotSent {
+        /// What went wrong.
+        cause: String,
+        /// Whether the target can't be connected to.
+        is_away: bool,
+    },
+    /// The target says that it hasn't run the request and won't.
+    NotRun {
+        /// What it said.
+        cause: String,
+        /// Whether another process has the target's address.
+        is_away: bool,
+    },
     /// The target may have run it.
     Lost(String),
 }
@@ -101,12 +113,17 @@
 ) -> Outcome {
     let outgoing = match outgoing(request, target, last_event_id) {
         Ok(outgoing) => outgoing,
-        Err(err) => return Outcome::NotRun(err.to_string()),
+        Err(err) => return Outcome::NotSent { cause: err.to_string(), is_away: false },
     };
     let sent = traffic.upstream.send(target, hash, outgoing, !request.may_repeat()).await;
     let (answer, lease) = match sent {
         Ok(sent) => sent,
-        Err(SendError::NotSent(message)) => return Outcome::NotRun(message),
+        Err(err @ SendError::Unreachable(_)) => {
+            return Outcome::NotSent { cause: err.to_string(), is_away: true };
+        }
+        Err(err @ SendError::NotSent(_)) => {
+            return Outcome::NotSent { cause: err.to_string(), is_away: false };
+        }
         Err(err @ SendError::Unknown(_)) => return Outcome::Lost(err.to_string()),
     };
     let said = answer::decode(answer.status(), answer.headers(), &request.id);
@@ -126,7 +143,8 @@
     if is_not_run {
         // The body of such an answer is of no use; the connection may be.
         let _ = whole::read(answer, said, lease, &traffic.upstream).await;
-        return Outcome::NotRun(format!("the target answers {status}: not run"));
+        let is_away = status == http::StatusCode::MISDIRECTED_REQUEST;
+        return Outcome::NotRun { cause: format!("the target answers {status}: not run"), is_away };
     }
     match whole::read(answer, said, lease, &traffic.upstream).await {
         Ok(whole) => Outcome::Whole(whole),
@@ -182,16 +200,23 @@
     let mut brain = traffic.context.brain();
     let change = match outcome {
         Outcome::Whole(whole) if whole.status.is_server_error() => {
-            brain.health.failed(hash, false, now)
+            brain.health.failed(hash, health::Failure::Bad, now)
         }
         Outcome::Whole(_) => brain.health.succeeded(hash),
+        Outcome::NotSent { is_away: true, .. } | Outcome::NotRun { is_away: true, .. } => {
+            brain.health.failed(hash, health::Failure::Away, now)
+        }
         // The first event tells more than the head.
-        Outcome::Events(_) | Outcome::NotRun(_) => health::Change::None,
-        Outcome::Lost(_) => brain.health.failed(hash, false, now),
+        Outcome::Events(_) | Outcome::NotSent { .. } | Outcome::NotRun { .. } => {
+            health::Change::None
+        }
+        Outcome::Lost(_) => brain.health.failed(hash, health::Failure::Bad, now),
     };
     drop(brain);
     let cause = match outcome {
-        Outcome::NotRun(message) | Outcome::Lost(message) => message.as_str(),
+        Outcome::NotSent { cause, .. } | Outcome::NotRun { cause, .. } | Outcome::Lost(cause) => {
+            cause.as_str()
+        }
         Outcome::Whole(whole) => whole.status.as_str(),
         Outcome::Events(_) => "",
     };
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -154,11 +154,15 @@
         self.refresh();
         let all = self.by_service.get(&ask.service)?;
         let untried = all.iter().filter(|(_, hash)| !ask.tried.contains(hash));
-        let candidates = untried.clone().filter(|(_, hash)| !self.health.is_ejected(*hash, now));
-        let mut candidates = candidates.map(candidate).collect::<SmallVec<[_; 32]>>();
-        let fewest = all.len() as f64 * (1.0 - health::MAX_EJECTED_PART);
-        if (candidates.len() as f64) < fewest.min(untried.clone().count() as f64) {
+        let there = untried.clone().filter(|(_, hash)| !self.health.is_away(*hash, now));
+        let healthy = there.clone().filter(|(_, hash)| !self.health.is_ejected(*hash, now));
+        let mut candidates = healthy.map(candidate).collect::<SmallVec<[_; 32]>>();
+        let there_count = there.clone().count();
+        if (candidates.len() as f64) < there_count as f64 * (1.0 - health::MAX_EJECTED_PART) {
             // Too many are left out: the rest would drown.
+            candidates = there.map(candidate).collect();
+        }
+        if candidates.is_empty() {
             candidates = untried.map(candidate).collect();
         }
         let weights = &self.weights;
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -204,7 +204,11 @@
                 *attempt_count += 1;
                 Next::Events(stream, flight)
             }
-            Outcome::NotRun(cause) => {
+            Outcome::NotSent { cause, .. } => {
+                self.story.send_ended(&cause);
+                Next::Another(Reason::NotSent)
+            }
+            Outcome::NotRun { cause, .. } => {
                 self.story.send_ended(&cause);
                 Next::Another(Reason::NotRun)
             }
@@ -254,15 +258,17 @@
     /// Whether another target may be asked after a sending that ended for `reason`.
     fn may_go_on(&mut self, reason: Reason, attempt_count: u32) -> bool {
         /// Sendings of one request, those included that weren't run.
-        const MAX_SENDS: usize = 3;
-        let may_run = reason == Reason::NotRun || self.request.may_repeat();
+        const MAX_SENDS: usize = 4;
+        let has_not_run = matches!(reason, Reason::NotRun | Reason::NotSent);
+        let may_run = has_not_run || self.request.may_repeat();
         let has_room = attempt_count < self.request.route.max_attempts;
         let has_time = Instant::now() < self.request.deadline;
         let goes_on = may_run
             && has_room
             && has_time
             && self.ask.tried.len() < MAX_SENDS
-            && self.traffic.take_repeat(&self.ask.service);
+            // What never arrived is no load for the service.
+            && (reason == Reason::NotSent || self.traffic.take_repeat(&self.ask.service));
         if goes_on {
             self.ask.is_repeat = true;
             self.ask.arrived_at = Instant::now();
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use gentianhinge_core::health;
 use gentianhinge_core::routing::Answer;
 use gentianhinge_platform::answer;
 use http_body_util::{BodyExt, StreamBody};
@@ -172,7 +173,7 @@
         let change = if is_good {
             brain.health.succeeded(hash)
         } else {
-            brain.health.failed(hash, false, Instant::now())
+            brain.health.failed(hash, health::Failure::Bad, Instant::now())
         };
         drop(brain);
         attempt::log_health(&self.traffic, &flight.placed.target, change, "stream");
@@ -218,7 +219,9 @@
                     self.attempt_count += 1;
                     return Some((stream, flight));
                 }
-                Outcome::NotRun(cause) => self.story.send_ended(&cause),
+                Outcome::NotSent { cause, .. } | Outcome::NotRun { cause, .. } => {
+                    self.story.send_ended(&cause);
+                }
                 Outcome::Lost(cause) => {
                     self.attempt_count += 1;
                     self.story.send_ended(&cause);
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -40,6 +40,8 @@
     NoTarget,
     /// Targets are too busy for it to be served in time.
     Overload,
+    /// No target that was chosen could be reached.
+    NotSent,
     /// All targets that were asked say that they didn't run it.
     NotRun,
     /// The time limit came before it was sent.
@@ -61,6 +63,7 @@
             Reason::NoConfig
             | Reason::NoTarget
             | Reason::Overload
+            | Reason::NotSent
             | Reason::NotRun
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Reason::Unknown => StatusCode::BAD_GATEWAY,
@@ -78,6 +81,7 @@
             Reason::BodyBroken => "body-broken",
             Reason::NoTarget => "no-target",
             Reason::Overload => "overload",
+            Reason::NotSent => "not-sent",
             Reason::NotRun => "not-run",
             Reason::TooLate => "too-late",
             Reason::Unknown => "unknown-outcome",
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -39,6 +39,10 @@
     /// Why a request has no answer.
     #[derive(Debug)]
     pub enum SendError {
+        /// The target can't be connected to.
+        Unreachable(message: String) {
+            display("no connection: {message}")
+        }
         /// No byte of it was written.
         NotSent(message: String) {
             display("not sent: {message}")
@@ -140,7 +144,7 @@
         }
         let not_sent = |message: String| SendError::NotSent(message);
         let stream = connection::connect(target.addr, CONNECT_TIMEOUT).await;
-        let stream = stream.map_err(|err| not_sent(err.to_string()))?;
+        let stream = stream.map_err(|err| SendError::Unreachable(err.to_string()))?;
         let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|err| not_sent(err.to_string()))?;
         let task = task::spawn_local(async move {
