--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -29,9 +29,9 @@
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            threshold_ms: 300.0,
+            threshold_ms: 400.0,
             urgency_factor: 0.6,
-            late_factor: 0.1,
+            late_factor: 0.03,
             over_share_factor: 0.1,
             max_wait: Duration::from_millis(1000),
             over_share_wait_factor: 0.5,
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -15,8 +15,13 @@
 pub struct Weights {
     /// Prompt tokens that a target reads in a millisecond beside the tokens that it generates.
     pub read_tokens_per_ms: f64,
-    /// Charge for a shared part that is read again, as a multiple of the time to read it.
-    pub miss_factor: f64,
+    /// Charge for a shared part that is read again while targets are idle, as a multiple of the
+    /// time to read it.
+    pub idle_miss_factor: f64,
+    /// The same charge while targets are busy: then all other requests wait for the reading.
+    pub busy_miss_factor: f64,
+    /// Mean unread work of the targets at which they count as busy.
+    pub busy_ms: f64,
     /// Charge for a target in another zone.
     pub other_zone_ms: f64,
     /// Time that each request in flight adds to the first event of the next one.
@@ -29,8 +34,10 @@
     fn default() -> Weights {
         Weights {
             read_tokens_per_ms: 40.0,
-            miss_factor: 2.0,
-            other_zone_ms: 40.0,
+            idle_miss_factor: 4.0,
+            busy_miss_factor: 10.0,
+            busy_ms: 100.0,
+            other_zone_ms: 300.0,
             running_ms: 1.0,
             home_slack_ms: 150.0,
         }
@@ -61,6 +68,8 @@
     pub read_ms: f64,
     /// Tokens that the target lacks of the prompt.
     pub unread_tokens: u32,
+    /// Those of them in parts that other requests share.
+    pub missed_tokens: u32,
     /// Load of the target.
     pub load: Load,
     /// Whether the target has a free slot.
@@ -78,15 +87,16 @@
 ) -> Option<Choice> {
     let home = prompt.home_part().map(|part| part.id);
     let is_at_home = home.is_none_or(|part| candidates.iter().any(|c| view.keeps(c.hash, part)));
+    let miss_factor = miss_factor(candidates, view, weights);
     let mut best: Option<(f64, Choice)> = None;
     for (at, candidate) in candidates.iter().enumerate() {
         let load = view.load(candidate.hash);
         let unread_tokens = view.unread_of(candidate.hash, prompt, now);
-        let missed = f64::from(unread_tokens.saturating_sub(prompt.own_tokens()));
+        let missed_tokens = unread_tokens.saturating_sub(prompt.own_tokens());
         let rate = weights.read_tokens_per_ms;
         let wait_ms = load.unread_tokens / rate * candidate.slowness;
         let read_ms = f64::from(unread_tokens) / rate * candidate.slowness;
-        let mut cost_ms = wait_ms + read_ms + weights.miss_factor * missed / rate;
+        let mut cost_ms = wait_ms + read_ms + miss_factor * f64::from(missed_tokens) / rate;
         cost_ms += load.running_count * weights.running_ms * candidate.slowness;
         if &*candidate.target.zone != zone {
             cost_ms += weights.other_zone_ms;
@@ -95,7 +105,7 @@
             cost_ms += weights.home_slack_ms * rendezvous_rank(candidate.hash, part);
         }
         let has_slot = load.running_count < candidate.slots;
-        let choice = Choice { at, wait_ms, read_ms, unread_tokens, load, has_slot };
+        let choice = Choice { at, wait_ms, read_ms, unread_tokens, missed_tokens, load, has_slot };
         let is_better = best.as_ref().is_none_or(|(least_ms, chosen)| {
             (!has_slot, cost_ms) < (!chosen.has_slot, *least_ms)
         });
@@ -106,6 +116,14 @@
     best.map(|(_, choice)| choice)
 }
 
+/// What reading a shared part again costs now, as a multiple of the time to read it.
+fn miss_factor(candidates: &[Candidate<'_>], view: &LoadView, weights: &Weights) -> f64 {
+    let unread_tokens = candidates.iter().map(|c| view.load(c.hash).unread_tokens).sum::<f64>();
+    let mean_ms = unread_tokens / weights.read_tokens_per_ms / candidates.len().max(1) as f64;
+    let busy_part = (mean_ms / weights.busy_ms).min(1.0);
+    weights.idle_miss_factor + (weights.busy_miss_factor - weights.idle_miss_factor) * busy_part
+}
+
 /// Chooses the target for a request of a plain service: the one with the most room.
 pub fn choose_plain(
     candidates: &[Candidate<'_>],
@@ -121,7 +139,16 @@
         let cost = used + other_zone / 3.0 + (candidate.slowness - 1.0);
         let has_slot = load.running_count < candidate.slots;
         let wait_ms = load.running_count * weights.running_ms;
-        (cost, Choice { at, wait_ms, read_ms: 0.0, unread_tokens: 0, load, has_slot })
+        let choice = Choice {
+            at,
+            wait_ms,
+            read_ms: 0.0,
+            unread_tokens: 0,
+            missed_tokens: 0,
+            load,
+            has_slot,
+        };
+        (cost, choice)
     });
     costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
 }
--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -143,6 +143,11 @@
         Some(changes)
     }
 
+    /// Time at which the next removal's grace ends.
+    pub fn next_removal(&self) -> Option<Instant> {
+        self.removals.values().min().copied()
+    }
+
     /// Carries out the removals whose grace has ended, and returns the targets that are gone.
     pub fn settle(&mut self, now: Instant) -> Vec<Name> {
         let due = self.removals.iter().filter(|(_, at)| **at <= now);
--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -22,9 +22,8 @@
 /// Longest pause after failed calls: half the time in which a configuration is to be in force.
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
 
-/// Pause between two reads of the targets, which write often: an eighth of the time in which a
-/// leaving target may still get requests is left for the call itself and for what is on its way.
-const TARGETS_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two reads of the targets, which may all write at once.
+const TARGETS_PAUSE: Duration = Duration::from_millis(150);
 
 /// How to reach the store.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +42,8 @@
     next_offset: Option<u64>,
     backoff: Duration,
     failing_since: Option<Instant>,
+    /// Whether the last step was the first after an outage.
+    is_back: bool,
 }
 
 /// What one step has read.
@@ -57,21 +58,21 @@
     fn new(context: Arc<Context>, settings: Settings, topic: &'static str) -> Follower {
         let store = Store::new(settings.addr, settings.timeout);
         let (next_offset, backoff) = (None, MIN_BACKOFF);
-        Follower { context, store, topic, next_offset, backoff, failing_since: None }
+        Follower { context, store, topic, next_offset, backoff, failing_since: None, is_back: false }
     }
 
-    /// Reads what is new; waits for it, and through failures.
-    async fn step(&mut self) -> Step {
+    /// Reads what is new; waits for it up to `wait`, and through failures.
+    async fn step(&mut self, wait: Duration) -> Step {
         loop {
+            // After a failure the first answer is to come at once, to see the store's return.
+            let wait = if self.failing_since.is_some() { Duration::ZERO } else { wait };
             let result = match self.next_offset {
                 None => self.store.newest(self.topic).await.map(Step::All),
-                Some(from) => {
-                    self.store.read(self.topic, from, LONG_POLL).await.map(Step::More)
-                }
+                Some(from) => self.store.read(self.topic, from, wait).await.map(Step::More),
             };
             match result {
                 Ok(step) => {
-                    self.succeeded();
+                    self.is_back = self.succeeded();
                     return step;
                 }
                 Err(err) => self.failed(&err).await,
@@ -79,17 +80,16 @@
         }
     }
 
-    /// Time for which the store had been away, if it has come back with the last step.
-    fn succeeded(&mut self) {
+    /// Notes that the store answers; returns whether it had been away.
+    fn succeeded(&mut self) -> bool {
         self.backoff = MIN_BACKOFF;
-        let Some(since) = self.failing_since.take() else { return };
-        let now = Instant::now();
-        let away_ms = now.duration_since(since).as_millis() as u64;
-        self.context.brain().registry.resume_after_outage(now);
+        let Some(since) = self.failing_since.take() else { return false };
+        let away_ms = since.elapsed().as_millis() as u64;
         self.context.log.state(json!({
             "event": "dependency", "dependency": "store", "topic": self.topic,
             "outcome": "regained", "away_ms": away_ms,
         }));
+        true
     }
 
     async fn failed(&mut self, err: &StoreError) {
@@ -115,7 +115,7 @@
 pub async fn config(context: Arc<Context>, settings: Settings) {
     let mut follower = Follower::new(context.clone(), settings, platform_config::TOPIC);
     loop {
-        let (Step::All(read) | Step::More(read)) = follower.step().await;
+        let (Step::All(read) | Step::More(read)) = follower.step(LONG_POLL).await;
         // An offset never goes back: a listing that ends earlier is stale.
         let next_offset = follower.next_offset.unwrap_or(0).max(read.next_offset);
         follower.next_offset = Some(next_offset);
@@ -161,8 +161,13 @@
 pub async fn targets(context: Arc<Context>, settings: Settings) {
     let mut follower = Follower::new(context.clone(), settings, registry::TOPIC);
     loop {
-        let step = follower.step().await;
+        let due_at = context.brain().registry.next_removal();
+        let wait = due_at.map_or(LONG_POLL, |at| at.saturating_duration_since(Instant::now()));
+        let step = follower.step(wait.min(LONG_POLL)).await;
         let now = Instant::now();
+        if follower.is_back {
+            context.brain().registry.resume_after_outage(now);
+        }
         match step {
             Step::All(listing) => apply_listing(&context, &mut follower, &listing, now),
             Step::More(read) => {
@@ -259,7 +264,7 @@
     let mut phase = context.phase.subscribe();
     loop {
         let step = tokio::select! {
-            step = follower.step() => step,
+            step = follower.step(LONG_POLL) => step,
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         };
         let (Step::All(read) | Step::More(read)) = step;
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -67,7 +67,7 @@
         self.sends.push(json!({
             "target": &*flight.placed.target.id, "at_ms": waited.as_millis() as u64,
             "wait_ms": choice.wait_ms as u64, "read_ms": choice.read_ms as u64,
-            "unread": choice.unread_tokens, "running": choice.load.running_count as u64,
+            "unread": choice.unread_tokens, "missed": choice.missed_tokens, "running": choice.load.running_count as u64,
         }));
     }
 
