The same home for a part whichever router chooses it, and earlier refusals

Cause: homes depended on the asking router's zone and load, so a fleet that was killed read its shared parts again elsewhere, and requests waited 1 s for what was refused in the end. Ruled out by trials: more work for late requests or teams above their share (worse), longer waits (worse), dearer misses (no gain).

--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -33,7 +33,7 @@
             urgency_factor: 0.6,
             late_factor: 0.03,
             over_share_factor: 0.1,
-            max_wait: Duration::from_millis(1000),
+            max_wait: Duration::from_millis(500),
             over_share_wait_factor: 0.5,
         }
     }
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -26,8 +26,9 @@
     pub other_zone_ms: f64,
     /// Time that each request in flight adds to the first event of the next one.
     pub running_ms: f64,
-    /// Extra wait up to which a part without a home goes to its first target by rendezvous.
-    pub home_slack_ms: f64,
+    /// Charge for the last target in the rendezvous order of a part that no target keeps. Above what
+    /// load differs by, so that all routers, also restarted ones, choose the same home.
+    pub home_rank_ms: f64,
 }
 
 impl Default for Weights {
@@ -39,7 +40,7 @@
             busy_ms: 100.0,
             other_zone_ms: 300.0,
             running_ms: 1.0,
-            home_slack_ms: 150.0,
+            home_rank_ms: 3000.0,
         }
     }
 }
@@ -98,11 +99,11 @@
         let read_ms = f64::from(unread_tokens) / rate * candidate.slowness;
         let mut cost_ms = wait_ms + read_ms + miss_factor * f64::from(missed_tokens) / rate;
         cost_ms += load.running_count * weights.running_ms * candidate.slowness;
-        if &*candidate.target.zone != zone {
+        if is_at_home && &*candidate.target.zone != zone {
             cost_ms += weights.other_zone_ms;
         }
         if let Some(part) = home.filter(|_| !is_at_home) {
-            cost_ms += weights.home_slack_ms * rendezvous_rank(candidate.hash, part);
+            cost_ms += weights.home_rank_ms * rendezvous_rank(candidate.hash, part);
         }
         let has_slot = load.running_count < candidate.slots;
         let choice = Choice { at, wait_ms, read_ms, unread_tokens, missed_tokens, load, has_slot };
