--- /dev/null
+++ b/core/tests/overload.rs
@@ -0,0 +1,153 @@
+//! Waiting, turning away, shares of teams, and repeats.
+
+use std::time::Duration;
+
+use gentianhinge_core::hold::{self, Outlook, Policy, Verdict, Waiter};
+use gentianhinge_core::repeat::RepeatBudget;
+use gentianhinge_core::report::{ServiceUse, TeamUse};
+use gentianhinge_core::share::{self, Shares};
+use tokio::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn waiter(now: Instant) -> Waiter {
+    Waiter {
+        arrived_at: now,
+        due_at: now + Duration::from_millis(800),
+        deadline: now + Duration::from_secs(12),
+        urgency_step: 0,
+        share_ratio: 0.5,
+    }
+}
+
+fn outlook(wait_ms: f64) -> Outlook {
+    Outlook { wait_ms, read_ms: 90.0, has_slot: true }
+}
+
+fn decide(waiter: &Waiter, wait_ms: f64, now: Instant) -> Verdict {
+    hold::decide(&Policy::default(), waiter, Some(&outlook(wait_ms)), now)
+}
+
+fn shares_of(teams: &[(u64, u32, u32)], now: Instant) -> Shares {
+    let mut shares = Shares::new(WINDOW);
+    for (team, asked, begun) in teams {
+        shares.ask(*team, *asked, now);
+        shares.begin(*team, *begun, now);
+    }
+    shares.recompute(now);
+    shares
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[test]
+        fn $name() { $body }
+    )* };
+}
+
+cases! {
+    an_idle_target_gets_a_request_at_once: {
+        let now = Instant::now();
+        assert_eq!(decide(&waiter(now), 0.0, now), Verdict::Send);
+    },
+    a_busy_target_is_left_in_peace: {
+        let now = Instant::now();
+        assert_eq!(decide(&waiter(now), 600.0, now), Verdict::Wait);
+    },
+    the_less_urgent_kind_waits_first: {
+        let now = Instant::now();
+        let less_urgent = Waiter { urgency_step: 1, ..waiter(now) };
+        assert_eq!(decide(&waiter(now), 300.0, now), Verdict::Send);
+        assert_eq!(decide(&less_urgent, 300.0, now), Verdict::Wait);
+    },
+    what_is_late_yields_to_what_can_be_on_time: {
+        let now = Instant::now();
+        let late = Waiter { due_at: now, ..waiter(now) };
+        assert_eq!(decide(&late, 100.0, now), Verdict::Wait);
+        assert_eq!(decide(&late, 0.0, now), Verdict::Send);
+    },
+    a_team_above_its_share_yields: {
+        let now = Instant::now();
+        let over = Waiter { share_ratio: 1.5, ..waiter(now) };
+        assert_eq!(decide(&over, 100.0, now), Verdict::Wait);
+        assert_eq!(decide(&over, 0.0, now), Verdict::Send);
+    },
+    a_request_without_a_free_slot_waits: {
+        let now = Instant::now();
+        let full = Outlook { has_slot: false, ..outlook(0.0) };
+        let verdict = hold::decide(&Policy::default(), &waiter(now), Some(&full), now);
+        assert_eq!(verdict, Verdict::Wait);
+    },
+    a_refusal_comes_early_and_says_when_to_come_back: {
+        let now = Instant::now();
+        let Verdict::Refuse { retry_after } = decide(&waiter(now), 900.0, now + Policy::default().max_wait)
+        else {
+            panic!("not refused");
+        };
+        assert_eq!(retry_after, Duration::from_millis(900));
+        // Well before the latency target, so that the caller can still be served in time elsewhere.
+        assert!(Policy::default().max_wait < Duration::from_millis(800));
+    },
+    the_order_is_by_share_then_time_then_urgency: {
+        let now = Instant::now();
+        let over = Waiter { share_ratio: 1.5, ..waiter(now) };
+        let late = Waiter { due_at: now, ..waiter(now) };
+        let less_urgent = Waiter { urgency_step: 1, ..waiter(now) };
+        let mut ranks = [over.rank(now), late.rank(now), less_urgent.rank(now), waiter(now).rank(now)];
+        ranks.sort();
+        assert_eq!(ranks[0], waiter(now).rank(now));
+        assert_eq!(ranks[1], less_urgent.rank(now));
+        assert_eq!(ranks[2], late.rank(now));
+    },
+    a_flood_of_one_team_lowers_no_other_team: {
+        let now = Instant::now();
+        // Team 1 asks for ten times what the others ask for, and 600 are served.
+        let shares = shares_of(&[(1, 4_000, 400), (2, 100, 100), (3, 100, 100)], now);
+        assert!(shares.ratio(1) >= 1.0);
+        assert!(shares.ratio(2) < 0.5);
+    },
+    demands_that_fit_have_no_level: {
+        assert_eq!(share::water_level(vec![10.0, 20.0], 30.0), f64::INFINITY);
+        assert!((share::water_level(vec![10.0, 200.0, 200.0], 110.0) - 50.0).abs() < 1e-9);
+        assert!((share::water_level(vec![200.0, 200.0], 100.0) - 50.0).abs() < 1e-9);
+    },
+    shares_count_what_other_routers_report: {
+        let now = Instant::now();
+        let mut shares = shares_of(&[(1, 100, 100), (2, 1_000, 100)], now);
+        let lines = vec![TeamUse { team: 1, asked_tokens: 900, begun_tokens: 500 }];
+        shares.hear(&"r2".into(), lines, now);
+        shares.recompute(now);
+        assert!(shares.ratio(1) > shares.ratio(2));
+        assert!(shares.ratio(1) > 1.0);
+    },
+    shares_forget_what_left_the_window: {
+        let now = Instant::now();
+        let mut shares = shares_of(&[(1, 1_000, 900), (2, 1_000, 100)], now);
+        shares.recompute(now + WINDOW + Duration::from_millis(1));
+        assert!(shares.ratio(1) < f64::EPSILON);
+    },
+    the_budget_of_repeats_is_one_for_the_fleet: {
+        let now = Instant::now();
+        let mut budget = RepeatBudget::new(0.2, 10, Duration::from_secs(10));
+        assert!(budget.take(1, now));
+        let spent = ServiceUse { service: 1, request_count: 100, repeat_count: 30 };
+        budget.hear(&"r2".into(), vec![spent], now);
+        assert!(!budget.take(1, now));
+        // Other services have their own.
+        assert!(budget.take(2, now));
+    },
+    the_budget_grows_with_requests: {
+        let now = Instant::now();
+        let mut budget = RepeatBudget::new(0.2, 0, Duration::from_secs(10));
+        assert!(!budget.take(1, now));
+        (0..100).for_each(|_| budget.count_request(1, now));
+        let taken = (0..100).filter(|_| budget.take(1, now)).count();
+        assert!((1..=20).contains(&taken), "{taken}");
+    },
+    repeats_that_left_the_window_are_forgotten: {
+        let now = Instant::now();
+        let mut budget = RepeatBudget::new(0.0, 4, Duration::from_secs(10));
+        while budget.take(1, now) {}
+        assert!(budget.take(1, now + Duration::from_secs(11)));
+    },
+}
--- /dev/null
+++ b/core/tests/placement.rs
@@ -0,0 +1,178 @@
+//! The shared view of load, and the choice of targets.
+
+use std::time::Duration;
+
+use gentianhinge_core::load::{LoadView, PEER_SILENCE};
+use gentianhinge_core::place::{self, Candidate, Weights};
+use gentianhinge_core::prompt::{Part, Prompt};
+use gentianhinge_core::registry::Target;
+use gentianhinge_core::report::{LoadReport, TargetLoad};
+use tokio::time::Instant;
+
+const SHARED_TOKENS: u32 = 13_300;
+
+fn target(id: &str, zone: &str) -> Target {
+    Target {
+        id: id.into(),
+        born_ms: 1,
+        service: "model".into(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.into(),
+        slots: 64,
+        is_leaving: false,
+    }
+}
+
+fn targets(count: usize) -> Vec<Target> {
+    (0..count).map(|i| target(&format!("t{i}"), "a")).collect()
+}
+
+fn candidates(targets: &[Target]) -> Vec<Candidate<'_>> {
+    let all = targets.iter().map(|target| Candidate {
+        hash: target.hash(),
+        slots: f64::from(target.slots),
+        slowness: 1.0,
+        target,
+    });
+    all.collect()
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = [Part { id: shared, tokens: SHARED_TOKENS }, Part { id: own, tokens: 3_700 }];
+    Prompt { parts: parts.into_iter().collect(), prompt_tokens: 17_000, max_output_tokens: 120 }
+}
+
+fn small_prompt(own: u64) -> Prompt {
+    let parts = [Part { id: 77, tokens: 300 }, Part { id: own, tokens: 1_000 }];
+    Prompt { parts: parts.into_iter().collect(), prompt_tokens: 1_300, max_output_tokens: 120 }
+}
+
+fn choose(targets: &[Target], view: &LoadView, prompt: &Prompt, now: Instant) -> usize {
+    let weights = Weights::default();
+    place::choose(&candidates(targets), view, prompt, "a", &weights, now).unwrap().at
+}
+
+fn report(seq: u64, targets: Vec<TargetLoad>, is_full: bool) -> LoadReport {
+    LoadReport {
+        sender: "r2".into(),
+        incarnation: 1,
+        seq,
+        targets,
+        teams: vec![],
+        services: vec![],
+        kept: vec![],
+        draining: false,
+        config_version: 1,
+        is_full,
+    }
+}
+
+fn line(target: &Target, unread_tokens: u32) -> TargetLoad {
+    TargetLoad { target: target.hash(), unread_tokens, running_count: 1 }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[test]
+        fn $name() { $body }
+    )* };
+}
+
+cases! {
+    a_prompt_goes_where_its_shared_part_is_kept: {
+        let (now, targets, mut view) = (Instant::now(), targets(18), LoadView::default());
+        let first = choose(&targets, &view, &prompt(1, 10), now);
+        view.begin(targets[first].hash(), 17_000, &prompt(1, 10), now);
+        // The home is busy, but reading the part again elsewhere would take longer.
+        assert_eq!(choose(&targets, &view, &prompt(1, 11), now), first);
+    },
+    routers_without_memory_choose_the_same_home: {
+        let (now, targets) = (Instant::now(), targets(18));
+        let mut loaded = LoadView::default();
+        for target in targets.iter().skip(9) {
+            loaded.begin(target.hash(), 2_000, &small_prompt(5), now);
+        }
+        for part in 0..50 {
+            let prompt = prompt(1_000 + part, 10);
+            let idle = choose(&targets, &LoadView::default(), &prompt, now);
+            let busy = choose(&targets, &loaded, &prompt, now);
+            let is_near = idle == busy || busy < 9;
+            assert!(is_near, "part {part}: {idle} and {busy}");
+        }
+    },
+    homes_are_spread: {
+        let (now, targets, view) = (Instant::now(), targets(18), LoadView::default());
+        let homes = (0..200).map(|part| choose(&targets, &view, &prompt(part * 31, 10), now));
+        let homes = homes.collect::<std::collections::BTreeSet<_>>();
+        assert!(homes.len() >= 15, "{} homes", homes.len());
+    },
+    a_hot_part_gets_a_second_home_while_others_are_idle: {
+        let (now, targets, mut view) = (Instant::now(), targets(18), LoadView::default());
+        let home = choose(&targets, &view, &prompt(1, 10), now);
+        for own in 0..40 {
+            view.begin(targets[home].hash(), 3_700, &prompt(1, own), now);
+        }
+        assert_ne!(choose(&targets, &view, &prompt(1, 99), now), home);
+    },
+    small_prompts_stay_in_their_zone: {
+        let now = Instant::now();
+        let targets = [target("far", "b"), target("near", "a")];
+        let mut view = LoadView::default();
+        view.begin(targets[0].hash(), 0, &small_prompt(1), now);
+        view.begin(targets[1].hash(), 4_000, &small_prompt(2), now);
+        assert_eq!(choose(&targets, &view, &small_prompt(3), now), 1);
+    },
+    other_routers_load_counts: {
+        let (now, targets, mut view) = (Instant::now(), targets(2), LoadView::default());
+        view.hear(&report(1, vec![line(&targets[0], 50_000)], true), now);
+        assert_eq!(choose(&targets, &view, &small_prompt(3), now), 1);
+        assert!((view.load(targets[0].hash()).unread_tokens - 50_000.0).abs() < 1.0);
+    },
+    a_report_between_full_ones_changes_only_what_it_lists: {
+        let (now, targets, mut view) = (Instant::now(), targets(2), LoadView::default());
+        view.hear(&report(1, vec![line(&targets[0], 500), line(&targets[1], 700)], true), now);
+        view.hear(&report(2, vec![line(&targets[1], 0)], false), now);
+        assert!((view.load(targets[0].hash()).unread_tokens - 500.0).abs() < 1.0);
+        assert!(view.load(targets[1].hash()).unread_tokens < 1.0);
+        view.hear(&report(3, vec![], true), now);
+        assert!(view.load(targets[0].hash()).unread_tokens < 1.0);
+    },
+    a_report_that_comes_late_changes_nothing: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        assert!(view.hear(&report(5, vec![line(&targets[0], 500)], true), now));
+        assert!(!view.hear(&report(4, vec![], true), now));
+        assert!(view.load(targets[0].hash()).unread_tokens > 499.0);
+    },
+    a_silent_routers_load_is_dropped: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        view.hear(&report(5, vec![line(&targets[0], 500)], true), now);
+        view.expire(now + PEER_SILENCE + Duration::from_millis(1));
+        assert!(view.load(targets[0].hash()).unread_tokens < 1.0);
+    },
+    load_is_given_back_whole: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        let hash = targets[0].hash();
+        view.begin(hash, 900, &small_prompt(1), now);
+        view.begin(hash, 800, &small_prompt(2), now);
+        view.read(hash, 900);
+        view.end(hash, 0);
+        view.end(hash, 800);
+        assert_eq!(view.load(hash), gentianhinge_core::load::Load::default());
+    },
+    another_incarnation_keeps_nothing: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        let hash = targets[0].hash();
+        view.begin(hash, 17_000, &prompt(1, 1), now);
+        assert_eq!(view.unread_of(hash, &prompt(1, 2), now), 3_700);
+        view.forget(hash);
+        assert_eq!(view.unread_of(hash, &prompt(1, 2), now), 17_000);
+    },
+    only_leading_parts_count_as_kept: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        let hash = targets[0].hash();
+        let mut other = prompt(1, 1);
+        view.begin(hash, 17_000, &other, now);
+        other.parts[0].id = 2;
+        assert_eq!(view.unread_of(hash, &other, now), 17_000);
+    },
+}
--- /dev/null
+++ b/core/tests/registry.rs
@@ -0,0 +1,111 @@
+//! Targets by incarnation, and outages of the registry.
+
+use std::time::Duration;
+
+use gentianhinge_core::registry::{Change, RETURN_GRACE, Registry, Target};
+use tokio::time::Instant;
+
+fn target(id: &str, born_ms: u64, is_leaving: bool) -> Target {
+    Target {
+        id: id.into(),
+        born_ms,
+        service: "desk".into(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        zone: "a".into(),
+        slots: 6,
+        is_leaving,
+    }
+}
+
+fn listed(targets: Vec<Target>, end_offset: u64, now: Instant) -> Registry {
+    let mut registry = Registry::default();
+    registry.replace(targets, end_offset, now).expect("the first listing is never stale");
+    registry
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[test]
+        fn $name() { $body }
+    )* };
+}
+
+cases! {
+    a_target_that_leaves_stays_leaving_for_its_incarnation: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        assert_eq!(registry.apply("t1", 5, Some(target("t1", 1, true)), now), Change::Leaving);
+        assert_eq!(registry.apply("t1", 6, Some(target("t1", 1, false)), now), Change::None);
+        assert!(registry.get("t1").unwrap().is_leaving);
+    },
+    another_incarnation_is_another_target: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, true)], 5, now);
+        let before = registry.get("t1").unwrap().hash();
+        assert_eq!(registry.apply("t1", 5, Some(target("t1", 2, false)), now), Change::Added);
+        assert!(!registry.get("t1").unwrap().is_leaving);
+        assert_ne!(registry.get("t1").unwrap().hash(), before);
+    },
+    a_record_of_an_earlier_incarnation_changes_nothing: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 2, false)], 5, now);
+        assert_eq!(registry.apply("t1", 5, Some(target("t1", 1, true)), now), Change::None);
+        assert!(!registry.get("t1").unwrap().is_leaving);
+    },
+    an_old_offset_changes_nothing: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        assert_eq!(registry.apply("t1", 4, None, now), Change::None);
+        assert!(registry.get("t1").is_some());
+    },
+    a_stale_listing_changes_nothing: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        assert_eq!(registry.replace(vec![], 4, now), None);
+        assert!(registry.get("t1").is_some());
+    },
+    a_removal_takes_effect_at_once: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        assert_eq!(registry.apply("t1", 5, None, now), Change::Gone);
+        assert!(registry.get("t1").is_none());
+    },
+    a_target_absent_from_a_listing_is_gone: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false), target("t2", 1, false)], 5, now);
+        let changes = registry.replace(vec![target("t2", 1, false)], 9, now).unwrap();
+        assert_eq!(changes, vec![("t1".into(), Change::Gone)]);
+    },
+    a_lapsed_target_is_kept_for_a_moment_after_an_outage: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        registry.resume_after_outage(now);
+        assert_eq!(registry.replace(vec![], 9, now).unwrap(), vec![]);
+        assert!(registry.get("t1").is_some());
+        assert_eq!(registry.next_removal(), Some(now + RETURN_GRACE));
+        assert_eq!(registry.settle(now + RETURN_GRACE / 2), Vec::<gentianhinge_core::ids::Name>::new());
+        assert_eq!(registry.settle(now + RETURN_GRACE), vec!["t1".into()]);
+        assert!(registry.get("t1").is_none());
+    },
+    a_lapsed_target_that_comes_back_stays: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        registry.resume_after_outage(now);
+        registry.replace(vec![], 9, now);
+        registry.apply("t1", 9, Some(target("t1", 1, false)), now + Duration::from_millis(500));
+        assert!(registry.settle(now + RETURN_GRACE).is_empty());
+        assert!(registry.get("t1").is_some());
+    },
+    a_target_that_had_said_that_it_leaves_has_no_grace: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, true)], 5, now);
+        registry.resume_after_outage(now);
+        assert_eq!(registry.apply("t1", 5, None, now), Change::Gone);
+    },
+    removals_after_the_grace_take_effect_at_once: {
+        let now = Instant::now();
+        let mut registry = listed(vec![target("t1", 1, false)], 5, now);
+        registry.resume_after_outage(now);
+        assert_eq!(registry.apply("t1", 5, None, now + RETURN_GRACE), Change::Gone);
+    },
+}
