--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -82,10 +82,10 @@
 
     /// Notes that a request is sent, which may be the trial of a target that was left out.
     pub fn sent(&mut self, target: Hash, now: Instant) {
-        if let Some(state) = self.targets.get_mut(&target) {
-            if state.ejected_until.is_some_and(|until| now >= until) {
-                state.trial_since = Some(now);
-            }
+        if let Some(state) = self.targets.get_mut(&target)
+            && state.ejected_until.is_some_and(|until| now >= until)
+        {
+            state.trial_since = Some(now);
         }
     }
 
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -181,7 +181,8 @@
 
     /// This router's load by target, for its report: all of it, or what has changed since the last.
     pub fn own_lines(&mut self, is_full: bool) -> Vec<report::TargetLoad> {
-        let mut lines = self.own.iter().map(|(target, load)| line(*target, load)).collect::<Vec<_>>();
+        let mut lines =
+            self.own.iter().map(|(target, load)| line(*target, load)).collect::<Vec<_>>();
         if is_full {
             lines.retain(|line| line.running_count > 0);
             self.reported.clear();
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -107,9 +107,9 @@
         }
         let has_slot = load.running_count < candidate.slots;
         let choice = Choice { at, wait_ms, read_ms, unread_tokens, missed_tokens, load, has_slot };
-        let is_better = best.as_ref().is_none_or(|(least_ms, chosen)| {
-            (!has_slot, cost_ms) < (!chosen.has_slot, *least_ms)
-        });
+        let is_better = best
+            .as_ref()
+            .is_none_or(|(least_ms, chosen)| (!has_slot, cost_ms) < (!chosen.has_slot, *least_ms));
         if is_better {
             best = Some((cost_ms, choice));
         }
--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -102,7 +102,13 @@
     /// Applies one record; `target` is `None` if it removes the entry or can't be read.
     ///
     /// A record before [`next_offset`](Registry::next_offset) is old and changes nothing.
-    pub fn apply(&mut self, key: &str, offset: u64, target: Option<Target>, now: Instant) -> Change {
+    pub fn apply(
+        &mut self,
+        key: &str,
+        offset: u64,
+        target: Option<Target>,
+        now: Instant,
+    ) -> Change {
         if offset < self.next_offset {
             return Change::None;
         }
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -96,7 +96,12 @@
     limit: Instant,
 ) -> Outcome {
     let (target, hash) = (&flight.placed.target, flight.placed.hash);
-    let outcome = match time::timeout_at(limit, exchange(traffic, request, target, hash, last_event_id)).await {
+    let outcome = match time::timeout_at(
+        limit,
+        exchange(traffic, request, target, hash, last_event_id),
+    )
+    .await
+    {
         Ok(outcome) => outcome,
         Err(_) => Outcome::Lost("time limit of the attempt".to_string()),
     };
--- a/daemon/src/edge/decisions.rs
+++ b/daemon/src/edge/decisions.rs
@@ -115,7 +115,8 @@
             std::mem::take(&mut rate.left_out)
         };
         if !left_out.is_empty() {
-            let counts = left_out.iter().map(|(kind, count)| (kind.name().to_string(), (*count).into()));
+            let counts =
+                left_out.iter().map(|(kind, count)| (kind.name().to_string(), (*count).into()));
             let counts = counts.collect::<serde_json::Map<_, _>>();
             self.send(Kind::State, serde_json::json!({ "event": "left-out", "lines": counts }));
         }
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -78,7 +78,9 @@
         let is_full = seq % FULL_EVERY == 0;
         let (report, count) = compose(&context, seq, is_full);
         if count != router_count {
-            context.log.state(json!({ "event": "routers", "count": count, "before": router_count }));
+            context
+                .log
+                .state(json!({ "event": "routers", "count": count, "before": router_count }));
             router_count = count;
         }
         if !is_full && report.targets.is_empty() && report.kept.is_empty() {
--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -58,7 +58,15 @@
     fn new(context: Arc<Context>, settings: Settings, topic: &'static str) -> Follower {
         let store = Store::new(settings.addr, settings.timeout);
         let (next_offset, backoff) = (None, MIN_BACKOFF);
-        Follower { context, store, topic, next_offset, backoff, failing_since: None, is_back: false }
+        Follower {
+            context,
+            store,
+            topic,
+            next_offset,
+            backoff,
+            failing_since: None,
+            is_back: false,
+        }
     }
 
     /// Reads what is new; waits for it up to `wait`, and through failures.
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -31,12 +31,17 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Answers one request.
-pub async fn handle(traffic: Rc<Traffic>, request: http::Request<Incoming>) -> http::Response<Body> {
+pub async fn handle(
+    traffic: Rc<Traffic>,
+    request: http::Request<Incoming>,
+) -> http::Response<Body> {
     let (head, body) = request.into_parts();
     let asked = caller::decode(&head.headers);
     let mut story = Story::new(traffic.context.clone(), &asked.request_id, Instant::now());
     let mut answer = match prepare(&traffic, head, body, &asked, &mut story).await {
-        Ok((request, ask)) => Job { traffic: traffic.clone(), request, ask, story }.run(&asked).await,
+        Ok((request, ask)) => {
+            Job { traffic: traffic.clone(), request, ask, story }.run(&asked).await
+        }
         Err((reason, retry_after)) => refuse(&mut story, reason, &asked.request_id, retry_after),
     };
     if traffic.context.phase() != Phase::Serving {
@@ -156,7 +161,8 @@
         let mut last_reason = None;
         loop {
             let is_repeat = last_reason.is_some();
-            if let Some(reason) = last_reason.filter(|reason| !self.may_go_on(*reason, attempt_count))
+            if let Some(reason) =
+                last_reason.filter(|reason| !self.may_go_on(*reason, attempt_count))
             {
                 return self.refuse(reason, Some(FULL_RETRY_AFTER));
             }
@@ -175,7 +181,8 @@
             self.story.sent(&flight);
             let limit = attempt::limit(&self.request, has_another, Instant::now());
             let outcome =
-                attempt::send(&self.traffic, &self.request, &flight, asked.last_event_id, limit).await;
+                attempt::send(&self.traffic, &self.request, &flight, asked.last_event_id, limit)
+                    .await;
             match self.next(outcome, flight, &mut attempt_count) {
                 Next::Answer(answer) => return answer,
                 Next::Events(stream, flight) => {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -161,7 +161,8 @@
     let callers = listen(addrs.callers)?;
     let readiness = listen(addrs.readiness)?;
     let operators = listen(addrs.operators)?;
-    let reports = net::UdpSocket::bind(addrs.peers).map_err(|e| EdgeError::Listen(addrs.peers, e))?;
+    let reports =
+        net::UdpSocket::bind(addrs.peers).map_err(|e| EdgeError::Listen(addrs.peers, e))?;
     reports.set_nonblocking(true)?;
     let context = Arc::new(Context {
         name: settings.router.name.as_str().into(),
@@ -180,9 +181,10 @@
     let traffic_context = context.clone();
     let max_connections = settings.callers.max_connections as usize;
     let traffic = thread::Builder::new().name("traffic".to_string()).spawn(move || {
-        traffic_context.metrics.recorder().collect(|| {
-            serve::run(traffic_context.clone(), callers, readiness, max_connections)
-        })
+        traffic_context
+            .metrics
+            .recorder()
+            .collect(|| serve::run(traffic_context.clone(), callers, readiness, max_connections))
     })?;
     let control = runtime::Builder::new_current_thread().enable_all().build()?;
     control.block_on(control_thread(&context, path, &settings, operators, reports))?;
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -68,7 +68,8 @@
         }
     };
     let local = task::LocalSet::new();
-    let result = local.block_on(&runtime, serve(context.clone(), callers, readiness, max_connections));
+    let result =
+        local.block_on(&runtime, serve(context.clone(), callers, readiness, max_connections));
     if let Err(err) = result {
         context.log.state(json!({ "event": "stop", "outcome": err.to_string() }));
     }
@@ -186,16 +187,17 @@
         };
         let context = context.clone();
         task::spawn_local(async move {
-            let service = service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
-                let status = match request.uri().path() {
-                    names::READINESS_PATH if context.is_ready() => http::StatusCode::OK,
-                    names::READINESS_PATH => http::StatusCode::SERVICE_UNAVAILABLE,
-                    _ => http::StatusCode::NOT_FOUND,
-                };
-                let mut answer = http::Response::new(Empty::<Bytes>::new());
-                *answer.status_mut() = status;
-                async move { Ok::<_, Infallible>(answer) }
-            });
+            let service =
+                service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
+                    let status = match request.uri().path() {
+                        names::READINESS_PATH if context.is_ready() => http::StatusCode::OK,
+                        names::READINESS_PATH => http::StatusCode::SERVICE_UNAVAILABLE,
+                        _ => http::StatusCode::NOT_FOUND,
+                    };
+                    let mut answer = http::Response::new(Empty::<Bytes>::new());
+                    *answer.status_mut() = status;
+                    async move { Ok::<_, Infallible>(answer) }
+                });
             // The balancer asks again on another connection.
             let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
         });
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -58,10 +58,9 @@
                 .help("Settings: JSON with comments"),
         )
         .arg(
-            Arg::new("platform")
-                .long("platform")
-                .action(ArgAction::SetTrue)
-                .help("Run on the users' platform, which names the settings file if FILE is left out"),
+            Arg::new("platform").long("platform").action(ArgAction::SetTrue).help(
+                "Run on the users' platform, which names the settings file if FILE is left out",
+            ),
         )
         .arg(
             Arg::new("check-settings")
--- /dev/null
+++ b/daemon/tests/edge_kit/mod.rs
@@ -0,0 +1,420 @@
+//! Stand-ins of the platform's store and targets, and a router process between them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use axum::body::Body;
+use axum::extract::{Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+
+use crate::support;
+
+/// Key of the team `clubs`.
+pub const KEY: &str = "key-of-clubs";
+
+/// Longest time until a change is in force, as the settings state it.
+pub const APPLY_BOUND: Duration = Duration::from_secs(2);
+
+type Records = Vec<(String, Vec<u8>)>;
+
+/// The store: keyed topics in memory.
+#[derive(Clone, Default)]
+pub struct Store {
+    topics: Arc<Mutex<HashMap<String, Records>>>,
+    is_down: Arc<Mutex<bool>>,
+}
+
+impl Store {
+    /// Starts the store.
+    pub async fn start() -> (Store, net::SocketAddr) {
+        let store = Store::default();
+        let app = axum::Router::new()
+            .route("/log-newest", axum::routing::get(newest))
+            .route("/log-read", axum::routing::get(read))
+            .route("/log-append", axum::routing::post(append))
+            .with_state(store.clone());
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+        (store, addr)
+    }
+
+    /// Writes a record; an empty value drops the key.
+    pub fn put(&self, topic: &str, key: &str, value: impl Into<Vec<u8>>) {
+        let mut topics = self.topics.lock().unwrap();
+        topics.entry(topic.to_string()).or_default().push((key.to_string(), value.into()));
+    }
+
+    /// Refuses all calls, or serves them again.
+    pub fn set_down(&self, is_down: bool) {
+        *self.is_down.lock().unwrap() = is_down;
+    }
+
+    /// Writes a configuration with the routes of these tests.
+    pub fn put_config(&self, version: u64) {
+        let route = |name: &str, kind: &str, attempts: u32, more: serde_json::Value| {
+            let mut route = json!({
+                "name": name, "host": "lanes.example", "path_prefix": format!("/{name}/"),
+                "route_kind": kind, "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1,
+                "service": "desk", "max_attempts": attempts,
+            });
+            route.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+            route
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("book", "non_idempotent", 2, json!({})),
+                route("look", "idempotent", 2, json!({})),
+                route("brief", "streaming", 2, json!({ "resumable": true, "gap_aim_ms": 200 })),
+                route("note", "streaming", 1, json!({ "resumable": false, "gap_aim_ms": 200 })),
+            ],
+            "services": [{ "name": "desk", "max_conns": 100 }],
+            "limits": { "max_body_bytes": 4096 },
+            "tenants": [{ "name": "clubs", "api_keys": [KEY], "priority": 1 }],
+        });
+        self.put("keyed.op", "config", config.to_string());
+    }
+
+    /// Registers a target.
+    pub fn put_target(&self, id: &str, addr: net::SocketAddr, state: &str) {
+        let record = json!({
+            "service": "desk", "address": addr.to_string(), "zone": "a", "version": "v1",
+            "slots": 8, "state": state, "cold_left_ms": 0, "seq_no": 1, "born": 1,
+        });
+        self.put("keyed.servers", id, record.to_string());
+    }
+}
+
+async fn newest(
+    State(store): State<Store>,
+    Query(query): Query<HashMap<String, String>>,
+) -> Response {
+    if *store.is_down.lock().unwrap() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let topics = store.topics.lock().unwrap();
+    let records = topics.get(&query["topic"]).cloned().unwrap_or_default();
+    let mut newest = BTreeMap::new();
+    for (offset, (key, value)) in records.iter().enumerate() {
+        newest.insert(key.clone(), (offset, value.clone()));
+    }
+    newest.retain(|_, (_, value)| !value.is_empty());
+    let items = newest.into_iter().map(|(key, (offset, value))| {
+        json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
+    });
+    let items = items.collect::<Vec<_>>();
+    axum::Json(json!({ "items": items, "has_more": false, "end_offset": records.len() }))
+        .into_response()
+}
+
+async fn read(
+    State(store): State<Store>,
+    Query(query): Query<HashMap<String, String>>,
+) -> Response {
+    let from = query["from"].parse::<usize>().unwrap();
+    let wait = Duration::from_millis(query["wait_ms"].parse().unwrap());
+    let end = Instant::now() + wait;
+    loop {
+        if *store.is_down.lock().unwrap() {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        let records =
+            store.topics.lock().unwrap().get(&query["topic"]).cloned().unwrap_or_default();
+        if records.len() > from || Instant::now() >= end {
+            let mut body = (records.len() as u64).to_be_bytes().to_vec();
+            body.extend_from_slice(&0_u64.to_be_bytes());
+            for (key, value) in records.iter().skip(from) {
+                let len = u32::try_from(1 + key.len() + value.len()).unwrap();
+                body.extend_from_slice(&len.to_be_bytes());
+                body.push(u8::try_from(key.len()).unwrap());
+                body.extend_from_slice(key.as_bytes());
+                body.extend_from_slice(value);
+            }
+            return body.into_response();
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn append(
+    State(store): State<Store>,
+    Query(query): Query<HashMap<String, String>>,
+    body: Bytes,
+) -> Response {
+    if *store.is_down.lock().unwrap() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let key_len = usize::from(body[4]);
+    let key = String::from_utf8(body[5..5 + key_len].to_vec()).unwrap();
+    store.put(&query["topic"], &key, body[5 + key_len..].to_vec());
+    axum::Json(json!({ "offset": 0, "end_offset": 1 })).into_response()
+}
+
+/// What a target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Serves it.
+    Serve,
+    /// Says that it doesn't run it.
+    Refuse,
+    /// Runs it and cuts the connection.
+    LoseAnswer,
+    /// Fails it.
+    Fail,
+    /// Breaks a stream off in the middle of the event behind this one, unless it goes on with one.
+    CutAfter(u64),
+    /// Answers to another request.
+    Strange,
+    /// Answers without a signature.
+    Unsigned,
+}
+
+/// Events of a whole stream.
+pub const EVENT_COUNT: u64 = 12;
+
+/// A target and what it has seen.
+#[derive(Clone)]
+pub struct Target {
+    /// Its id.
+    pub id: String,
+    act: Arc<Mutex<Act>>,
+    seen: Arc<Mutex<Vec<HeaderMap>>>,
+    open_streams: Arc<Mutex<i64>>,
+}
+
+impl Target {
+    /// Starts a target.
+    pub async fn start(id: &str, act: Act) -> (Target, net::SocketAddr) {
+        let target = Target {
+            id: id.to_string(),
+            act: Arc::new(Mutex::new(act)),
+            seen: Arc::default(),
+            open_streams: Arc::default(),
+        };
+        let app = axum::Router::new().fallback(serve).with_state(target.clone());
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+        (target, addr)
+    }
+
+    /// Heads of the requests that came.
+    pub fn seen(&self) -> Vec<HeaderMap> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Streams that are being sent.
+    pub fn open_streams(&self) -> i64 {
+        *self.open_streams.lock().unwrap()
+    }
+}
+
+struct OpenStream(Target);
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        *self.0.open_streams.lock().unwrap() -= 1;
+    }
+}
+
+async fn serve(State(target): State<Target>, headers: HeaderMap, uri: axum::http::Uri) -> Response {
+    target.seen.lock().unwrap().push(headers.clone());
+    let id = headers["attempt-id"].clone();
+    if headers["expect-instance"] != target.id.as_str() {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    let act = *target.act.lock().unwrap();
+    let mut response = match act {
+        Act::Refuse => (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response(),
+        Act::Fail => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        Act::LoseAnswer => {
+            let broken = stream::iter([Err::<Bytes, _>(std::io::Error::other("lost"))]);
+            Body::from_stream(broken).into_response()
+        }
+        _ if uri.path().starts_with("/brief/") || uri.path().starts_with("/note/") => {
+            events(&target, &headers, act)
+        }
+        _ => format!("served by {}", target.id).into_response(),
+    };
+    let echoed = if act == Act::Strange { "another".parse().unwrap() } else { id };
+    response.headers_mut().insert("attempt-id", echoed);
+    if act != Act::Unsigned {
+        response.headers_mut().insert("server-stamp", "stamp".parse().unwrap());
+    }
+    response
+}
+
+fn events(target: &Target, headers: &HeaderMap, act: Act) -> Response {
+    let from = headers.get("last-event-id").map_or(0, |id| id.to_str().unwrap().parse().unwrap());
+    let cut_after = match act {
+        Act::CutAfter(id) if from == 0 => Some(id),
+        _ => None,
+    };
+    *target.open_streams.lock().unwrap() += 1;
+    let open = OpenStream(target.clone());
+    let body = stream::unfold((from, open), move |(last, open)| async move {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let next = last + 1;
+        if cut_after == Some(last) {
+            let half = Ok(Bytes::from(format!("id: {next}\nda")));
+            return Some((half, (u64::MAX - 1, open)));
+        }
+        if last == u64::MAX - 1 {
+            return Some((Err(std::io::Error::other("cut")), (u64::MAX - 1, open)));
+        }
+        (next <= EVENT_COUNT)
+            .then(|| (Ok(Bytes::from(format!("id: {next}\ndata: piece {next}\n\n"))), (next, open)))
+    });
+    ([("content-type", "text/event-stream")], Body::from_stream(body)).into_response()
+}
+
+/// The router process.
+pub struct Router {
+    /// The process.
+    pub process: support::Process,
+    /// Where callers connect.
+    pub callers: net::SocketAddr,
+    /// Where the balancer asks.
+    pub readiness: net::SocketAddr,
+    /// Where operators ask.
+    pub operators: net::SocketAddr,
+    _settings: support::SettingsFile,
+}
+
+/// Settings of a router on free ports.
+pub fn settings(store: net::SocketAddr, addrs: &[net::SocketAddr; 4]) -> String {
+    json!({
+        "router": { "name": "r1", "region": "here", "zone": "a" },
+        "listen": {
+            "callers_addr": addrs[0], "readiness_addr": addrs[1], "operators_addr": addrs[2],
+            "peers_addr": addrs[3],
+        },
+        "store": { "addr": store },
+        "bounds": {
+            "drain_ms": 2000, "config_apply_ms": 2000, "grace_ms": 8000, "retry_ratio": 0.2,
+            "retry_window_ms": 10000, "extra_retries": 50,
+        },
+    })
+    .to_string()
+}
+
+/// An address on which nothing listens yet.
+fn free_addr() -> net::SocketAddr {
+    net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+impl Router {
+    /// Starts a router.
+    pub fn start(store: net::SocketAddr) -> Router {
+        let addrs = [free_addr(), free_addr(), free_addr(), free_addr()];
+        let settings = support::SettingsFile::new(&settings(store, &addrs));
+        let process = support::Process::start("gentianhinged", &["--platform", settings.path()]);
+        let [callers, readiness, operators, _] = addrs;
+        Router { process, callers, readiness, operators, _settings: settings }
+    }
+
+    /// Status of the answer to the balancer; 0 if there is none.
+    pub async fn readiness(&self) -> u16 {
+        get(self.readiness, "/readyz").await.map_or(0, |(status, _)| status)
+    }
+
+    /// Waits until the balancer is told `status`.
+    pub async fn wait_for_readiness(&self, status: u16) {
+        wait_for(Duration::from_secs(10), async || self.readiness().await == status).await;
+    }
+}
+
+/// Polls until a condition holds.
+pub async fn wait_for(bound: Duration, condition: impl AsyncFn() -> bool) {
+    let end = Instant::now() + bound;
+    while !condition().await {
+        assert!(Instant::now() < end, "not within {bound:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn connected(addr: net::SocketAddr) -> std::io::Result<http1::SendRequest<Full<Bytes>>> {
+    let stream = tokio::net::TcpStream::connect(addr).await?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    tokio::spawn(async move { connection.await.ok() });
+    Ok(sender)
+}
+
+/// Gets a path; `None` if there is no answer.
+pub async fn get(addr: net::SocketAddr, path: &str) -> Option<(u16, String)> {
+    let mut sender = connected(addr).await.ok()?;
+    let request = http::Request::get(path).header("host", "x").body(Full::default()).unwrap();
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// An answer to a caller.
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// What came of the body.
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+/// A request of a caller, with more headers.
+pub fn request(path: &str, id: &str, more: &[(&str, &str)]) -> http::Request<Full<Bytes>> {
+    let mut request = http::Request::post(path)
+        .header("host", "lanes.example")
+        .header("attempt-id", id)
+        .header("deadline-ms", "3000")
+        .header("authorization", format!("Bearer {KEY}"));
+    for (name, value) in more {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::from("body")).unwrap()
+}
+
+/// Sends a request and reads all of the answer.
+pub async fn call(router: &Router, request: http::Request<Full<Bytes>>) -> Answer {
+    let mut sender = connected(router.callers).await.unwrap();
+    let answer = sender.send_request(request).await.unwrap();
+    let (head, mut body) = answer.into_parts();
+    let (mut bytes, mut is_whole) = (Vec::new(), true);
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    let body = String::from_utf8(bytes).unwrap();
+    Answer { status: head.status.as_u16(), headers: head.headers, body, is_whole }
+}
+
+/// Sends a request and leaves after the first part of the answer.
+pub async fn call_and_leave(router: &Router, request: http::Request<Full<Bytes>>) {
+    let mut sender = connected(router.callers).await.unwrap();
+    let mut body = sender.send_request(request).await.unwrap().into_body();
+    let _ = body.frame().await;
+}
+
+/// The text of a whole stream.
+pub fn all_events() -> String {
+    (1..=EVENT_COUNT).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -104,7 +104,8 @@
         repeat_count: line.get_repeat_count(),
     });
     let kept = reader.get_kept()?.iter();
-    let kept = kept.map(|line| report::KeptPart { target: line.get_target(), part: line.get_part() });
+    let kept =
+        kept.map(|line| report::KeptPart { target: line.get_target(), part: line.get_part() });
     Ok(report::LoadReport {
         sender: decode::name(reader.get_sender(), decode::MAX_NAME_BYTES)?,
         incarnation: reader.get_incarnation(),
