Look at waiting requests at a bounded cost; fewer reads of the routers' topic

Cause: on Dakar grown one router of 0.25 cores spent all of it on looking at each waiting request at each arrival (60 targets), and 69 routers read the routers' topic at each other's start (4,917 calls).

--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -3,12 +3,11 @@
 //! Load pattern: a few targets fail or hang while they say that they are well. They get no work for
 //! a while, then one request as a trial. Never are so many left out that the rest drowns.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::report::Hash;
+use crate::report::{Hash, HashKeyed};
 
 /// Failures in a row after which a target is left out.
 const FAILURES_TO_EJECT: u32 = 3;
@@ -50,7 +49,7 @@
 /// Health of all targets.
 #[derive(Debug, Default)]
 pub struct Health {
-    targets: HashMap<Hash, State>,
+    targets: HashKeyed<State>,
 }
 
 /// What a result has changed.
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::Name;
 use crate::prompt::{Part, Prompt};
-use crate::report::{self, Hash};
+use crate::report::{self, Hash, HashKeyed};
 
 /// Silence after which another router's load no longer counts: what it had sent is then mostly
 /// done, or was cut off with it.
@@ -36,18 +36,18 @@
     incarnation: u64,
     seq: u64,
     heard_at: Instant,
-    targets: HashMap<Hash, report::TargetLoad>,
+    targets: HashKeyed<report::TargetLoad>,
 }
 
 /// Load of all targets, and what they keep of prompts.
 #[derive(Debug, Default)]
 pub struct LoadView {
-    own: HashMap<Hash, Load>,
+    own: HashKeyed<Load>,
     /// Lines of the last report, to leave out what hasn't changed.
-    reported: HashMap<Hash, report::TargetLoad>,
-    others: HashMap<Hash, Load>,
+    reported: HashKeyed<report::TargetLoad>,
+    others: HashKeyed<Load>,
     peers: HashMap<Name, Peer>,
-    kept: HashMap<Hash, HashMap<u64, Instant>>,
+    kept: HashKeyed<HashKeyed<Instant>>,
     news: Vec<report::KeptPart>,
 }
 
@@ -137,7 +137,7 @@
             incarnation: 0,
             seq: 0,
             heard_at: now,
-            targets: HashMap::new(),
+            targets: HashKeyed::default(),
         });
         if (heard.incarnation, heard.seq) <= (peer.incarnation, peer.seq) {
             return false;
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -3,6 +3,9 @@
 //! All figures are totals of one router, so that a lost report is made good by the next full one.
 //! Reports between full ones hold only what has changed.
 
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
+
 use crate::ids::Name;
 
 /// Hash of a name, for reports and maps.
@@ -18,6 +21,29 @@
     u64::from_le_bytes(bytes)
 }
 
+/// Map by a hash or another number that is spread already.
+pub type HashKeyed<T> = HashMap<Hash, T, BuildHasherDefault<SpreadHasher>>;
+
+/// Takes a 64-bit key as its own hash.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SpreadHasher(u64);
+
+impl Hasher for SpreadHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        // Not used by 64-bit keys; any mixing will do for others.
+        self.0 = bytes.iter().fold(self.0, |hash, byte| hash.rotate_left(8) ^ u64::from(*byte));
+    }
+
+    fn write_u64(&mut self, key: u64) {
+        // Callers choose ids of parts, which may share their low bits.
+        self.0 = key.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(32);
+    }
+}
+
 /// One router's report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadReport {
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -60,13 +60,11 @@
     pub choice: place::Choice,
 }
 
-/// What to do with a request.
+/// What to do with a request that needn't wait any longer.
 #[derive(Clone, Debug)]
 pub enum Decision {
     /// Send it; its load is counted already.
     Send(Placed),
-    /// Look again soon.
-    Wait,
     /// Refuse it.
     Refuse {
         /// Time after which it is likely to be served.
@@ -176,8 +174,9 @@
         Some(Placed { target, hash, choice })
     }
 
-    /// Decides on one request; if it is to be sent, its load counts from now on.
-    pub fn decide(&mut self, ask: &Ask, zone: &str, now: Instant) -> Decision {
+    /// Decides on one request; if it is to be sent, its load counts from now on. `None` means that it
+    /// is to be looked at again soon.
+    pub fn decide(&mut self, ask: &Ask, zone: &str, now: Instant) -> Option<Decision> {
         let placed = self.choose(ask, zone, now);
         let outlook = placed.as_ref().map(|placed| hold::Outlook {
             wait_ms: placed.choice.wait_ms,
@@ -187,16 +186,14 @@
         let waiter = self.waiter(ask);
         let policy = if ask.is_repeat { hold::Policy::for_repeats() } else { self.policy };
         match hold::decide(&policy, &waiter, outlook.as_ref(), now) {
-            hold::Verdict::Send => match placed {
-                Some(placed) => {
-                    self.begin(ask, &placed, now);
-                    Decision::Send(placed)
-                }
-                None => Decision::Wait,
-            },
-            hold::Verdict::Wait => Decision::Wait,
+            hold::Verdict::Send => {
+                let placed = placed?;
+                self.begin(ask, &placed, now);
+                Some(Decision::Send(placed))
+            }
+            hold::Verdict::Wait => None,
             hold::Verdict::Refuse { retry_after } => {
-                Decision::Refuse { retry_after, has_no_target: placed.is_none() }
+                Some(Decision::Refuse { retry_after, has_no_target: placed.is_none() })
             }
         }
     }
--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -13,9 +13,9 @@
 
 use super::{Context, Phase, exchange};
 
-/// Longest wait of one read for the next record. Short enough that a connection that went silent
-/// is noticed soon.
-const LONG_POLL: Duration = Duration::from_secs(5);
+/// Longest wait of one read for the next record. A connection that went silent is noticed sooner, by
+/// the kernel's probes.
+const LONG_POLL: Duration = Duration::from_secs(10);
 
 /// Pause after a failed call; grows up to the longest.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -25,6 +25,9 @@
 /// Pause between two reads of the targets, which may all write at once.
 const TARGETS_PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause between two reads of the routers, which all write at once when the fleet starts.
+const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
+
 /// How to reach the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -281,6 +284,7 @@
         for entry in read.entries.iter().filter(|entry| entry.key != name) {
             known.set(&entry.key, peers::decode(entry));
         }
+        time::sleep(ROUTERS_PAUSE).await;
     }
     if let Err(err) = follower.store.put(peers::TOPIC, &name, &[]).await {
         // The others notice the silence.
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -14,6 +14,10 @@
 /// Time between two looks at requests that wait: a small part of the shortest latency target.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Multiple of the time that a look takes after which the next one begins, so that looking leaves
+/// most of the processor to requests that are being served.
+const LOOK_PAUSE_FACTOR: u32 = 9;
+
 /// A request's load at its target; taken back when dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -73,21 +77,29 @@
 
     /// Waits until the request goes to a target or is refused.
     pub async fn admit(&self, ask: Ask) -> Admission {
+        // Those that wait have been looked at a moment ago.
+        let decision = self.context.brain().decide(&ask, &self.context.zone, Instant::now());
+        if let Some(decision) = decision {
+            return self.admission(decision);
+        }
         let (answer, admitted) = oneshot::channel();
         self.waiting.borrow_mut().push(Waiting { ask, answer });
-        self.look();
+        self.wake.notify_one();
         let refused = Admission::Refuse { retry_after: Duration::ZERO, has_no_target: true };
         admitted.await.unwrap_or(refused)
     }
 
     /// Looks at the requests that wait from time to time; never returns.
     pub async fn run(self: Rc<Self>) {
+        let mut pause = LOOK_INTERVAL;
         loop {
             if self.waiting.borrow().is_empty() {
                 self.wake.notified().await;
             }
-            time::sleep(LOOK_INTERVAL).await;
+            time::sleep(pause).await;
+            let began_at = std::time::Instant::now();
             self.look();
+            pause = (began_at.elapsed() * LOOK_PAUSE_FACTOR).max(LOOK_INTERVAL);
         }
     }
 
@@ -112,8 +124,8 @@
         let mut decided = Vec::new();
         for entry in waiting.drain(..) {
             match brain.decide(&entry.ask, &self.context.zone, now) {
-                Decision::Wait => left.push(entry),
-                decision => decided.push((entry, decision)),
+                None => left.push(entry),
+                Some(decision) => decided.push((entry, decision)),
             }
         }
         drop(brain);
@@ -123,19 +135,21 @@
         }
         drop(waiting);
         for (entry, decision) in decided {
-            let admission = match decision {
-                Decision::Send(placed) => {
-                    let unread_tokens = placed.choice.unread_tokens;
-                    let context = self.context.clone();
-                    Admission::Send(Flight { context, placed, unread_tokens })
-                }
-                Decision::Refuse { retry_after, has_no_target } => {
-                    Admission::Refuse { retry_after, has_no_target }
-                }
-                Decision::Wait => continue,
-            };
             // A caller that has left in the meantime gives its load back.
-            let _ = entry.answer.send(admission);
+            let _ = entry.answer.send(self.admission(decision));
+        }
+    }
+
+    fn admission(&self, decision: Decision) -> Admission {
+        match decision {
+            Decision::Send(placed) => {
+                let unread_tokens = placed.choice.unread_tokens;
+                let context = self.context.clone();
+                Admission::Send(Flight { context, placed, unread_tokens })
+            }
+            Decision::Refuse { retry_after, has_no_target } => {
+                Admission::Refuse { retry_after, has_no_target }
+            }
         }
     }
 }
