--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -23,7 +23,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
 
 /// Pause between two reads of the targets, which may all write at once.
-const TARGETS_PAUSE: Duration = Duration::from_millis(150);
+const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between two reads of the routers, which all write at once when the fleet starts.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -179,7 +179,7 @@
         "incarnation": context.incarnation, "callers_addr": addrs.callers.to_string(),
     }));
     let traffic_context = context.clone();
-    let max_connections = settings.callers.max_connections as usize;
+    let max_connections = max_connections(settings.callers.max_files);
     let traffic = thread::Builder::new().name("traffic".to_string()).spawn(move || {
         traffic_context
             .metrics
@@ -195,6 +195,13 @@
     Ok(())
 }
 
+/// Connections of callers that fit beside those to targets and a reserve for files.
+fn max_connections(max_files: u32) -> usize {
+    /// Descriptors that the platform keeps for files.
+    const RESERVED_FILES: u32 = 200;
+    (max_files.saturating_sub(RESERVED_FILES) as usize * 2 / 3).max(1)
+}
+
 struct Addrs {
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
