--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -100,8 +100,9 @@
         sums
     }
 
-    /// Works out the fair level anew; to be called some times a second.
-    pub fn recompute(&mut self, now: Instant) {
+    /// Works out the fair level anew; to be called some times a second. `capacity_tokens_per_s` is
+    /// what all targets produce at least, so that a dip in what is served doesn't lower the level.
+    pub fn recompute(&mut self, capacity_tokens_per_s: f64, now: Instant) {
         let mut totals = self.own(now);
         let window = self.window;
         self.peers.retain(|_, (heard_at, _)| now.duration_since(*heard_at) < window);
@@ -113,8 +114,9 @@
             totals.entry(line.team).or_default().add(used);
         }
         let served = totals.values().map(|used| used.begun_tokens).sum::<f64>();
+        let capacity = served.max(capacity_tokens_per_s * window.as_secs_f64());
         let asked = totals.values().map(|used| used.asked_tokens.max(used.begun_tokens));
-        self.level = water_level(asked.collect(), served);
+        self.level = water_level(asked.collect(), capacity);
         self.totals = totals;
     }
 
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -34,7 +34,7 @@
         shares.ask(*team, *asked, now);
         shares.begin(*team, *begun, now);
     }
-    shares.recompute(now);
+    shares.recompute(0.0, now);
     shares
 }
 
@@ -111,19 +111,27 @@
         assert!((share::water_level(vec![10.0, 200.0, 200.0], 110.0) - 50.0).abs() < 1e-9);
         assert!((share::water_level(vec![200.0, 200.0], 100.0) - 50.0).abs() < 1e-9);
     },
+    a_dip_in_what_is_served_lowers_no_share: {
+        let now = Instant::now();
+        // Targets could have begun 2,000 tokens within the window, and began 300.
+        let mut shares = shares_of(&[(1, 9_000, 150), (2, 9_000, 150)], now);
+        assert!(shares.ratio(1) >= 1.0);
+        shares.recompute(2_000.0 / WINDOW.as_secs_f64(), now);
+        assert!(shares.ratio(1) < 0.2);
+    },
     shares_count_what_other_routers_report: {
         let now = Instant::now();
         let mut shares = shares_of(&[(1, 100, 100), (2, 1_000, 100)], now);
         let lines = vec![TeamUse { team: 1, asked_tokens: 900, begun_tokens: 500 }];
         shares.hear(&"r2".into(), lines, now);
-        shares.recompute(now);
+        shares.recompute(0.0, now);
         assert!(shares.ratio(1) > shares.ratio(2));
         assert!(shares.ratio(1) > 1.0);
     },
     shares_forget_what_left_the_window: {
         let now = Instant::now();
         let mut shares = shares_of(&[(1, 1_000, 900), (2, 1_000, 100)], now);
-        shares.recompute(now + WINDOW + Duration::from_millis(1));
+        shares.recompute(0.0, now + WINDOW + Duration::from_millis(1));
         assert!(shares.ratio(1) < f64::EPSILON);
     },
     the_budget_of_repeats_is_one_for_the_fleet: {
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -101,7 +101,8 @@
     let mut brain = context.brain();
     brain.load.expire(now);
     if is_full {
-        brain.shares.recompute(now);
+        let capacity = brain.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
+        brain.shares.recompute(capacity, now);
     }
     let report = report::LoadReport {
         sender: context.name.clone(),
