--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -183,17 +183,29 @@
 /// Part of the time left that the first attempt of an idempotent request gets.
 const FIRST_ATTEMPT_PART: f64 = 0.4;
 
-/// Multiple of the latency target after which a stream without an event is given up.
+/// Multiple of the latency target after which a stream without an event is given up, beyond the time
+/// that its prompt takes to be read.
 const FIRST_EVENT_TARGETS: f64 = 2.5;
 
+/// Multiple of the expected time to read a prompt that is given to its target: other prompts may be
+/// read in between.
+const READING_FACTOR: f64 = 2.0;
+
+/// Longest time to the first event of a stream at its target.
+pub fn first_event_time(request: &Request, flight: &Flight) -> Duration {
+    let choice = &flight.placed.choice;
+    let reading = Duration::from_secs_f64((choice.wait_ms + choice.read_ms) / 1e3);
+    request.route.latency_target.mul_f64(FIRST_EVENT_TARGETS) + reading.mul_f64(READING_FACTOR)
+}
+
 /// Time at which an attempt is given up, so that another target has time to serve.
-pub fn limit(request: &Request, has_another: bool, now: Instant) -> Instant {
+pub fn limit(request: &Request, flight: &Flight, has_another: bool, now: Instant) -> Instant {
     if !has_another || !request.may_repeat() {
         return request.deadline;
     }
     let time_left = request.deadline.saturating_duration_since(now);
     let patience = if request.wants_events() {
-        request.route.latency_target.mul_f64(FIRST_EVENT_TARGETS)
+        first_event_time(request, flight)
     } else {
         time_left.mul_f64(FIRST_ATTEMPT_PART).max(MIN_ATTEMPT_TIME)
     };
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -179,7 +179,7 @@
             let has_another = attempt_count + 1 < self.request.route.max_attempts;
             self.ask.tried.push(flight.placed.hash);
             self.story.sent(&flight);
-            let limit = attempt::limit(&self.request, has_another, Instant::now());
+            let limit = attempt::limit(&self.request, &flight, has_another, Instant::now());
             let outcome =
                 attempt::send(&self.traffic, &self.request, &flight, asked.last_event_id, limit)
                     .await;
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -118,7 +118,7 @@
     ) -> End {
         let route = self.request.route.clone();
         let patience = Patience {
-            first: route.latency_target.mul_f64(3.0),
+            first: attempt::first_event_time(&self.request, &flight),
             pause: (route.pause_target * PAUSE_TARGETS).max(MIN_PAUSE),
         };
         let mut has_begun = false;
@@ -208,7 +208,7 @@
             self.ask.tried.push(flight.placed.hash);
             self.story.sent(&flight);
             let now = Instant::now();
-            let limit = attempt::limit(&self.request, false, now);
+            let limit = attempt::limit(&self.request, &flight, false, now);
             let sending = attempt::send(&self.traffic, &self.request, &flight, last_id, limit);
             let outcome = tokio::select! {
                 outcome = sending => outcome,
--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -206,6 +206,15 @@
         assert!(status.success());
         assert!(std::net::TcpStream::connect(callers).is_err());
     },
+    a_large_prompt_gets_time_to_be_read: {
+        // 2.5 times the latency target of 400 ms is over before the first event comes.
+        let slow = Act::ServeAfter(Duration::from_millis(1300));
+        let (_store, targets, router) = fleet(&[slow, slow]).await;
+        let large = [("token-counts", "40000,100"), ("prefix-hash", "a1:36000,b2:4000")];
+        let answer = edge_kit::call(&router, edge_kit::request("/brief/", "a1", &large)).await;
+        assert_eq!((answer.is_whole, answer.body), (true, edge_kit::all_events()));
+        assert_eq!(run_count(&targets), 1);
+    },
     metrics_and_status_are_served: {
         let (_store, _targets, router) = fleet(&[Act::Serve]).await;
         edge_kit::call(&router, edge_kit::request("/book/", "a1", &[])).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -77,7 +77,9 @@
             "routes": [
                 route("book", "non_idempotent", 2, json!({})),
                 route("look", "idempotent", 2, json!({})),
-                route("brief", "streaming", 2, json!({ "resumable": true, "gap_aim_ms": 200 })),
+                route("brief", "streaming", 2, json!({
+                    "resumable": true, "gap_aim_ms": 200, "sticky": true,
+                })),
                 route("note", "streaming", 1, json!({ "resumable": false, "gap_aim_ms": 200 })),
             ],
             "services": [{ "name": "desk", "max_conns": 100 }],
@@ -167,6 +169,8 @@
 pub enum Act {
     /// Serves it.
     Serve,
+    /// Serves it after a while.
+    ServeAfter(Duration),
     /// Says that it doesn't run it.
     Refuse,
     /// Runs it and cuts the connection.
@@ -236,6 +240,9 @@
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
     let act = *target.act.lock().unwrap();
+    if let Act::ServeAfter(wait) = act {
+        tokio::time::sleep(wait).await;
+    }
     let mut response = match act {
         Act::Refuse => (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response(),
         Act::Fail => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
