--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -3,12 +3,26 @@
 use std::path;
 
 use gentianhinge_wire::settings;
+use gentianhinged::edge;
 
 use crate::exit::Exit;
 
 /// Prints what a settings file holds, or every mistake in it.
 pub fn run(matches: &clap::ArgMatches) -> Exit {
     let Some(file) = matches.get_one::<path::PathBuf>("FILE") else { return Exit::Usage };
+    if matches.get_flag("platform") {
+        return match edge::read_settings(file) {
+            Ok(settings) => {
+                println!("{}: correct; router {}", file.display(), settings.router.name);
+                Exit::Ok
+            }
+            Err(err) => {
+                eprintln!("{err}");
+                let is_mistaken = matches!(err, edge::EdgeError::Settings(..));
+                if is_mistaken { Exit::Mistakes } else { Exit::Unreadable }
+            }
+        };
+    }
     match settings::read_file(file) {
         Ok(settings) => {
             println!("{}: {}", file.display(), summary(&settings));
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -17,11 +17,43 @@
             Command::new("key-hash").about("Reads a key from standard input, prints its hash"),
         )
         .subcommand(table())
+        .subcommand(explain())
+        .subcommand(status())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the story of a request, or of a team's requests, from routers' logs")
+        .arg(Arg::new("WHAT").help("Id of the request, or name of the team").required(true))
+        .arg(
+            Arg::new("LOG")
+                .help("Logs of any number of routers; else standard input")
+                .num_args(0..)
+                .value_parser(clap::value_parser!(path::PathBuf)),
+        )
+        .arg(flag("json", "Print the lines of the logs as a JSON array"))
+}
+
+fn status() -> Command {
+    let router = Arg::new("router")
+        .long("router")
+        .value_name("ADDR")
+        .help("Operators' address of a router; given several times, the first that answers")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(clap::value_parser!(net::SocketAddr));
+    Command::new("status")
+        .about("Prints what a router on the platform believes of targets and other routers")
+        .arg(router)
+        .arg(flag("json", "Print it as JSON"))
 }
 
 fn check() -> Command {
     let file = file("Settings of a router, as JSON with comments").required(true);
-    Command::new("check").about("Checks a settings file and names every mistake").arg(file)
+    let platform = flag("platform", "The file is for a router on the users' platform");
+    Command::new("check")
+        .about("Checks a settings file and names every mistake")
+        .args([file, platform])
 }
 
 fn table() -> Command {
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,4 +1,4 @@
-//! The operators' tool: checks settings and edits the fleet's table.
+//! The operators' tool: checks settings, edits the fleet's table, explains requests.
 //!
 //! ```
 //! let args = ["gentianhinge", "check", "no-such-file"].map(Into::into).to_vec();
@@ -15,7 +15,9 @@
 pub mod client;
 pub mod command;
 pub mod exit;
+pub mod explain;
 pub mod hash;
+pub mod status;
 pub mod table;
 
 /// Runs the command line and returns how it went.
@@ -29,7 +31,9 @@
     };
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("key-hash", _)) => hash::run(),
+        Some(("status", matches)) => status::run(matches),
         Some(("table", matches)) => table::run(matches),
         _ => exit::Exit::Usage,
     }
--- /dev/null
+++ b/cli/src/status.rs
@@ -0,0 +1,76 @@
+//! `gentianhinge status`: what a router on the platform believes.
+
+use std::io::{Read, Write};
+use std::net;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::exit::Exit;
+
+/// Longest wait for the router.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Prints the status of the first router that answers.
+pub fn run(matches: &clap::ArgMatches) -> Exit {
+    let routers = matches.get_many::<net::SocketAddr>("router").into_iter().flatten();
+    for router in routers {
+        match fetch(*router) {
+            Ok(status) if matches.get_flag("json") => println!("{status}"),
+            Ok(status) => print!("{}", table(&status)),
+            Err(message) => {
+                eprintln!("{router}: {message}");
+                continue;
+            }
+        }
+        return Exit::Ok;
+    }
+    Exit::Outage
+}
+
+fn fetch(router: net::SocketAddr) -> Result<Value, String> {
+    let mut stream =
+        net::TcpStream::connect_timeout(&router, TIMEOUT).map_err(|err| err.to_string())?;
+    stream.set_read_timeout(Some(TIMEOUT)).map_err(|err| err.to_string())?;
+    let request = format!("GET /status HTTP/1.1\r\nHost: {router}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).map_err(|err| err.to_string())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(|err| err.to_string())?;
+    let (_, body) = answer.split_once("\r\n\r\n").ok_or("the answer has no body")?;
+    serde_json::from_str(body).map_err(|err| format!("the answer can't be read: {err}"))
+}
+
+/// A status as text: the router, then a line for each target.
+fn table(status: &Value) -> String {
+    let text =
+        |value: &Value| value.as_str().map_or_else(|| value.to_string(), ToString::to_string);
+    let mut out = format!(
+        "router {}, zone {}, {}, ready {}, configuration {}, {} routers\n",
+        text(&status["router"]),
+        text(&status["zone"]),
+        text(&status["phase"]),
+        status["ready"],
+        status["config_version"],
+        status["routers"],
+    );
+    for target in status["targets"].as_array().into_iter().flatten() {
+        let mut marks = String::new();
+        for mark in ["leaving", "ejected"] {
+            if target[mark] == true {
+                marks += " ";
+                marks += mark;
+            }
+        }
+        out += &format!(
+            "  {} of {} at {} in {}: {} running of {}, {} tokens unread{marks}\n",
+            text(&target["id"]),
+            text(&target["service"]),
+            text(&target["addr"]),
+            text(&target["zone"]),
+            target["running"],
+            target["slots"],
+            target["unread_tokens"],
+        );
+    }
+    out
+}
--- a/daemon/src/edge/decisions.rs
+++ b/daemon/src/edge/decisions.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gentianhinge_core::ids::Name;
 use gentianhinge_wire::edge;
 use serde_json::Value;
 
@@ -54,6 +55,7 @@
 /// Writes decisions; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Log {
+    router: Name,
     lines: mpsc::SyncSender<String>,
     started_at: Instant,
     max_lines_per_s: Arc<AtomicU32>,
@@ -68,8 +70,8 @@
     /// # Errors
     ///
     /// Its thread can't be started.
-    pub fn start(settings: &edge::EdgeLog) -> io::Result<Log> {
-        Log::start_on(settings.max_lines_per_s, io::stdout())
+    pub fn start(router: Name, settings: &edge::EdgeLog) -> io::Result<Log> {
+        Log::start_on(router, settings.max_lines_per_s, io::stdout())
     }
 
     /// Starts the writer on any output.
@@ -77,7 +79,11 @@
     /// # Errors
     ///
     /// Its thread can't be started.
-    pub fn start_on(max_lines_per_s: u32, out: impl Write + Send + 'static) -> io::Result<Log> {
+    pub fn start_on(
+        router: Name,
+        max_lines_per_s: u32,
+        out: impl Write + Send + 'static,
+    ) -> io::Result<Log> {
         let (lines, receiver) = mpsc::sync_channel(CHANNEL_LINES);
         let written = Arc::new(AtomicU64::new(0));
         let count = written.clone();
@@ -85,6 +91,7 @@
         thread.spawn(move || write_lines(&receiver, out, &count))?;
         let (tokens, at) = (f64::from(max_lines_per_s), Instant::now());
         Ok(Log {
+            router,
             lines,
             started_at: at,
             max_lines_per_s: Arc::new(AtomicU32::new(max_lines_per_s)),
@@ -141,6 +148,8 @@
         if let Some(map) = fields.as_object_mut() {
             let at_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
             map.insert("t_ms".to_string(), at_ms.into());
+            map.insert("at_unix_ms".to_string(), super::unix_ms().into());
+            map.insert("router".to_string(), (*self.router).into());
         }
         if self.lines.try_send(format!("{fields}\n")).is_err() {
             let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -169,13 +169,13 @@
         zone: settings.router.zone.as_str().into(),
         incarnation: unix_ms(),
         brain: Mutex::new(brain::Brain::new(&settings.bounds)),
-        log: decisions::Log::start(&settings.log)?,
+        log: decisions::Log::start(settings.router.name.as_str().into(), &settings.log)?,
         metrics: operators::Metrics::new(),
         phase: watch::Sender::new(Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
     });
     context.log.state(json!({
-        "event": "start", "router": &*context.name, "zone": &*context.zone,
+        "event": "start", "zone": &*context.zone,
         "incarnation": context.incarnation, "callers_addr": addrs.callers.to_string(),
     }));
     let traffic_context = context.clone();
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -90,6 +90,31 @@
     }
 }
 
+/// What an outcome in the log means, for operators.
+pub fn meaning(outcome: &str) -> &'static str {
+    match outcome {
+        "served" => "a target's whole answer was passed on",
+        "no-config" => "not run: this router knew no configuration yet",
+        "no-route" => "not run: no route of the configuration fits host and path",
+        "unknown-key" => "not run: no team has this key in the configuration",
+        "body-too-large" => "not run: the body is larger than the configuration allows",
+        "body-broken" => "not run: the caller's body didn't come whole",
+        "no-target" => "not run: no target of the service was known",
+        "overload" => "not run: every target was too busy for it to be served in time",
+        "not-sent" => "not run: the targets that were chosen couldn't be reached",
+        "not-run" => "not run: the targets that were asked said so",
+        "too-late" => "not run: its time was over before a target was free",
+        "unknown-outcome" => {
+            "it may have run: the target gave no proper answer, and it can't be repeated"
+        }
+        "timeout" => "it may have run: its time was over before the answer came",
+        "target-failed" => "run: the target's own failure was passed on",
+        "stream-cut" => "run in part: the stream broke off and could not be gone on with",
+        "caller-left" => "the caller closed its connection first",
+        _ => "an outcome that this version doesn't know",
+    }
+}
+
 /// An answer of our own.
 pub fn refusal(
     reason: Reason,
