--- a/standin/tests/docs.rs
+++ b/standin/tests/docs.rs
@@ -38,7 +38,7 @@
     }
 
     linked_files_exist => {
-        for page in ["README.md", "CHANGELOG.md", "docs/OPERATING.md", "docs/GLOSSARY.md",
+        for page in ["README.md", "CHANGELOG.md", "docs/OPERATIONS.md", "docs/GLOSSARY.md",
             "docs/INTERFACES.md", "docs/RESULT-CODES.md"] {
             let dir = Path::new(page).parent().expect("folder");
             for link in links(&read(page)) {
