--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -14,11 +14,14 @@
 
 use super::{Context, Phase};
 
-/// Time between two reports.
+/// Least time between two reports: about the time in which a target reads a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reports between two full ones, which also carry teams and services.
-const FULL_EVERY: u64 = 8;
+/// Time after which a report is full, and also carries teams and services.
+const FULL_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Bytes that a router sends in reports in a second; in a large fleet reports get rarer.
+const MAX_SENT_BYTES_PER_S: f64 = 60_000.0;
 
 /// The other routers, as the store names them.
 #[derive(Clone, Debug, Default)]
@@ -68,14 +71,18 @@
 
 /// Sends this router's reports.
 pub async fn send(context: Arc<Context>, socket: Arc<UdpSocket>, peers: Peers) {
-    let mut interval = time::interval(REPORT_INTERVAL);
-    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut pause = REPORT_INTERVAL;
+    let mut full_at = Instant::now();
     let mut seq = 0;
     let mut router_count = 0;
     loop {
-        interval.tick().await;
+        time::sleep(pause).await;
+        pause = REPORT_INTERVAL;
         seq += 1;
-        let is_full = seq % FULL_EVERY == 0;
+        let is_full = full_at.elapsed() >= FULL_INTERVAL;
+        if is_full {
+            full_at = Instant::now();
+        }
         let (report, count) = compose(&context, seq, is_full);
         if count != router_count {
             context
@@ -87,7 +94,11 @@
             continue;
         }
         let datagram = load::encode(&report);
-        for addr in peers.all() {
+        let addrs = peers.all();
+        let sent_bytes = datagram.len() * addrs.len();
+        context.metrics.report_sent_bytes.increment(sent_bytes as u64);
+        pause = pause.max(Duration::from_secs_f64(sent_bytes as f64 / MAX_SENT_BYTES_PER_S));
+        for addr in addrs {
             if let Err(err) = socket.send_to(&datagram, addr).await {
                 context.metrics.report_failures.increment(1);
                 tracing::debug!("report to {addr} not sent: {err}");
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -44,7 +44,7 @@
         }
         Err((reason, retry_after)) => refuse(&mut story, reason, &asked.request_id, retry_after),
     };
-    if traffic.context.phase() != Phase::Serving {
+    if traffic.context.phase() != Phase::Serving || traffic.is_crowded() {
         reply::close(answer.headers_mut());
     }
     answer
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -18,6 +18,8 @@
     pub store_failures: metrics::Counter,
     /// Records of the store that can't be read.
     pub unreadable_records: metrics::Counter,
+    /// Bytes of reports to other routers.
+    pub report_sent_bytes: metrics::Counter,
     /// Reports that couldn't be sent, received or understood.
     pub report_failures: metrics::Counter,
 }
@@ -51,6 +53,7 @@
         Metrics {
             store_failures: telemetry.counter("gentianhinge_store_failures_total"),
             unreadable_records: telemetry.counter("gentianhinge_unreadable_records_total"),
+            report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
             flows: Mutex::default(),
             telemetry,
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -38,9 +38,23 @@
     pub queue: Rc<Queue>,
     /// Connections to targets.
     pub upstream: Upstream,
+    /// Room for connections of callers.
+    pub room: Rc<Semaphore>,
+    /// Most open connections of callers.
+    pub max_connections: usize,
 }
 
+/// Part of the connections below which unused ones are kept open for their callers.
+const CROWDED_PART: f64 = 0.5;
+
 impl Traffic {
+    /// Whether so many connections are open that callers should give theirs up after an answer: else
+    /// unused ones keep new callers out.
+    pub fn is_crowded(&self) -> bool {
+        let open = self.max_connections.saturating_sub(self.room.available_permits());
+        open as f64 > self.max_connections as f64 * CROWDED_PART
+    }
+
     /// Takes a repeat from the budget of a service.
     pub fn take_repeat(&self, service: &str) -> bool {
         self.context.brain().repeats.take(report::hash(service, 0), Instant::now())
@@ -84,12 +98,14 @@
     let queue = Rc::new(Queue::new(context.clone()));
     task::spawn_local(queue.clone().run());
     let upstream = Upstream::default();
-    let traffic = Rc::new(Traffic { context: context.clone(), queue, upstream });
+    let room = Rc::new(Semaphore::new(max_connections));
+    let permits = room.clone();
+    let traffic = Traffic { context: context.clone(), queue, upstream, room, max_connections };
+    let traffic = Rc::new(traffic);
     let tidied = traffic.clone();
     task::spawn_local(async move { tidied.upstream.tidy().await });
     task::spawn_local(answer_balancer(context.clone(), TcpListener::from_std(readiness)?));
     let callers = TcpListener::from_std(callers)?;
-    let permits = Rc::new(Semaphore::new(max_connections));
     let mut phase = context.phase.subscribe();
     loop {
         let accepted = tokio::select! {
--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -10,6 +10,11 @@
 
 /// A router before targets that act as told, named `t0`, `t1` and so on.
 async fn fleet(acts: &[Act]) -> (Store, Vec<Target>, Router) {
+    fleet_with(acts, 4096).await
+}
+
+/// The same, with a limit of open files.
+async fn fleet_with(acts: &[Act], max_files: u32) -> (Store, Vec<Target>, Router) {
     let (store, store_addr) = Store::start().await;
     store.put_config(3);
     let mut targets = Vec::new();
@@ -18,7 +23,7 @@
         store.put_target(&target.id, addr, "ready");
         targets.push(target);
     }
-    let router = Router::start(store_addr);
+    let router = Router::start(store_addr, max_files);
     router.wait_for_readiness(200).await;
     (store, targets, router)
 }
@@ -134,7 +139,7 @@
         let (store, store_addr) = Store::start().await;
         store.set_down(true);
         store.put_config(3);
-        let router = Router::start(store_addr);
+        let router = Router::start(store_addr, 4096);
         router.wait_for_readiness(503).await;
         let answer = edge_kit::call(&router, edge_kit::request("/nowhere/", "a1", &[])).await;
         assert_eq!(answer.status, 503);
@@ -215,6 +220,20 @@
         assert_eq!((answer.is_whole, answer.body), (true, edge_kit::all_events()));
         assert_eq!(run_count(&targets), 1);
     },
+    unused_connections_keep_no_caller_out: {
+        // The router takes 66 connections; each caller keeps its own open if it may.
+        let (_store, _targets, router) = fleet_with(&[Act::Serve], 300).await;
+        let mut kept = Vec::new();
+        for i in 0..120 {
+            let request = edge_kit::request("/book/", &format!("a{i}"), &[]);
+            let answer = edge_kit::call_and_keep(&router, request);
+            let answer = tokio::time::timeout(Duration::from_secs(1), answer).await;
+            let (status, connection) = answer.expect("a caller gets through");
+            assert_eq!(status, 200);
+            kept.extend(connection);
+        }
+        assert!(kept.len() >= 30, "{} kept", kept.len());
+    },
     metrics_and_status_are_served: {
         let (_store, _targets, router) = fleet(&[Act::Serve]).await;
         edge_kit::call(&router, edge_kit::request("/book/", "a1", &[])).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -301,7 +301,7 @@
 }
 
 /// Settings of a router on free ports.
-pub fn settings(store: net::SocketAddr, addrs: &[net::SocketAddr; 4]) -> String {
+pub fn settings(store: net::SocketAddr, addrs: &[net::SocketAddr; 4], max_files: u32) -> String {
     json!({
         "router": { "name": "r1", "region": "here", "zone": "a" },
         "listen": {
@@ -309,6 +309,7 @@
             "peers_addr": addrs[3],
         },
         "store": { "addr": store },
+        "callers": { "max_files": max_files },
         "bounds": {
             "drain_ms": 2000, "config_apply_ms": 2000, "grace_ms": 8000, "retry_ratio": 0.2,
             "retry_window_ms": 10000, "extra_retries": 50,
@@ -324,9 +325,9 @@
 
 impl Router {
     /// Starts a router.
-    pub fn start(store: net::SocketAddr) -> Router {
+    pub fn start(store: net::SocketAddr, max_files: u32) -> Router {
         let addrs = [free_addr(), free_addr(), free_addr(), free_addr()];
-        let settings = support::SettingsFile::new(&settings(store, &addrs));
+        let settings = support::SettingsFile::new(&settings(store, &addrs, max_files));
         let process = support::Process::start("gentianhinged", &["--platform", settings.path()]);
         let [callers, readiness, operators, _] = addrs;
         Router { process, callers, readiness, operators, _settings: settings }
@@ -414,6 +415,22 @@
     Answer { status: head.status.as_u16(), headers: head.headers, body, is_whole }
 }
 
+/// A connection of a caller.
+pub type Connection = http1::SendRequest<Full<Bytes>>;
+
+/// Sends a request and keeps the connection, unless the router asks to close it.
+pub async fn call_and_keep(
+    router: &Router,
+    request: http::Request<Full<Bytes>>,
+) -> (u16, Option<Connection>) {
+    let mut sender = connected(router.callers).await.unwrap();
+    let answer = sender.send_request(request).await.unwrap();
+    let is_closing = answer.headers().get("connection").is_some_and(|value| value == "close");
+    let status = answer.status().as_u16();
+    answer.into_body().collect().await.unwrap();
+    (status, (!is_closing).then_some(sender))
+}
+
 /// Sends a request and leaves after the first part of the answer.
 pub async fn call_and_leave(router: &Router, request: http::Request<Full<Bytes>>) {
     let mut sender = connected(router.callers).await.unwrap();
