--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -14,10 +14,17 @@
 /// Time between two looks at requests that wait: a small part of the shortest latency target.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time to come back in when the queue is full: about that in which all that waits is decided.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(800);
+
 /// Multiple of the time that a look takes after which the next one begins, so that looking leaves
 /// most of the processor to requests that are being served.
 const LOOK_PAUSE_FACTOR: u32 = 9;
 
+/// Most requests that wait. More have no chance within the longest wait, and looking at them would
+/// take the processor from those that are served.
+const MAX_WAITING: usize = 64;
+
 /// A request's load at its target; taken back when dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -77,6 +84,10 @@
 
     /// Waits until the request goes to a target or is refused.
     pub async fn admit(&self, ask: Ask) -> Admission {
+        let refused = Admission::Refuse { retry_after: FULL_RETRY_AFTER, has_no_target: false };
+        if self.is_full() && !self.make_room(&ask) {
+            return refused;
+        }
         // Those that wait have been looked at a moment ago.
         let decision = self.context.brain().decide(&ask, &self.context.zone, Instant::now());
         if let Some(decision) = decision {
@@ -85,10 +96,29 @@
         let (answer, admitted) = oneshot::channel();
         self.waiting.borrow_mut().push(Waiting { ask, answer });
         self.wake.notify_one();
-        let refused = Admission::Refuse { retry_after: Duration::ZERO, has_no_target: true };
         admitted.await.unwrap_or(refused)
     }
 
+    fn is_full(&self) -> bool {
+        self.waiting.borrow().len() >= MAX_WAITING
+    }
+
+    /// Gives up the request that goes last, so that the new one can wait; `false` if the new one
+    /// would itself go last.
+    fn make_room(&self, ask: &Ask) -> bool {
+        let now = Instant::now();
+        let mut waiting = self.waiting.borrow_mut();
+        let brain = self.context.brain();
+        let ranks = waiting.iter().map(|entry| brain.waiter(&entry.ask).rank(now));
+        let last = ranks.enumerate().max_by_key(|(_, rank)| *rank);
+        let Some((at, _)) = last.filter(|(_, rank)| brain.waiter(ask).rank(now) < *rank) else {
+            return false;
+        };
+        // Dropping its sender refuses it.
+        waiting.swap_remove(at);
+        true
+    }
+
     /// Looks at the requests that wait from time to time; never returns.
     pub async fn run(self: Rc<Self>) {
         let mut pause = LOOK_INTERVAL;
--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -220,6 +220,21 @@
         assert_eq!((answer.is_whole, answer.body), (true, edge_kit::all_events()));
         assert_eq!(run_count(&targets), 1);
     },
+    a_full_queue_refuses_at_once: {
+        // The target runs 8 requests, 64 wait for half a second, and 28 are too many.
+        let (_store, _targets, router) = fleet(&[Act::ServeAfter(Duration::from_secs(3))]).await;
+        let calls = (0..100).map(async |i| {
+            let began_at = std::time::Instant::now();
+            let request = edge_kit::request("/book/", &format!("a{i}"), &[]);
+            let answer = edge_kit::call(&router, request).await;
+            (answer.status, began_at.elapsed())
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let at_once = answers.iter().filter(|(status, time)| {
+            *status == 503 && *time < Duration::from_millis(400)
+        });
+        assert!(at_once.count() >= 20, "{answers:?}");
+    },
     unused_connections_keep_no_caller_out: {
         // The router takes 66 connections; each caller keeps its own open if it may.
         let (_store, _targets, router) = fleet_with(&[Act::Serve], 300).await;
