Refusals cost less; drop what no router reads in reports

A line that is left out is no longer put together, metrics of a flow are looked up without copies, and the least latency target of a service is worked out once for a configuration.

--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -52,8 +52,6 @@
     pub target: &'a Target,
     /// Hash of its incarnation.
     pub hash: Hash,
-    /// Factor on its times, 1 for a target as fast as expected.
-    pub slowness: f64,
     /// Requests that it may have in flight.
     pub slots: f64,
 }
@@ -95,10 +93,10 @@
         let unread_tokens = view.unread_of(candidate.hash, prompt, now);
         let missed_tokens = unread_tokens.saturating_sub(prompt.own_tokens());
         let rate = weights.read_tokens_per_ms;
-        let wait_ms = load.unread_tokens / rate * candidate.slowness;
-        let read_ms = f64::from(unread_tokens) / rate * candidate.slowness;
+        let wait_ms = load.unread_tokens / rate;
+        let read_ms = f64::from(unread_tokens) / rate;
         let mut cost_ms = wait_ms + read_ms + miss_factor * f64::from(missed_tokens) / rate;
-        cost_ms += load.running_count * weights.running_ms * candidate.slowness;
+        cost_ms += load.running_count * weights.running_ms;
         if is_at_home && &*candidate.target.zone != zone {
             cost_ms += weights.other_zone_ms;
         }
@@ -135,9 +133,9 @@
     let costs = candidates.iter().enumerate().map(|(at, candidate)| {
         let load = view.load(candidate.hash);
         let other_zone = f64::from(u8::from(&*candidate.target.zone != zone));
-        let used = load.running_count / candidate.slots.max(1.0) * candidate.slowness;
+        let used = load.running_count / candidate.slots.max(1.0);
         // A target in the own zone is preferred while less than a third of its slots is used more.
-        let cost = used + other_zone / 3.0 + (candidate.slowness - 1.0);
+        let cost = used + other_zone / 3.0;
         let has_slot = load.running_count < candidate.slots;
         let wait_ms = load.running_count * weights.running_ms;
         let choice = Choice {
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -61,10 +61,6 @@
     pub services: Vec<ServiceUse>,
     /// Parts of prompts that targets have read lately.
     pub kept: Vec<KeptPart>,
-    /// Whether the router shuts down.
-    pub draining: bool,
-    /// Version of the configuration in force at the router.
-    pub config_version: u64,
     /// Whether targets that aren't listed have no load of the sender; else they are as before.
     pub is_full: bool,
 }
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -147,6 +147,8 @@
     services: HashMap<Name, Service>,
     teams: HashMap<Name, Arc<Team>>,
     has_teams: bool,
+    /// Least latency target among the routes of each service.
+    least_latency_targets: HashMap<Name, Duration>,
 }
 
 impl RouteTable {
@@ -159,7 +161,13 @@
         teams: Option<Vec<(Team, Vec<Name>)>>,
     ) -> RouteTable {
         let mut by_host = HashMap::<Name, Vec<Arc<Route>>>::new();
+        let mut least_latency_targets = HashMap::<Name, Duration>::new();
         for route in routes {
+            for (service, _) in &route.split {
+                let least = least_latency_targets.entry(service.clone());
+                let least = least.or_insert(route.latency_target);
+                *least = route.latency_target.min(*least);
+            }
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
@@ -178,6 +186,7 @@
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             teams: teams.collect(),
             has_teams,
+            least_latency_targets,
         }
     }
 
@@ -204,9 +213,7 @@
 
     /// The least latency target among the routes of a service: that of its most urgent requests.
     pub fn least_latency_target(&self, service: &str) -> Duration {
-        let routes = self.routes.values().flatten();
-        let routes = routes.filter(|r| r.split.iter().any(|(name, _)| &**name == service));
-        routes.map(|route| route.latency_target).min().unwrap_or(Duration::ZERO)
+        self.least_latency_targets.get(service).copied().unwrap_or_default()
     }
 
     /// Number of routes.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -31,7 +31,6 @@
     let all = targets.iter().map(|target| Candidate {
         hash: target.hash(),
         slots: f64::from(target.slots),
-        slowness: 1.0,
         target,
     });
     all.collect()
@@ -61,8 +60,6 @@
         teams: vec![],
         services: vec![],
         kept: vec![],
-        draining: false,
-        config_version: 1,
         is_full,
     }
 }
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -234,7 +234,7 @@
 }
 
 fn candidate((target, hash): &(Arc<Target>, Hash)) -> place::Candidate<'_> {
-    place::Candidate { target, hash: *hash, slowness: 1.0, slots: f64::from(target.slots) }
+    place::Candidate { target, hash: *hash, slots: f64::from(target.slots) }
 }
 
 fn budget(bounds: &edge::EdgeBounds) -> RepeatBudget {
--- a/daemon/src/edge/decisions.rs
+++ b/daemon/src/edge/decisions.rs
@@ -108,11 +108,11 @@
 
     /// Logs a change of state.
     pub fn state(&self, fields: Value) {
-        self.write(Kind::State, fields);
+        self.write(Kind::State, || fields);
     }
 
-    /// Logs a decision.
-    pub fn write(&self, kind: Kind, fields: Value) {
+    /// Logs a decision; its fields are put together only if the line isn't left out.
+    pub fn write(&self, kind: Kind, fields: impl FnOnce() -> Value) {
         let left_out = {
             let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
             if !self.admit(&mut rate, kind) {
@@ -127,7 +127,7 @@
             let counts = counts.collect::<serde_json::Map<_, _>>();
             self.send(Kind::State, serde_json::json!({ "event": "left-out", "lines": counts }));
         }
-        self.send(kind, fields);
+        self.send(kind, fields());
     }
 
     fn admit(&self, rate: &mut Rate, kind: Kind) -> bool {
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{self, Instant};
 
-use super::{Context, Phase};
+use super::Context;
 
 /// Least time between two reports: about the time in which a target reads a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -123,8 +123,6 @@
         teams: if is_full { brain.shares.own_lines(now) } else { Vec::new() },
         services: if is_full { brain.repeats.own_lines(now) } else { Vec::new() },
         kept: brain.load.take_news(),
-        draining: context.phase() != Phase::Serving,
-        config_version: brain.table.as_ref().map_or(0, |table| table.version),
         is_full,
     };
     (report, brain.load.router_count(now))
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use gentianhinge_core::ids::Name;
 use gentianhinge_platform::names;
 use serde_json::json;
 
@@ -13,7 +14,8 @@
 /// Counters and histograms of the process.
 pub struct Metrics {
     telemetry: telemetry::Telemetry,
-    flows: Mutex<HashMap<(String, String), Arc<Flow>>>,
+    flows: Mutex<HashMap<Name, HashMap<Name, Arc<Flow>>>>,
+    outcomes: Mutex<HashMap<&'static str, metrics::Counter>>,
     /// Calls to the store that failed.
     pub store_failures: metrics::Counter,
     /// Records of the store that can't be read.
@@ -56,6 +58,7 @@
             report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
             flows: Mutex::default(),
+            outcomes: Mutex::default(),
             telemetry,
         }
     }
@@ -66,24 +69,29 @@
     }
 
     /// The histograms of a team on a route.
-    pub fn flow(&self, team: &str, route: &str) -> Arc<Flow> {
+    pub fn flow(&self, team: &Name, route: &Name) -> Arc<Flow> {
         let mut flows = self.flows.lock().unwrap_or_else(PoisonError::into_inner);
-        let key = (team.to_string(), route.to_string());
-        let flow = flows.entry(key).or_insert_with(|| {
-            let labels = [("team", team), ("route", route)];
-            Arc::new(Flow {
-                waiting: self.telemetry.histogram("gentianhinge_waiting_seconds", &labels),
-                first: self.telemetry.histogram("gentianhinge_first_event_seconds", &labels),
-                whole: self.telemetry.histogram("gentianhinge_whole_seconds", &labels),
-            })
+        if let Some(flow) = flows.get(team).and_then(|routes| routes.get(route)) {
+            return flow.clone();
+        }
+        let labels = [("team", &**team), ("route", &**route)];
+        let flow = Arc::new(Flow {
+            waiting: self.telemetry.histogram("gentianhinge_waiting_seconds", &labels),
+            first: self.telemetry.histogram("gentianhinge_first_event_seconds", &labels),
+            whole: self.telemetry.histogram("gentianhinge_whole_seconds", &labels),
         });
-        flow.clone()
+        flows.entry(team.clone()).or_default().insert(route.clone(), flow.clone());
+        flow
     }
 
     /// Counts the outcome of a request.
-    pub fn count_outcome(&self, outcome: &str) {
-        let labels = [("outcome", outcome)];
-        self.telemetry.labelled_counter("gentianhinge_requests_total", &labels).increment(1);
+    pub fn count_outcome(&self, outcome: &'static str) {
+        let mut outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+        let counter = outcomes.entry(outcome).or_insert_with(|| {
+            let labels = [("outcome", outcome)];
+            self.telemetry.labelled_counter("gentianhinge_requests_total", &labels)
+        });
+        counter.increment(1);
     }
 }
 
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -53,8 +53,9 @@
         self.route = Some(route.clone());
         self.team = team.cloned();
         self.config_version = config_version;
-        let team = team.map_or("", |team| team);
-        self.flow = Some(self.context.metrics.flow(team, route));
+        let nobody = || Name::from("");
+        let flow = self.context.metrics.flow(&team.cloned().unwrap_or_else(nobody), route);
+        self.flow = Some(flow);
     }
 
     /// Notes that the request is sent to a target, and what chose it.
@@ -107,15 +108,17 @@
         }
         self.context.metrics.count_outcome(self.outcome);
         let kind = if self.is_served { decisions::Kind::Request } else { decisions::Kind::Failed };
-        let mut line = json!({
-            "event": "request", "id": &*self.request_id, "route": self.route.as_deref(),
-            "team": self.team.as_deref(), "config": self.config_version, "sends": self.sends,
-            "first_ms": self.first_ms, "whole_ms": whole.as_millis() as u64,
-            "outcome": self.outcome, "status": self.status,
+        self.context.log.write(kind, || {
+            let mut line = json!({
+                "event": "request", "id": &*self.request_id, "route": self.route.as_deref(),
+                "team": self.team.as_deref(), "config": self.config_version, "sends": self.sends,
+                "first_ms": self.first_ms, "whole_ms": whole.as_millis() as u64,
+                "outcome": self.outcome, "status": self.status,
+            });
+            if !self.detail.is_empty() {
+                line["detail"] = self.detail.as_str().into();
+            }
+            line
         });
-        if !self.detail.is_empty() {
-            line["detail"] = self.detail.as_str().into();
-        }
-        self.context.log.write(kind, line);
     }
 }
--- a/daemon/tests/edge_log.rs
+++ b/daemon/tests/edge_log.rs
@@ -53,7 +53,7 @@
         let output = Output::default();
         let log = Log::start_on("r1".into(), 100, output.clone()).unwrap();
         for _ in 0..5_000 {
-            log.write(Kind::Request, json!({ "event": "request" }));
+            log.write(Kind::Request, || json!({ "event": "request" }));
         }
         std::thread::sleep(Duration::from_millis(700));
         log.state(json!({ "event": "end" }));
@@ -66,10 +66,10 @@
         let output = Output::default();
         let log = Log::start_on("r1".into(), 100, output.clone()).unwrap();
         for _ in 0..1_000 {
-            log.write(Kind::Request, json!({ "event": "request" }));
+            log.write(Kind::Request, || json!({ "event": "request" }));
         }
         for _ in 0..20 {
-            log.write(Kind::Failed, json!({ "event": "failed" }));
+            log.write(Kind::Failed, || json!({ "event": "failed" }));
         }
         log.flush();
         assert_eq!(count(&output.lines(), "failed"), 20);
@@ -79,7 +79,7 @@
         let log = Log::start_on("r1".into(), 1_000_000, output).unwrap();
         let began = Instant::now();
         for _ in 0..20_000 {
-            log.write(Kind::Failed, json!({ "event": "failed" }));
+            log.write(Kind::Failed, || json!({ "event": "failed" }));
         }
         // Far below the writer's two seconds a write.
         assert!(began.elapsed() < Duration::from_millis(1500), "{:?}", began.elapsed());
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -9,9 +9,7 @@
   teams @4 :List(TeamUse);
   services @5 :List(ServiceUse);
   kept @6 :List(KeptPart);
-  draining @7 :Bool;                # the router shuts down
-  configVersion @8 :UInt64;         # version of the configuration in force
-  isFull @9 :Bool;                  # targets that aren't listed have no load of the sender
+  isFull @7 :Bool;                  # targets that aren't listed have no load of the sender
 }
 
 struct TargetLoad {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -55,8 +55,6 @@
     builder.set_sender(&*report.sender);
     builder.set_incarnation(report.incarnation);
     builder.set_seq(report.seq);
-    builder.set_draining(report.draining);
-    builder.set_config_version(report.config_version);
     builder.set_is_full(report.is_full);
     let mut targets = builder.reborrow().init_targets(report.targets.len() as u32);
     for (i, line) in report.targets.iter().enumerate() {
@@ -114,8 +112,6 @@
         teams: teams.collect(),
         services: services.collect(),
         kept: kept.collect(),
-        draining: reader.get_draining(),
-        config_version: reader.get_config_version(),
         is_full: reader.get_is_full(),
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -61,8 +61,6 @@
         teams: vec![report::TeamUse { team: 5, asked_tokens: 9, begun_tokens: 8 }],
         services: vec![report::ServiceUse { service: 6, request_count: 100, repeat_count: 2 }],
         kept: vec![report::KeptPart { target: 1 << 60, part: 77 }],
-        draining: true,
-        config_version: 12,
         is_full: true,
     }
 }
