Few large events fill the buffers in the test of a caller that doesn't read

Traced: the debug build parsed some 12,000 small events a stream until the kernel's buffers were full, which took seconds of processor beside 12 busy processes, before the router's bound of 300 ms began.

--- a/daemon/tests/bad_input.rs
+++ b/daemon/tests/bad_input.rs
@@ -81,6 +81,9 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Bytes of each event of a large answer.
+const EVENT_BYTES: usize = 4000;
+
 /// Buffer of a caller that doesn't read.
 const SMALL_BUFFER_BYTES: u32 = 8192;
 
@@ -91,7 +94,11 @@
     // bound is on the router, and begins when the buffers are full.
     socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
     let mut stream = socket.connect(addr).await.unwrap();
-    let body = r#"{"model": "assistant", "stream": true, "max_tokens": 20000}"#;
+    // The stand-in puts the user into each token: few large events fill the buffers with little work.
+    let user = "u".repeat(EVENT_BYTES);
+    let body = format!(
+        r#"{{"model": "assistant", "stream": true, "max_tokens": 4000, "user": "{user}"}}"#
+    );
     let head = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\
          authorization: Bearer key-of-lanes\r\n\r\n{body}",
