Routers tell each other how far they have read the store

Now a poll is as long as twice the time in which a configuration is to be in force, less the time for an answer, and a router that hears that another has read further asks again on another connection.

--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -63,6 +63,24 @@
     pub kept: Vec<KeptPart>,
     /// Whether targets that aren't listed have no load of the sender; else they are as before.
     pub is_full: bool,
+    /// How far the router has read the store.
+    pub offsets: Offsets,
+}
+
+/// How far a router has read the topics of the store: offsets behind the last record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Offsets {
+    /// Of the configuration.
+    pub config: u64,
+    /// Of the targets.
+    pub targets: u64,
+}
+
+impl Offsets {
+    /// The greater of each.
+    pub fn max(self, other: Offsets) -> Offsets {
+        Offsets { config: self.config.max(other.config), targets: self.targets.max(other.targets) }
+    }
 }
 
 /// Load that one router has put on a target.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -61,6 +61,7 @@
         services: vec![],
         kept: vec![],
         is_full,
+        offsets: gentianhinge_core::report::Offsets::default(),
     }
 }
 
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -89,6 +89,10 @@
     pub repeats: RepeatBudget,
     /// Health of targets.
     pub health: health::Health,
+    /// How far this router has read the store.
+    pub offsets: report::Offsets,
+    /// How far any other router says that it has read the store.
+    pub heard_offsets: report::Offsets,
     weights: place::Weights,
     policy: hold::Policy,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
@@ -106,6 +110,8 @@
             shares: Shares::new(Duration::from_millis(bounds.share_window_ms)),
             repeats: budget(bounds),
             health: health::Health::default(),
+            offsets: report::Offsets::default(),
+            heard_offsets: report::Offsets::default(),
             weights: place::Weights::default(),
             policy: hold::Policy::default(),
             by_service: HashMap::new(),
@@ -224,6 +230,7 @@
         if !self.load.hear(&heard, now) {
             return;
         }
+        self.heard_offsets = self.heard_offsets.max(heard.offsets);
         if !heard.teams.is_empty() {
             self.shares.hear(&heard.sender, heard.teams, now);
         }
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -124,6 +124,7 @@
         services: if is_full { brain.repeats.own_lines(now) } else { Vec::new() },
         kept: brain.load.take_news(),
         is_full,
+        offsets: brain.offsets,
     };
     (report, brain.load.router_count(now))
 }
--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::registry::Change;
+use gentianhinge_core::report;
 use gentianhinge_platform::store::{Entries, Store, StoreError};
 use gentianhinge_platform::{config as platform_config, peers, registry};
 use rand::Rng;
@@ -13,9 +14,15 @@
 
 use super::{Context, Phase, exchange};
 
-/// Longest wait of one read for the next record. A connection that went silent is noticed sooner, by
-/// the kernel's probes.
-const LONG_POLL: Duration = Duration::from_secs(10);
+/// Multiple of the time in which a configuration is to be in force after which a connection to the
+/// store without an answer is given up: it may have gone silent.
+const SILENCE_FACTOR: u32 = 2;
+
+/// Time between two looks whether other routers have read further.
+const BEHIND_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Least time between two calls that are made because other routers have read further.
+const BEHIND_PAUSE: Duration = Duration::from_secs(3);
 
 /// Pause after a failed call; grows up to the longest.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -28,6 +35,9 @@
 /// Pause between two reads of the routers, which all write at once when the fleet starts.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
 
+/// Longest wait for the next record of the routers; nothing hangs on its being soon.
+const ROUTERS_LONG_POLL: Duration = Duration::from_secs(10);
+
 /// How to reach the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -35,8 +45,21 @@
     pub addr: net::SocketAddr,
     /// Longest wait for an answer.
     pub timeout: Duration,
+    /// Longest wait of one read for the next record.
+    pub long_poll: Duration,
+}
+
+impl Settings {
+    /// Settings for a store at `addr`.
+    pub fn new(addr: net::SocketAddr, timeout: Duration, config_apply: Duration) -> Settings {
+        let long_poll = (config_apply * SILENCE_FACTOR).saturating_sub(timeout).max(timeout);
+        Settings { addr, timeout, long_poll }
+    }
 }
 
+/// Picks a topic's offset.
+type OffsetOf = fn(&report::Offsets) -> u64;
+
 /// Where a follower stands in its topic, and whether the store answers it.
 struct Follower {
     context: Arc<Context>,
@@ -47,6 +70,10 @@
     failing_since: Option<Instant>,
     /// Whether the last step was the first after an outage.
     is_back: bool,
+    /// The topic's offset among those that routers tell each other, if they do.
+    offset_of: Option<OffsetOf>,
+    /// When a call was last made because others had read further.
+    hurried_at: Option<Instant>,
 }
 
 /// What one step has read.
@@ -58,28 +85,51 @@
 }
 
 impl Follower {
-    fn new(context: Arc<Context>, settings: Settings, topic: &'static str) -> Follower {
-        let store = Store::new(settings.addr, settings.timeout);
-        let (next_offset, backoff) = (None, MIN_BACKOFF);
+    fn new(
+        context: Arc<Context>,
+        settings: Settings,
+        topic: &'static str,
+        offset_of: Option<OffsetOf>,
+    ) -> Follower {
         Follower {
             context,
-            store,
+            store: Store::new(settings.addr, settings.timeout),
             topic,
-            next_offset,
-            backoff,
+            next_offset: None,
+            backoff: MIN_BACKOFF,
             failing_since: None,
             is_back: false,
+            offset_of,
+            hurried_at: None,
         }
     }
 
     /// Reads what is new; waits for it up to `wait`, and through failures.
     async fn step(&mut self, wait: Duration) -> Step {
+        let mut wait = wait;
         loop {
             // After a failure the first answer is to come at once, to see the store's return.
-            let wait = if self.failing_since.is_some() { Duration::ZERO } else { wait };
-            let result = match self.next_offset {
-                None => self.store.newest(self.topic).await.map(Step::All),
-                Some(from) => self.store.read(self.topic, from, wait).await.map(Step::More),
+            if self.failing_since.is_some() {
+                wait = Duration::ZERO;
+            }
+            let Some(from) = self.next_offset else {
+                match self.store.newest(self.topic).await {
+                    Ok(listing) => {
+                        self.is_back = self.succeeded();
+                        return Step::All(listing);
+                    }
+                    Err(err) => self.failed(&err).await,
+                }
+                continue;
+            };
+            let behind = others_are_ahead(&self.context, self.offset_of, from, self.hurried_at);
+            let result = tokio::select! {
+                result = self.store.read(self.topic, from, wait) => result.map(Step::More),
+                heard = behind => {
+                    self.hurry(from, heard);
+                    wait = Duration::ZERO;
+                    continue;
+                }
             };
             match result {
                 Ok(step) => {
@@ -91,6 +141,16 @@
         }
     }
 
+    /// Gives up a read that has no answer though others have read further.
+    fn hurry(&mut self, from: u64, heard: u64) {
+        self.store.disconnect();
+        self.hurried_at = Some(Instant::now());
+        self.context.log.state(json!({
+            "event": "dependency", "dependency": "store", "topic": self.topic,
+            "outcome": "other routers have read further, asked again", "offset": from, "heard": heard,
+        }));
+    }
+
     /// Notes that the store answers; returns whether it had been away.
     fn succeeded(&mut self) -> bool {
         self.backoff = MIN_BACKOFF;
@@ -122,14 +182,40 @@
     }
 }
 
+/// Waits until other routers have read further than `from` and this one hasn't caught up for a
+/// moment; returns how far they have read.
+async fn others_are_ahead(
+    context: &Context,
+    offset_of: Option<OffsetOf>,
+    from: u64,
+    hurried_at: Option<Instant>,
+) -> u64 {
+    let Some(offset_of) = offset_of else { return std::future::pending().await };
+    if let Some(at) = hurried_at {
+        time::sleep_until(at + BEHIND_PAUSE).await;
+    }
+    let mut was_behind = false;
+    loop {
+        time::sleep(BEHIND_INTERVAL).await;
+        let heard = offset_of(&context.brain().heard_offsets);
+        if was_behind && heard > from {
+            return heard;
+        }
+        was_behind = heard > from;
+    }
+}
+
 /// Follows the operators' configuration.
 pub async fn config(context: Arc<Context>, settings: Settings) {
-    let mut follower = Follower::new(context.clone(), settings, platform_config::TOPIC);
+    let offset_of: OffsetOf = |offsets| offsets.config;
+    let mut follower =
+        Follower::new(context.clone(), settings, platform_config::TOPIC, Some(offset_of));
     loop {
-        let (Step::All(read) | Step::More(read)) = follower.step(LONG_POLL).await;
+        let (Step::All(read) | Step::More(read)) = follower.step(settings.long_poll).await;
         // An offset never goes back: a listing that ends earlier is stale.
         let next_offset = follower.next_offset.unwrap_or(0).max(read.next_offset);
         follower.next_offset = Some(next_offset);
+        context.brain().offsets.config = next_offset;
         // Only the newest that can be read counts.
         for entry in read.entries.iter().rev() {
             if platform_config::text(entry).is_some_and(|text| apply_config(&context, text)) {
@@ -170,11 +256,13 @@
 
 /// Follows the targets.
 pub async fn targets(context: Arc<Context>, settings: Settings) {
-    let mut follower = Follower::new(context.clone(), settings, registry::TOPIC);
+    let offset_of: OffsetOf = |offsets| offsets.targets;
+    let mut follower = Follower::new(context.clone(), settings, registry::TOPIC, Some(offset_of));
     loop {
         let due_at = context.brain().registry.next_removal();
-        let wait = due_at.map_or(LONG_POLL, |at| at.saturating_duration_since(Instant::now()));
-        let step = follower.step(wait.min(LONG_POLL)).await;
+        let until_due = due_at.map(|at| at.saturating_duration_since(Instant::now()));
+        let wait = until_due.unwrap_or(settings.long_poll).min(settings.long_poll);
+        let step = follower.step(wait).await;
         let now = Instant::now();
         if follower.is_back {
             context.brain().registry.resume_after_outage(now);
@@ -194,6 +282,7 @@
                 }
             }
         }
+        context.brain().offsets.targets = follower.next_offset.unwrap_or(0);
         let gone = context.brain().registry.settle(now);
         for id in gone {
             note_change(&context, &id, Change::Gone, None);
@@ -267,7 +356,7 @@
     me: peers::Peer,
     known: exchange::Peers,
 ) {
-    let mut follower = Follower::new(context.clone(), settings, peers::TOPIC);
+    let mut follower = Follower::new(context.clone(), settings, peers::TOPIC, None);
     let name = context.name.to_string();
     while let Err(err) = follower.store.put(peers::TOPIC, &name, &peers::encode(&me)).await {
         follower.failed(&err).await;
@@ -275,7 +364,7 @@
     let mut phase = context.phase.subscribe();
     loop {
         let step = tokio::select! {
-            step = follower.step(LONG_POLL) => step,
+            step = follower.step(ROUTERS_LONG_POLL) => step,
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         };
         let (Step::All(read) | Step::More(read)) = step;
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -244,7 +244,8 @@
     let store_addr = settings.store.addr.parse();
     let store_addr = store_addr.unwrap_or(net::SocketAddr::from(([0, 0, 0, 0], 0)));
     let timeout = Duration::from_millis(settings.store.timeout_ms);
-    let store = follow::Settings { addr: store_addr, timeout };
+    let config_apply = Duration::from_millis(settings.bounds.config_apply_ms);
+    let store = follow::Settings::new(store_addr, timeout, config_apply);
     tokio::spawn(follow::config(context.clone(), store));
     tokio::spawn(follow::targets(context.clone(), store));
     let addr = reports.local_addr()?;
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -10,6 +10,8 @@
   services @5 :List(ServiceUse);
   kept @6 :List(KeptPart);
   isFull @7 :Bool;                  # targets that aren't listed have no load of the sender
+  configOffset @8 :UInt64;          # offset behind the last record read of the configuration
+  targetsOffset @9 :UInt64;         # the same of the targets
 }
 
 struct TargetLoad {
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -62,6 +62,7 @@
         services: vec![report::ServiceUse { service: 6, request_count: 100, repeat_count: 2 }],
         kept: vec![report::KeptPart { target: 1 << 60, part: 77 }],
         is_full: true,
+        offsets: report::Offsets { config: 12, targets: 340 },
     }
 }
 
