--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -168,6 +168,37 @@
         tokio::time::sleep(Duration::from_millis(300)).await;
         assert!(is_in_force().await);
     },
+    a_silent_long_poll_is_noticed_by_what_other_routers_have_read: {
+        let (store, store_addr) = Store::start().await;
+        store.put_config(3);
+        let (_target, addr) = Target::start("t0", Act::Serve).await;
+        store.put_target("t0", addr, "ready");
+        store.set_silent(true);
+        let silent = Router::start_as("r1", store_addr, 4096);
+        silent.wait_for_readiness(200).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        store.set_silent(false);
+        let other = Router::start_as("r2", store_addr, 4096);
+        other.wait_for_readiness(200).await;
+        // Until both have found each other.
+        let have_met = async || {
+            edge_kit::get(other.operators, "/status").await.unwrap().1.contains(r#""routers":2"#)
+        };
+        edge_kit::wait_for(Duration::from_secs(10), have_met).await;
+        store.set_silent(true);
+        let next_poll = Duration::from_secs(4);
+        tokio::time::sleep(next_poll).await;
+        store.set_silent(false);
+        let restarted = Router::start_as("r3", store_addr, 4096);
+        restarted.wait_for_readiness(200).await;
+        store.put("keyed.op", "config", r#"{"version": 5, "routes": [], "tenants": []}"#);
+        for router in [&silent, &other, &restarted] {
+            let is_in_force = async || {
+                edge_kit::call(router, edge_kit::request("/book/", "a1", &[])).await.status == 404
+            };
+            edge_kit::wait_for(APPLY_BOUND, is_in_force).await;
+        }
+    },
     a_leaving_target_gets_nothing_new: {
         let (store, targets, router) = fleet(&[Act::Serve, Act::Serve]).await;
         let (_, other) = Target::start("unused", Act::Serve).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -33,6 +33,7 @@
 pub struct Store {
     topics: Arc<Mutex<HashMap<String, Records>>>,
     is_down: Arc<Mutex<bool>>,
+    is_silent: Arc<Mutex<bool>>,
 }
 
 impl Store {
@@ -61,6 +62,11 @@
         *self.is_down.lock().unwrap() = is_down;
     }
 
+    /// Leaves long polls of the configuration without an answer for ever, those that come from now on.
+    pub fn set_silent(&self, is_silent: bool) {
+        *self.is_silent.lock().unwrap() = is_silent;
+    }
+
     /// Writes a configuration with the routes of these tests.
     pub fn put_config(&self, version: u64) {
         let route = |name: &str, kind: &str, attempts: u32, more: serde_json::Value| {
@@ -128,6 +134,9 @@
     let from = query["from"].parse::<usize>().unwrap();
     let wait = Duration::from_millis(query["wait_ms"].parse().unwrap());
     let end = Instant::now() + wait;
+    if *store.is_silent.lock().unwrap() && query["topic"] == "keyed.op" && !wait.is_zero() {
+        std::future::pending::<()>().await;
+    }
     loop {
         if *store.is_down.lock().unwrap() {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
@@ -301,9 +310,14 @@
 }
 
 /// Settings of a router on free ports.
-pub fn settings(store: net::SocketAddr, addrs: &[net::SocketAddr; 4], max_files: u32) -> String {
+pub fn settings(
+    name: &str,
+    store: net::SocketAddr,
+    addrs: &[net::SocketAddr; 4],
+    max_files: u32,
+) -> String {
     json!({
-        "router": { "name": "r1", "region": "here", "zone": "a" },
+        "router": { "name": name, "region": "here", "zone": "a" },
         "listen": {
             "callers_addr": addrs[0], "readiness_addr": addrs[1], "operators_addr": addrs[2],
             "peers_addr": addrs[3],
@@ -324,10 +338,15 @@
 }
 
 impl Router {
-    /// Starts a router.
+    /// Starts a router named `r1`.
     pub fn start(store: net::SocketAddr, max_files: u32) -> Router {
+        Router::start_as("r1", store, max_files)
+    }
+
+    /// Starts a router.
+    pub fn start_as(name: &str, store: net::SocketAddr, max_files: u32) -> Router {
         let addrs = [free_addr(), free_addr(), free_addr(), free_addr()];
-        let settings = support::SettingsFile::new(&settings(store, &addrs, max_files));
+        let settings = support::SettingsFile::new(&settings(name, store, &addrs, max_files));
         let process = support::Process::start("gentianhinged", &["--platform", settings.path()]);
         let [callers, readiness, operators, _] = addrs;
         Router { process, callers, readiness, operators, _settings: settings }
