--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -35,16 +35,9 @@
 }
 
 fn status() -> Command {
-    let router = Arg::new("router")
-        .long("router")
-        .value_name("ADDR")
-        .help("Operators' address of a router; given several times, the first that answers")
-        .required(true)
-        .action(ArgAction::Append)
-        .value_parser(clap::value_parser!(net::SocketAddr));
     Command::new("status")
         .about("Prints what a router on the platform believes of targets and other routers")
-        .arg(router)
+        .arg(router())
         .arg(flag("json", "Print it as JSON"))
 }
 
@@ -89,22 +82,25 @@
     remote(command, about).args([kind().required(true), name().required(true), wait()])
 }
 
-/// A command that calls routers.
-fn remote(name: &'static str, about: &'static str) -> Command {
-    let router = Arg::new("router")
+fn router() -> Arg {
+    Arg::new("router")
         .long("router")
         .value_name("ADDR")
         .help("Operators' address of a router; given several times, the first that answers")
         .required(true)
         .action(ArgAction::Append)
-        .value_parser(clap::value_parser!(net::SocketAddr));
+        .value_parser(clap::value_parser!(net::SocketAddr))
+}
+
+/// A command that calls routers.
+fn remote(name: &'static str, about: &'static str) -> Command {
     let key_file = Arg::new("key-file")
         .long("key-file")
         .value_name("FILE")
         .help("File that holds the operator's key")
         .required(true)
         .value_parser(clap::value_parser!(path::PathBuf));
-    Command::new(name).about(about).args([router, key_file])
+    Command::new(name).about(about).args([router(), key_file])
 }
 
 fn kind() -> Arg {
