A returning team isn't held back by estimates; a queue beyond the slots takes none away

Cause of the six starved fuzz cases, by a trace of each dispatcher's virtual times: the floor to which a returning team is lifted was the virtual time of the last grant with what is charged ahead. A new dispatcher knows only the prior of 2,000 for what runs, so the floor stood 200 to 300 above all settled times, and the team that returned had to wait until the other had been served as much. The floor is now the settled time.

Cause of rejoin_leaves_no_slot_idle: after the heal one dispatcher holds both groups' requests, up to 8 for 4 slots; their queue at the engine halved the slots again with each load report, down to 1, and reports give them back one second at a time. A queue that the dispatcher's own surplus explains no longer counts.

Cause of fuzz_220194: the scenarios' model let a process end gracefully without telling the others, as the daemon's membership does (Control::leave), so the last router waited 1.2 s for a dispatcher that was gone. The model now tells it; no check is changed.

Ruled out: lags of reports and sessions (all sessions were open), limits of teams.

--- a/core/src/dispatch/grant.rs
+++ b/core/src/dispatch/grant.rs
@@ -16,7 +16,7 @@
 
 impl Dispatcher {
     pub(super) fn grant_one(&mut self) -> bool {
-        let Some((virtual_time, team)) = self.teams.first() else { return false };
+        let Some((_, team)) = self.teams.first() else { return false };
         let Some((_, key, flow)) = self.teams.get(team).waiting.first().copied() else {
             return false;
         };
@@ -26,7 +26,7 @@
         };
         let Some(target) = self.targets.pick(&line.preferred_targets) else { return false };
         line.take_one();
-        self.teams.raise_floor(virtual_time);
+        self.teams.raise_floor(self.teams.get(team).account.settled());
         self.grant(key, flow, target, line);
         true
     }
--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -181,7 +181,10 @@
     list: Vec<Team>,
     order: BTreeSet<(fair::VirtualTime, TeamIndex)>,
     limited: BTreeSet<(time::Instant, TeamIndex)>,
-    /// Virtual time of the last grant; it never falls.
+    /// Settled virtual time of the team of the last grant; it never falls.
+    ///
+    /// What is charged ahead is left out: estimates of requests in flight, of which a new dispatcher
+    /// has only the prior, would else hold a returning team back for as long as they are too high.
     floor: f64,
     pub(super) rate: Rate,
     /// Requests in flight in the other cells.
@@ -357,7 +360,7 @@
             self.list.iter().any(|team| team.inherited && team.backlogged && serves(team));
         let is_known = |team: &Team| team.inherited && (serves(team) || !some_run);
         let known = self.list.iter().filter(|team| team.backlogged && is_known(team));
-        let least = known.map(|team| team.account.virtual_time()).fold(f64::INFINITY, f64::min);
+        let least = known.map(|team| team.account.settled()).fold(f64::INFINITY, f64::min);
         if !least.is_finite() {
             return;
         }
@@ -372,8 +375,8 @@
         }
     }
 
-    /// Notes the virtual time at which a grant is made.
-    pub(super) fn raise_floor(&mut self, virtual_time: f64) {
-        self.floor = self.floor.max(virtual_time);
+    /// Notes the settled virtual time of a team that gets a grant.
+    pub(super) fn raise_floor(&mut self, settled: f64) {
+        self.floor = self.floor.max(settled);
     }
 }
--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -125,7 +125,10 @@
             0 => self.max_slots(),
             count => self.max_slots().min(count),
         };
-        let excess = load.waiting_count.saturating_sub(self.lookahead().max(1));
+        // What this dispatcher has there beyond the ceiling, after a rejoin say, ends without a
+        // lower one.
+        let surplus = self.busy_count.saturating_sub(self.ceiling);
+        let excess = load.waiting_count.saturating_sub(self.lookahead().max(1).max(surplus));
         if excess > 0 {
             self.ceiling = self.ceiling.saturating_sub(excess).max(self.ceiling / 2).max(1);
             self.adjusted_at = Some(now);
--- a/core/tests/slots.rs
+++ b/core/tests/slots.rs
@@ -57,6 +57,17 @@
         }
         assert_eq!(targets.busy_count(), 16);
     },
+    a_queue_of_requests_beyond_the_slots_takes_no_slots_away: {
+        let mut targets = targets(&["t1"], 4);
+        for _ in 0..8 {
+            targets.take(&"t1".into());
+        }
+        targets.set_load(&"t1".into(), load(4, 4), now());
+        for _ in 0..8 {
+            targets.release(&"t1".into());
+        }
+        assert_eq!(fill(&mut targets), 4);
+    },
     a_target_that_tells_its_room_gets_it_all_back_at_once: {
         let mut targets = targets(&["t1"], 16);
         fill(&mut targets);
--- a/scenario/src/faults.rs
+++ b/scenario/src/faults.rs
@@ -194,6 +194,19 @@
         if let Some(client) = node.client.take() {
             self.send(index, client.to, Message::Closed { session: client.session });
         }
+        self.tell_exit(index);
+    }
+
+    /// Tells the other processes of a graceful end, as the daemon's membership does.
+    fn tell_exit(&mut self, index: usize) {
+        let router = self.nodes[index].id.clone();
+        for other in 0..self.nodes.len() {
+            if other != index && !self.is_cut(index, other) {
+                let delay = self.random_delay();
+                let what = NodeEvent::PeerLeft { peer: index, router: router.clone() };
+                self.schedule_node(delay, other, what);
+            }
+        }
     }
 
     fn leave(&mut self, target: usize) {
--- a/scenario/src/node.rs
+++ b/scenario/src/node.rs
@@ -164,6 +164,13 @@
         peers.filter(move |(_, peer)| now.saturating_sub(peer.heard) <= MEMBER_TIMEOUT)
     }
 
+    /// Takes a process that has ended out of the live ones, but not its successor.
+    pub fn forget_peer(&mut self, index: usize, router: &RouterId) {
+        if self.peers.get(&index).is_some_and(|peer| peer.id == *router) {
+            self.peers.remove(&index);
+        }
+    }
+
     /// Index of the node that this one takes for the cell's dispatcher.
     pub fn owner(&self, own_index: usize, cell: &Name, now: Duration) -> Option<usize> {
         let me = (own_index, &self.id.name, self.draining);
--- a/scenario/src/world.rs
+++ b/scenario/src/world.rs
@@ -56,6 +56,8 @@
     ConnectFailed(RequestId),
     /// A request that couldn't be sent waits again.
     Retry(usize),
+    /// News that another process has ended gracefully.
+    PeerLeft { peer: usize, router: RouterId },
     /// News that a target leaves.
     Leaving { target: usize, incarnation: u64 },
     /// A target's load, or none if it can't be reached.
@@ -258,6 +260,7 @@
             NodeEvent::Lost { id, delivered_tokens } => self.lost(node, id, delivered_tokens),
             NodeEvent::ConnectFailed(id) => self.connect_failed(node, id),
             NodeEvent::Retry(request) => self.retry(node, request),
+            NodeEvent::PeerLeft { peer, router } => self.nodes[node].forget_peer(peer, &router),
             NodeEvent::Leaving { target, incarnation } => {
                 self.learn_leaving(node, target, incarnation);
             }
