Teams' sums reach a large fleet in time; reports cross zones once; a router that falls behind isn't ready

Sums now go each 400 ms; full reports take at most 0.3 of the bytes.

Connections are now bounded by memory as well, and a router whose timers are late by 80 ms at the mean for some time isn't ready, so the balancer sends new callers to its neighbours.

A report to a zone of six routers or more goes to one of them, another one each time, which passes it on. Load of others is summed by difference, not anew for each datagram.

Ruled out: lost datagrams (all 69 routers were heard), the capacity floor.

--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -22,6 +22,9 @@
 /// Most parts remembered for one target; the least recently used are forgotten beyond it.
 pub const MAX_KEPT_PARTS: usize = 4096;
 
+/// Most parts told in one report, so that it fits a datagram beside all targets and teams.
+pub const MAX_NEWS: usize = 150;
+
 /// Load of one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -142,24 +145,31 @@
         if (heard.incarnation, heard.seq) <= (peer.incarnation, peer.seq) {
             return false;
         }
-        if heard.is_full || heard.incarnation != peer.incarnation {
-            peer.targets.clear();
-        }
+        let is_new_life = heard.incarnation != peer.incarnation;
         (peer.incarnation, peer.seq, peer.heard_at) = (heard.incarnation, heard.seq, now);
-        peer.targets.extend(heard.targets.iter().map(|line| (line.target, *line)));
-        self.sum_others(now);
+        if heard.is_full || is_new_life {
+            for line in std::mem::take(&mut peer.targets).values() {
+                take_line(&mut self.others, line);
+            }
+        }
+        for line in &heard.targets {
+            if let Some(old) = peer.targets.insert(line.target, *line) {
+                take_line(&mut self.others, &old);
+            }
+            add_line(&mut self.others, line);
+        }
         true
     }
 
     /// Drops the load of routers that are silent.
     pub fn expire(&mut self, now: Instant) {
-        let is_old = |peer: &Peer| now.duration_since(peer.heard_at) > PEER_SILENCE;
-        if self.peers.values().any(|peer| is_old(peer) && !peer.targets.is_empty()) {
-            for peer in self.peers.values_mut().filter(|peer| is_old(peer)) {
-                peer.targets.clear();
+        let is_old = |peer: &&mut Peer| now.duration_since(peer.heard_at) > PEER_SILENCE;
+        for peer in self.peers.values_mut().filter(is_old) {
+            for line in std::mem::take(&mut peer.targets).values() {
+                take_line(&mut self.others, line);
             }
-            self.sum_others(now);
         }
+        self.others.retain(|_, load| load.running_count > 0.0);
     }
 
     /// Number of routers that were heard lately, this one included.
@@ -168,17 +178,6 @@
         1 + self.peers.values().filter(fresh).count()
     }
 
-    fn sum_others(&mut self, now: Instant) {
-        self.others.clear();
-        let peers = self.peers.values();
-        let fresh = peers.filter(|peer| now.duration_since(peer.heard_at) <= PEER_SILENCE);
-        for line in fresh.flat_map(|peer| peer.targets.values()) {
-            let load = self.others.entry(line.target).or_default();
-            load.unread_tokens += f64::from(line.unread_tokens);
-            load.running_count += f64::from(line.running_count);
-        }
-    }
-
     /// This router's load by target, for its report: all of it, or what has changed since the last.
     pub fn own_lines(&mut self, is_full: bool) -> Vec<report::TargetLoad> {
         let mut lines =
@@ -196,12 +195,26 @@
         lines
     }
 
-    /// Parts that targets have been sent since the last call, for this router's report.
+    /// Parts that targets have been sent since the last calls, the oldest first, for this router's
+    /// report.
     pub fn take_news(&mut self) -> Vec<report::KeptPart> {
-        std::mem::take(&mut self.news)
+        self.news.drain(..self.news.len().min(MAX_NEWS)).collect()
     }
 }
 
+/// Adds another router's load to the sums. Whole numbers, so that sums are exact.
+fn add_line(sums: &mut HashKeyed<Load>, line: &report::TargetLoad) {
+    let load = sums.entry(line.target).or_default();
+    load.unread_tokens += f64::from(line.unread_tokens);
+    load.running_count += f64::from(line.running_count);
+}
+
+fn take_line(sums: &mut HashKeyed<Load>, line: &report::TargetLoad) {
+    let load = sums.entry(line.target).or_default();
+    load.unread_tokens -= f64::from(line.unread_tokens);
+    load.running_count -= f64::from(line.running_count);
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Counts of requests.
 fn line(target: Hash, load: &Load) -> report::TargetLoad {
     report::TargetLoad {
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -65,6 +65,8 @@
     pub is_full: bool,
     /// How far the router has read the store.
     pub offsets: Offsets,
+    /// Whether the receiver passes the report on to the other routers of its zone.
+    pub to_zone: bool,
 }
 
 /// How far a router has read the topics of the store: offsets behind the last record.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -62,6 +62,7 @@
         kept: vec![],
         is_full,
         offsets: gentianhinge_core::report::Offsets::default(),
+        to_zone: false,
     }
 }
 
@@ -141,6 +142,28 @@
         assert!(!view.hear(&report(4, vec![], true), now));
         assert!(view.load(targets[0].hash()).unread_tokens > 499.0);
     },
+    changes_and_full_reports_come_to_the_same_sums: {
+        let (now, targets, mut view) = (Instant::now(), targets(3), LoadView::default());
+        let at = |i: usize, tokens| line(&targets[i], tokens);
+        view.hear(&report(1, vec![at(0, 500), at(1, 700)], true), now);
+        view.hear(&report(2, vec![at(1, 100), at(2, 40)], false), now);
+        let tokens = |view: &LoadView| {
+            targets.iter().map(|target| view.load(target.hash()).unread_tokens).collect::<Vec<_>>()
+        };
+        assert_eq!(tokens(&view), [500.0, 100.0, 40.0]);
+        view.hear(&report(3, vec![at(2, 90)], true), now);
+        assert_eq!(tokens(&view), [0.0, 0.0, 90.0]);
+        assert_eq!(view.load(targets[0].hash()).running_count, 0.0);
+    },
+    news_of_kept_parts_fit_one_report_and_none_is_lost: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        for part in 0..400 {
+            view.begin(targets[0].hash(), 1, &small_prompt(1_000 + part), now);
+        }
+        let reports = std::iter::from_fn(|| Some(view.take_news().len())).take(4);
+        // 400 own parts and the shared one.
+        assert_eq!(reports.collect::<Vec<_>>(), [150, 150, 101, 0]);
+    },
     a_silent_routers_load_is_dropped: {
         let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
         view.hear(&report(5, vec![line(&targets[0], 500)], true), now);
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -60,18 +60,26 @@
     pub choice: place::Choice,
 }
 
+/// A request that is turned away, and why.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    /// Time after which it is likely to be served.
+    pub retry_after: Duration,
+    /// Whether no target was there at all.
+    pub has_no_target: bool,
+    /// What the team had got, as a ratio of the fair share.
+    pub share_ratio: f64,
+    /// Unread work at the best target, in ms.
+    pub backlog_ms: f64,
+}
+
 /// What to do with a request that needn't wait any longer.
 #[derive(Clone, Debug)]
 pub enum Decision {
     /// Send it; its load is counted already.
     Send(Placed),
     /// Refuse it.
-    Refuse {
-        /// Time after which it is likely to be served.
-        retry_after: Duration,
-        /// Whether no target was there at all.
-        has_no_target: bool,
-    },
+    Refuse(Refused),
 }
 
 /// All beliefs of a router.
@@ -198,9 +206,12 @@
                 Some(Decision::Send(placed))
             }
             hold::Verdict::Wait => None,
-            hold::Verdict::Refuse { retry_after } => {
-                Some(Decision::Refuse { retry_after, has_no_target: placed.is_none() })
-            }
+            hold::Verdict::Refuse { retry_after } => Some(Decision::Refuse(Refused {
+                retry_after,
+                has_no_target: placed.is_none(),
+                share_ratio: waiter.share_ratio,
+                backlog_ms: outlook.map_or(0.0, |outlook| outlook.wait_ms),
+            })),
         }
     }
 
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -1,6 +1,6 @@
 //! Reports of load between routers, by datagram.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -17,36 +17,82 @@
 /// Least time between two reports: about the time in which a target reads a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time after which a report is full, and also carries teams and services.
+/// Time between two reports that carry teams and services, and tell that the router lives: a tenth
+/// of the window over which shares are evened out.
+const SUMS_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Least time between two reports of all targets.
 const FULL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Bytes that a router sends in reports in a second; in a large fleet reports get rarer.
+/// Bytes that the other routers get from this one in a second; in a large fleet reports get rarer.
 const MAX_SENT_BYTES_PER_S: f64 = 60_000.0;
 
+/// Part of these bytes that reports of all targets take at most. They only make good what was lost,
+/// and must not crowd out what changes.
+const FULL_PART: f64 = 0.3;
+
+/// Routers of another zone from which on a report goes to one of them, which passes it on: bytes
+/// between zones cost, and in a small fleet a lost relay would be missed.
+const MIN_RELAYED_ROUTERS: usize = 6;
+
 /// The other routers, as the store names them.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    addrs: Arc<Mutex<HashMap<String, net::SocketAddr>>>,
+    by_name: Arc<Mutex<BTreeMap<String, peers::Peer>>>,
+}
+
+/// Where one report goes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Receivers {
+    /// Routers that keep the report to themselves.
+    pub direct: Vec<net::SocketAddr>,
+    /// One router in each of the larger other zones, which passes the report on there.
+    pub relays: Vec<net::SocketAddr>,
 }
 
 impl Peers {
     /// Notes where a router takes reports; `None` if it is gone.
     pub fn set(&self, name: &str, peer: Option<peers::Peer>) {
-        let mut addrs = self.addrs.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
         match peer {
-            Some(peer) => addrs.insert(name.to_string(), peer.addr),
-            None => addrs.remove(name),
+            Some(peer) => by_name.insert(name.to_string(), peer),
+            None => by_name.remove(name),
         };
     }
 
-    fn all(&self) -> Vec<net::SocketAddr> {
-        let addrs = self.addrs.lock().unwrap_or_else(PoisonError::into_inner);
-        addrs.values().copied().collect()
+    /// Where report `seq` of a router in `zone` goes. Each report takes another relay, so that a lost
+    /// router costs a part of the reports and needs no successor.
+    pub fn receivers(&self, zone: &str, seq: u64) -> Receivers {
+        let by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut zones = BTreeMap::<&str, Vec<net::SocketAddr>>::new();
+        for peer in by_name.values() {
+            zones.entry(&peer.zone).or_default().push(peer.addr);
+        }
+        let mut receivers = Receivers::default();
+        for (other, addrs) in zones {
+            if other == zone || other.is_empty() || addrs.len() < MIN_RELAYED_ROUTERS {
+                receivers.direct.extend(addrs);
+            } else {
+                // The remainder is below the length of a list.
+                receivers.relays.push(addrs[(seq % addrs.len() as u64) as usize]);
+            }
+        }
+        receivers
+    }
+
+    /// The other routers of a zone.
+    fn of_zone(&self, zone: &str) -> Vec<net::SocketAddr> {
+        let by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
+        by_name.values().filter(|peer| peer.zone == zone).map(|peer| peer.addr).collect()
+    }
+
+    fn count(&self) -> usize {
+        self.by_name.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
 }
 
 /// Takes the others' reports.
-pub async fn receive(context: Arc<Context>, socket: Arc<UdpSocket>) {
+pub async fn receive(context: Arc<Context>, socket: Arc<UdpSocket>, peers: Peers) {
     let mut buffer = vec![0; load::MAX_DATAGRAM_BYTES];
     loop {
         let len = match socket.recv_from(&mut buffer).await {
@@ -60,7 +106,12 @@
             }
         };
         match load::decode(&buffer[..len]) {
-            Ok(heard) => context.brain().hear(heard, Instant::now()),
+            Ok(mut heard) => {
+                if std::mem::take(&mut heard.to_zone) {
+                    deliver(&context, &socket, &heard, &peers.of_zone(&context.zone)).await;
+                }
+                context.brain().hear(heard, Instant::now());
+            }
             Err(err) => {
                 context.metrics.report_failures.increment(1);
                 tracing::debug!("report not understood: {err}");
@@ -71,47 +122,102 @@
 
 /// Sends this router's reports.
 pub async fn send(context: Arc<Context>, socket: Arc<UdpSocket>, peers: Peers) {
-    let mut pause = REPORT_INTERVAL;
-    let mut full_at = Instant::now();
+    let mut schedule = Schedule::new(Instant::now());
     let mut seq = 0;
     let mut router_count = 0;
     loop {
-        time::sleep(pause).await;
-        pause = REPORT_INTERVAL;
+        time::sleep_until(schedule.next_at).await;
         seq += 1;
-        let is_full = full_at.elapsed() >= FULL_INTERVAL;
-        if is_full {
-            full_at = Instant::now();
-        }
-        let (report, count) = compose(&context, seq, is_full);
+        let now = Instant::now();
+        let parts = schedule.parts(now);
+        let (mut report, count) = compose(&context, seq, parts);
         if count != router_count {
             context
                 .log
                 .state(json!({ "event": "routers", "count": count, "before": router_count }));
             router_count = count;
         }
-        if !is_full && report.targets.is_empty() && report.kept.is_empty() {
+        if !parts.has_sums && report.targets.is_empty() && report.kept.is_empty() {
+            schedule.sent(parts, 0, now);
             continue;
         }
-        let datagram = load::encode(&report);
-        let addrs = peers.all();
-        let sent_bytes = datagram.len() * addrs.len();
-        context.metrics.report_sent_bytes.increment(sent_bytes as u64);
-        pause = pause.max(Duration::from_secs_f64(sent_bytes as f64 / MAX_SENT_BYTES_PER_S));
-        for addr in addrs {
-            if let Err(err) = socket.send_to(&datagram, addr).await {
-                context.metrics.report_failures.increment(1);
-                tracing::debug!("report to {addr} not sent: {err}");
-            }
+        let receivers = peers.receivers(&context.zone, seq);
+        let len = deliver(&context, &socket, &report, &receivers.direct).await;
+        report.to_zone = true;
+        deliver(&context, &socket, &report, &receivers.relays).await;
+        schedule.sent(parts, len * peers.count(), now);
+    }
+}
+
+/// Sends one report to some routers; returns the bytes of one datagram.
+async fn deliver(
+    context: &Context,
+    socket: &UdpSocket,
+    report: &report::LoadReport,
+    addrs: &[net::SocketAddr],
+) -> usize {
+    let datagram = load::encode(report);
+    context.metrics.report_sent_bytes.increment((datagram.len() * addrs.len()) as u64);
+    for addr in addrs {
+        if let Err(err) = socket.send_to(&datagram, addr).await {
+            context.metrics.report_failures.increment(1);
+            tracing::debug!("report to {addr} not sent: {err}");
+        }
+    }
+    datagram.len()
+}
+
+/// What a report holds besides the targets whose load has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Parts {
+    /// Teams and services.
+    pub has_sums: bool,
+    /// All targets with load.
+    pub is_full: bool,
+}
+
+/// When reports are due, and how much each holds.
+#[derive(Debug)]
+pub struct Schedule {
+    /// When the next report is due.
+    pub next_at: Instant,
+    sums_at: Instant,
+    full_at: Instant,
+}
+
+impl Schedule {
+    /// Creates a schedule whose first report is full.
+    pub fn new(now: Instant) -> Schedule {
+        Schedule { next_at: now + REPORT_INTERVAL, sums_at: now, full_at: now }
+    }
+
+    /// What a report holds that is sent now.
+    pub fn parts(&self, now: Instant) -> Parts {
+        Parts { has_sums: now >= self.sums_at, is_full: now >= self.full_at }
+    }
+
+    /// Notes a report that takes `sent_bytes` over all receivers.
+    pub fn sent(&mut self, parts: Parts, sent_bytes: usize, now: Instant) {
+        let time_at =
+            |part: f64| Duration::from_secs_f64(sent_bytes as f64 / (MAX_SENT_BYTES_PER_S * part));
+        if parts.has_sums {
+            self.sums_at = now + SUMS_INTERVAL;
+        }
+        if parts.is_full {
+            // Paid for over the time until the next full one.
+            self.full_at = now + FULL_INTERVAL.max(time_at(FULL_PART));
+            self.next_at = now + REPORT_INTERVAL;
+        } else {
+            self.next_at = now + REPORT_INTERVAL.max(time_at(1.0 - FULL_PART));
         }
     }
 }
 
-fn compose(context: &Context, seq: u64, is_full: bool) -> (report::LoadReport, usize) {
+fn compose(context: &Context, seq: u64, parts: Parts) -> (report::LoadReport, usize) {
     let now = Instant::now();
     let mut brain = context.brain();
     brain.load.expire(now);
-    if is_full {
+    if parts.has_sums {
         let capacity = brain.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
         brain.shares.recompute(capacity, now);
     }
@@ -119,12 +225,13 @@
         sender: context.name.clone(),
         incarnation: context.incarnation,
         seq,
-        targets: brain.load.own_lines(is_full),
-        teams: if is_full { brain.shares.own_lines(now) } else { Vec::new() },
-        services: if is_full { brain.repeats.own_lines(now) } else { Vec::new() },
+        targets: brain.load.own_lines(parts.is_full),
+        teams: if parts.has_sums { brain.shares.own_lines(now) } else { Vec::new() },
+        services: if parts.has_sums { brain.repeats.own_lines(now) } else { Vec::new() },
         kept: brain.load.take_news(),
-        is_full,
+        is_full: parts.is_full,
         offsets: brain.offsets,
+        to_zone: false,
     };
     (report, brain.load.router_count(now))
 }
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -169,10 +169,12 @@
             let admitted = time::timeout_at(self.request.deadline, self.admit()).await;
             let flight = match admitted {
                 Ok(Admission::Send(flight)) => flight,
-                Ok(Admission::Refuse { retry_after, has_no_target }) => {
-                    let reason = if has_no_target { Reason::NoTarget } else { Reason::Overload };
+                Ok(Admission::Refuse(refused)) => {
+                    self.story.turned_away(&refused);
+                    let none = refused.has_no_target;
+                    let reason = if none { Reason::NoTarget } else { Reason::Overload };
                     let reason = last_reason.filter(|_| is_repeat).unwrap_or(reason);
-                    return self.refuse(reason, Some(spread(retry_after)));
+                    return self.refuse(reason, Some(spread(refused.retry_after)));
                 }
                 Err(_) => return self.refuse(last_reason.unwrap_or(Reason::TooLate), None),
             };
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -11,7 +11,8 @@
 //! [`decisions`] writes the log, [`brain`] holds what is believed, [`follow`] and [`exchange`] feed
 //! it, [`queue`] decides which request goes next, [`upstream`] sends one, [`attempt`], [`whole`],
 //! [`events`] and [`relay`] bring answers back, [`handle`] leads a request through all of it and
-//! [`story`] tells what became of it, [`serve`] accepts callers.
+//! [`story`] tells what became of it, [`serve`] accepts callers, [`strain`] notices that the traffic thread
+//! falls behind.
 
 use std::fs;
 use std::io;
@@ -43,6 +44,7 @@
 pub mod reply;
 pub mod serve;
 pub mod story;
+pub mod strain;
 pub mod upstream;
 pub mod whole;
 
@@ -114,6 +116,8 @@
     pub phase: watch::Sender<Phase>,
     /// Requests in progress.
     pub open_requests: atomic::AtomicUsize,
+    /// Whether the traffic thread falls behind.
+    pub is_strained: atomic::AtomicBool,
 }
 
 impl Context {
@@ -128,9 +132,11 @@
         *self.phase.borrow()
     }
 
-    /// Whether new callers are welcome.
+    /// Whether new callers are welcome. A router that falls behind leaves them to others, which have
+    /// processor time to spare.
     pub fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.brain().can_serve()
+        let is_strained = self.is_strained.load(atomic::Ordering::Relaxed);
+        self.phase() == Phase::Serving && !is_strained && self.brain().can_serve()
     }
 }
 
@@ -173,13 +179,14 @@
         metrics: operators::Metrics::new(),
         phase: watch::Sender::new(Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
+        is_strained: atomic::AtomicBool::new(false),
     });
     context.log.state(json!({
         "event": "start", "zone": &*context.zone,
         "incarnation": context.incarnation, "callers_addr": addrs.callers.to_string(),
     }));
     let traffic_context = context.clone();
-    let max_connections = max_connections(settings.callers.max_files);
+    let max_connections = max_connections(&settings.callers);
     let traffic = thread::Builder::new().name("traffic".to_string()).spawn(move || {
         traffic_context
             .metrics
@@ -195,11 +202,19 @@
     Ok(())
 }
 
-/// Connections of callers that fit beside those to targets and a reserve for files.
-fn max_connections(max_files: u32) -> usize {
+/// Connections of callers that fit into the descriptors, beside those to targets and a reserve for
+/// files, and into the memory.
+fn max_connections(callers: &edge::EdgeCallers) -> usize {
     /// Descriptors that the platform keeps for files.
     const RESERVED_FILES: u32 = 200;
-    (max_files.saturating_sub(RESERVED_FILES) as usize * 2 / 3).max(1)
+    /// Part of the memory that callers' connections may take.
+    const MEMORY_PART: f64 = 0.4;
+    /// Memory of a connection with a request that waits or is answered: 36 KB measured, as the peak
+    /// of a flooded router over its open files.
+    const CONNECTION_BYTES: f64 = 40e3;
+    let by_files = callers.max_files.saturating_sub(RESERVED_FILES) as usize * 2 / 3;
+    let by_memory = f64::from(callers.memory_mb) * 1e6 * MEMORY_PART / CONNECTION_BYTES;
+    by_files.min(by_memory as usize).max(1)
 }
 
 struct Addrs {
@@ -250,10 +265,11 @@
     tokio::spawn(follow::targets(context.clone(), store));
     let addr = reports.local_addr()?;
     let socket = Arc::new(tokio::net::UdpSocket::from_std(reports)?);
-    let me = peers::Peer { addr, incarnation: context.incarnation };
+    let (incarnation, zone) = (context.incarnation, context.zone.to_string());
+    let me = peers::Peer { addr, incarnation, zone };
     let known = exchange::Peers::default();
     tokio::spawn(follow::routers(context.clone(), store, me, known.clone()));
-    tokio::spawn(exchange::receive(context.clone(), socket.clone()));
+    tokio::spawn(exchange::receive(context.clone(), socket.clone(), known.clone()));
     tokio::spawn(exchange::send(context.clone(), socket, known));
     tokio::spawn(operators::serve(context.clone(), operators));
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::report::Hash;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 
 use super::Context;
-use super::brain::{Ask, Decision, Placed};
+use super::brain::{Ask, Decision, Placed, Refused};
 
 /// Time between two looks at requests that wait: a small part of the shortest latency target.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
@@ -56,12 +57,7 @@
     /// The request goes to a target.
     Send(Flight),
     /// The request is refused.
-    Refuse {
-        /// Time after which it is likely to be served.
-        retry_after: Duration,
-        /// Whether no target was there at all.
-        has_no_target: bool,
-    },
+    Refuse(Refused),
 }
 
 struct Waiting {
@@ -84,19 +80,28 @@
 
     /// Waits until the request goes to a target or is refused.
     pub async fn admit(&self, ask: Ask) -> Admission {
-        let refused = Admission::Refuse { retry_after: FULL_RETRY_AFTER, has_no_target: false };
         if self.is_full() && !self.make_room(&ask) {
-            return refused;
+            return self.no_room(ask.team);
         }
         // Those that wait have been looked at a moment ago.
         let decision = self.context.brain().decide(&ask, &self.context.zone, Instant::now());
         if let Some(decision) = decision {
             return self.admission(decision);
         }
+        let team = ask.team;
         let (answer, admitted) = oneshot::channel();
         self.waiting.borrow_mut().push(Waiting { ask, answer });
         self.wake.notify_one();
-        admitted.await.unwrap_or(refused)
+        admitted.await.unwrap_or_else(|_| self.no_room(team))
+    }
+
+    fn no_room(&self, team: Hash) -> Admission {
+        Admission::Refuse(Refused {
+            retry_after: FULL_RETRY_AFTER,
+            has_no_target: false,
+            share_ratio: self.context.brain().shares.ratio(team),
+            backlog_ms: 0.0,
+        })
     }
 
     fn is_full(&self) -> bool {
@@ -177,9 +182,7 @@
                 let context = self.context.clone();
                 Admission::Send(Flight { context, placed, unread_tokens })
             }
-            Decision::Refuse { retry_after, has_no_target } => {
-                Admission::Refuse { retry_after, has_no_target }
-            }
+            Decision::Refuse(refused) => Admission::Refuse(refused),
         }
     }
 }
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -22,7 +22,7 @@
 
 use super::queue::Queue;
 use super::upstream::Upstream;
-use super::{Context, Phase, handle};
+use super::{Context, Phase, handle, strain};
 
 /// Wait after an accept that failed, as it does when file descriptors run out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -104,6 +104,7 @@
     let traffic = Rc::new(traffic);
     let tidied = traffic.clone();
     task::spawn_local(async move { tidied.upstream.tidy().await });
+    task::spawn_local(strain::watch(context.clone()));
     task::spawn_local(answer_balancer(context.clone(), TcpListener::from_std(readiness)?));
     let callers = TcpListener::from_std(callers)?;
     let mut phase = context.phase.subscribe();
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use super::brain::Refused;
 use super::queue::Flight;
 use super::{Context, decisions, operators};
 
@@ -20,6 +21,7 @@
     config_version: u64,
     flow: Option<Arc<operators::Flow>>,
     sends: Vec<Value>,
+    refused: Option<Refused>,
     first_ms: Option<u64>,
     outcome: &'static str,
     status: u16,
@@ -40,6 +42,7 @@
             config_version: 0,
             flow: None,
             sends: Vec::new(),
+            refused: None,
             first_ms: None,
             outcome: "caller-left",
             status: 0,
@@ -72,6 +75,11 @@
         }));
     }
 
+    /// Notes what turned the request away.
+    pub fn turned_away(&mut self, refused: &Refused) {
+        self.refused = Some(*refused);
+    }
+
     /// Notes how the last sending ended.
     pub fn send_ended(&mut self, result: &str) {
         if let Some(send) = self.sends.last_mut().and_then(Value::as_object_mut) {
@@ -115,6 +123,10 @@
                 "first_ms": self.first_ms, "whole_ms": whole.as_millis() as u64,
                 "outcome": self.outcome, "status": self.status,
             });
+            if let Some(refused) = &self.refused {
+                line["share"] = ((refused.share_ratio * 1e3).round() / 1e3).into();
+                line["backlog_ms"] = (refused.backlog_ms as u64).into();
+            }
             if !self.detail.is_empty() {
                 line["detail"] = self.detail.as_str().into();
             }
--- /dev/null
+++ b/daemon/src/edge/strain.rs
@@ -0,0 +1,77 @@
+//! Notices that the traffic thread falls behind, so that new callers go to other routers.
+//!
+//! Load pattern: the balancer sends one team's flood to one small host. What it can't serve in time
+//! it can't even refuse in time, while its neighbours have processor time to spare.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::{self, Instant};
+
+use super::Context;
+
+/// Time between two samples of the lag.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Lag that counts at most for one sample: a process that stood still once isn't overloaded.
+const MAX_SAMPLE: Duration = Duration::from_millis(300);
+
+/// Part by which a sample changes the mean.
+const STEP: f64 = 0.15;
+
+/// Mean lag from which new callers go elsewhere: a tenth of the shortest usual latency target.
+const STRAINED_LAG: Duration = Duration::from_millis(80);
+
+/// Mean lag below which they may come back.
+const RELIEVED_LAG: Duration = Duration::from_millis(15);
+
+/// Least time without new callers: the balancer takes two seconds to notice, and a flood of which all
+/// callers come back at once would bring the lag back.
+const MIN_STRAIN: Duration = Duration::from_secs(5);
+
+/// Whether a thread falls behind, by how late its timers are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Strain {
+    mean_lag_s: f64,
+    since: Option<Instant>,
+}
+
+impl Strain {
+    /// Takes a sample of the lag; returns whether the thread falls behind.
+    pub fn sample(&mut self, lag: Duration, now: Instant) -> bool {
+        self.mean_lag_s += (lag.min(MAX_SAMPLE).as_secs_f64() - self.mean_lag_s) * STEP;
+        match self.since {
+            None if self.mean_lag_s > STRAINED_LAG.as_secs_f64() => self.since = Some(now),
+            Some(since)
+                if self.mean_lag_s < RELIEVED_LAG.as_secs_f64() && now >= since + MIN_STRAIN =>
+            {
+                self.since = None;
+            }
+            _ => {}
+        }
+        self.since.is_some()
+    }
+
+    /// Mean lag of the last samples.
+    pub fn mean_lag(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_lag_s.max(0.0))
+    }
+}
+
+/// Watches the thread that it runs on; never returns.
+pub async fn watch(context: Arc<Context>) {
+    let mut strain = Strain::default();
+    loop {
+        let due_at = Instant::now() + SAMPLE_INTERVAL;
+        time::sleep_until(due_at).await;
+        let now = Instant::now();
+        let is_strained = strain.sample(now.saturating_duration_since(due_at), now);
+        if context.is_strained.swap(is_strained, Ordering::Relaxed) != is_strained {
+            let outcome = if is_strained { "not ready" } else { "ready again" };
+            let lag_ms = strain.mean_lag().as_millis() as u64;
+            context.log.state(json!({ "event": "strain", "outcome": outcome, "lag_ms": lag_ms }));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/tests/edge_exchange.rs
@@ -0,0 +1,121 @@
+//! When reports between routers go out, where they go, and when a router falls behind.
+
+use std::net;
+use std::time::Duration;
+
+use gentianhinge_platform::peers;
+use gentianhinged::edge::exchange::{Parts, Peers, Schedule};
+use gentianhinged::edge::strain::Strain;
+use tokio::time::{self, Instant};
+
+macro_rules! cases {
+    ($($name:ident: $body:block,)*) => {
+        $(#[tokio::test(start_paused = true)] async fn $name() $body)*
+    };
+}
+
+fn addr(number: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 9_000 + number))
+}
+
+/// Routers by zone: so many in each, with addresses counted on.
+fn fleet(zones: &[(&str, u16)]) -> Peers {
+    let peers = Peers::default();
+    let mut number = 0;
+    for (zone, count) in zones {
+        for _ in 0..*count {
+            let zone = zone.to_string();
+            let peer = peers::Peer { addr: addr(number), incarnation: 1, zone };
+            peers.set(&format!("router-{number:03}"), Some(peer));
+            number += 1;
+        }
+    }
+    peers
+}
+
+/// Reports of one minute, each of `report_bytes` to one router: how many held sums, how many were
+/// full, and the bytes sent to all.
+async fn minute(router_count: usize, report_bytes: usize, full_bytes: usize) -> (u32, u32, usize) {
+    let mut schedule = Schedule::new(Instant::now());
+    let ends_at = Instant::now() + Duration::from_secs(60);
+    let (mut sums, mut full, mut bytes) = (0, 0, 0);
+    while Instant::now() < ends_at {
+        time::sleep_until(schedule.next_at).await;
+        let parts = schedule.parts(Instant::now());
+        sums += u32::from(parts.has_sums);
+        full += u32::from(parts.is_full);
+        let len = if parts.is_full { full_bytes } else { report_bytes };
+        schedule.sent(parts, len * router_count, Instant::now());
+        bytes += len * router_count;
+    }
+    (sums, full, bytes)
+}
+
+/// Samples of one lag, for a time; returns whether the thread falls behind at the end.
+async fn lag(strain: &mut Strain, lag: Duration, span: Duration) -> bool {
+    let ends_at = Instant::now() + span;
+    let mut is_strained = false;
+    while Instant::now() < ends_at {
+        time::advance(Duration::from_millis(50) + lag).await;
+        is_strained = strain.sample(lag, Instant::now());
+    }
+    is_strained
+}
+
+cases! {
+    a_small_fleet_reports_to_each_router_itself: {
+        let receivers = fleet(&[("a", 3), ("b", 4)]).receivers("a", 1);
+        assert_eq!(receivers.direct.len(), 7);
+        assert!(receivers.relays.is_empty());
+    },
+    a_large_zone_hears_through_one_of_its_routers_and_each_report_takes_another: {
+        let peers = fleet(&[("a", 20), ("b", 20), ("c", 20)]);
+        let first = peers.receivers("a", 1);
+        assert_eq!(first.direct, (0..20).map(addr).collect::<Vec<_>>());
+        assert_eq!(first.relays.len(), 2);
+        let mut relays = (1..=20).map(|seq| peers.receivers("a", seq).relays[0]).collect::<Vec<_>>();
+        relays.sort_unstable();
+        assert_eq!(relays, (20..40).map(addr).collect::<Vec<_>>());
+    },
+    a_router_that_tells_no_zone_hears_directly: {
+        let receivers = fleet(&[("a", 1), ("", 20)]).receivers("a", 1);
+        assert_eq!(receivers.direct.len(), 21);
+    },
+    a_router_that_is_gone_gets_no_reports: {
+        let peers = fleet(&[("a", 2)]);
+        peers.set("router-000", None);
+        assert_eq!(peers.receivers("a", 1).direct, [addr(1)]);
+    },
+    sums_come_within_a_second_however_large_the_fleet: {
+        // 70 routers, 200 bytes of changes, 2,000 bytes of all targets: full reports alone would
+        // take more than all the bytes, and left teams' shares seconds old.
+        let (sums, full, bytes) = minute(69, 200, 2_000).await;
+        assert!(sums >= 60, "{sums} reports with sums");
+        assert!((5..30).contains(&full), "{full} full reports");
+        assert!(bytes as f64 <= 60.0 * 65_000.0, "{bytes} bytes");
+    },
+    a_small_fleet_sends_all_that_changes_at_once: {
+        let (sums, full, _) = minute(7, 150, 600).await;
+        assert!(sums >= 120, "{sums}");
+        assert!(full >= 100, "{full}");
+    },
+    a_report_without_anything_new_waits_for_the_sums: {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(now);
+        let parts = schedule.parts(now);
+        assert_eq!(parts, Parts { has_sums: true, is_full: true });
+        schedule.sent(parts, 100, now);
+        assert_eq!(schedule.parts(schedule.next_at), Parts { has_sums: false, is_full: false });
+    },
+    a_thread_that_is_late_all_the_time_falls_behind_and_recovers: {
+        let mut strain = Strain::default();
+        assert!(!lag(&mut strain, Duration::from_millis(5), Duration::from_secs(5)).await);
+        assert!(lag(&mut strain, Duration::from_millis(200), Duration::from_secs(3)).await);
+        assert!(lag(&mut strain, Duration::from_millis(1), Duration::from_secs(2)).await, "too soon");
+        assert!(!lag(&mut strain, Duration::from_millis(1), Duration::from_secs(5)).await);
+    },
+    a_process_that_stood_still_once_is_no_thread_that_falls_behind: {
+        let mut strain = Strain::default();
+        assert!(!strain.sample(Duration::from_secs(4), Instant::now()));
+    },
+}
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -12,6 +12,7 @@
   isFull @7 :Bool;                  # targets that aren't listed have no load of the sender
   configOffset @8 :UInt64;          # offset behind the last record read of the configuration
   targetsOffset @9 :UInt64;         # the same of the targets
+  toZone @10 :Bool;                 # the receiver passes it on to the other routers of its zone
 }
 
 struct TargetLoad {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -58,6 +58,7 @@
     builder.set_is_full(report.is_full);
     builder.set_config_offset(report.offsets.config);
     builder.set_targets_offset(report.offsets.targets);
+    builder.set_to_zone(report.to_zone);
     let mut targets = builder.reborrow().init_targets(report.targets.len() as u32);
     for (i, line) in report.targets.iter().enumerate() {
         let mut target = targets.reborrow().get(i as u32);
@@ -115,6 +116,7 @@
         services: services.collect(),
         kept: kept.collect(),
         is_full: reader.get_is_full(),
+        to_zone: reader.get_to_zone(),
         offsets: report::Offsets {
             config: reader.get_config_offset(),
             targets: reader.get_targets_offset(),
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -63,6 +63,7 @@
         kept: vec![report::KeptPart { target: 1 << 60, part: 77 }],
         is_full: true,
         offsets: report::Offsets { config: 12, targets: 340 },
+        to_zone: true,
     }
 }
 
