Sums of teams have bytes of their own; parts of one request are no news

Their reports held news of two kept parts for each request, 3 KB to each of 69 routers, and the time that these bytes paid for delayed the sums. The last part of a prompt is of no use to others and isn't told any more; changes, sums and full reports each have bytes of their own.

--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -90,8 +90,10 @@
         let load = self.own.entry(target).or_default();
         load.unread_tokens += f64::from(unread_tokens);
         load.running_count += 1.0;
-        for part in &prompt.parts {
-            if !self.keeps(target, part.id) {
+        // The last part is of no use to the others: its session comes to this router again.
+        let shared_count = prompt.parts.len().saturating_sub(1);
+        for (i, part) in prompt.parts.iter().enumerate() {
+            if i < shared_count && !self.keeps(target, part.id) {
                 self.news.push(report::KeptPart { target, part: part.id });
             }
             self.keep(target, part.id, now);
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -25,12 +25,18 @@
 const FULL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Bytes that the other routers get from this one in a second; in a large fleet reports get rarer.
-const MAX_SENT_BYTES_PER_S: f64 = 60_000.0;
+const MAX_SENT_BYTES_PER_S: f64 = 90_000.0;
 
 /// Part of these bytes that reports of all targets take at most. They only make good what was lost,
 /// and must not crowd out what changes.
 const FULL_PART: f64 = 0.3;
 
+/// Part of these bytes that sums of teams and services take at most.
+const SUMS_PART: f64 = 0.3;
+
+/// Part that is left to targets whose load has changed, and to news of kept parts.
+const CHANGES_PART: f64 = 1.0 - FULL_PART - SUMS_PART;
+
 /// Routers of another zone from which on a report goes to one of them, which passes it on: bytes
 /// between zones cost, and in a small fleet a lost relay would be missed.
 const MIN_RELAYED_ROUTERS: usize = 6;
@@ -126,7 +132,7 @@
     let mut seq = 0;
     let mut router_count = 0;
     loop {
-        time::sleep_until(schedule.next_at).await;
+        time::sleep_until(schedule.next_at()).await;
         seq += 1;
         let now = Instant::now();
         let parts = schedule.parts(now);
@@ -167,48 +173,63 @@
     datagram.len()
 }
 
-/// What a report holds besides the targets whose load has changed.
+/// What a report holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Parts {
+    /// Targets whose load has changed, and news of kept parts.
+    pub has_changes: bool,
     /// Teams and services.
     pub has_sums: bool,
     /// All targets with load.
     pub is_full: bool,
 }
 
-/// When reports are due, and how much each holds.
+/// When reports are due, and what each holds. Each part has bytes of its own, so that none waits for
+/// another.
 #[derive(Debug)]
 pub struct Schedule {
-    /// When the next report is due.
-    pub next_at: Instant,
+    changes_at: Instant,
     sums_at: Instant,
     full_at: Instant,
 }
 
 impl Schedule {
-    /// Creates a schedule whose first report is full.
+    /// Creates a schedule whose first report holds everything.
     pub fn new(now: Instant) -> Schedule {
-        Schedule { next_at: now + REPORT_INTERVAL, sums_at: now, full_at: now }
+        let first_at = now + REPORT_INTERVAL;
+        Schedule { changes_at: first_at, sums_at: first_at, full_at: first_at }
+    }
+
+    /// When the next report is due.
+    pub fn next_at(&self) -> Instant {
+        self.changes_at.min(self.sums_at)
     }
 
     /// What a report holds that is sent now.
     pub fn parts(&self, now: Instant) -> Parts {
-        Parts { has_sums: now >= self.sums_at, is_full: now >= self.full_at }
+        let has_changes = now >= self.changes_at;
+        Parts {
+            has_changes,
+            has_sums: now >= self.sums_at,
+            is_full: has_changes && now >= self.full_at,
+        }
     }
 
-    /// Notes a report that takes `sent_bytes` over all receivers.
+    /// Notes a report of `parts` that takes `sent_bytes` over all receivers.
     pub fn sent(&mut self, parts: Parts, sent_bytes: usize, now: Instant) {
         let time_at =
             |part: f64| Duration::from_secs_f64(sent_bytes as f64 / (MAX_SENT_BYTES_PER_S * part));
         if parts.has_sums {
-            self.sums_at = now + SUMS_INTERVAL;
+            self.sums_at = now + SUMS_INTERVAL.max(time_at(SUMS_PART));
         }
         if parts.is_full {
-            // Paid for over the time until the next full one.
             self.full_at = now + FULL_INTERVAL.max(time_at(FULL_PART));
-            self.next_at = now + REPORT_INTERVAL;
-        } else {
-            self.next_at = now + REPORT_INTERVAL.max(time_at(1.0 - FULL_PART));
+        }
+        if parts.has_changes {
+            // A full report is paid for over the time until the next one.
+            let is_small = parts.is_full || parts.has_sums;
+            let pause = if is_small { Duration::ZERO } else { time_at(CHANGES_PART) };
+            self.changes_at = now + REPORT_INTERVAL.max(pause);
         }
     }
 }
@@ -225,10 +246,10 @@
         sender: context.name.clone(),
         incarnation: context.incarnation,
         seq,
-        targets: brain.load.own_lines(parts.is_full),
+        targets: if parts.has_changes { brain.load.own_lines(parts.is_full) } else { Vec::new() },
         teams: if parts.has_sums { brain.shares.own_lines(now) } else { Vec::new() },
         services: if parts.has_sums { brain.repeats.own_lines(now) } else { Vec::new() },
-        kept: brain.load.take_news(),
+        kept: if parts.has_changes { brain.load.take_news() } else { Vec::new() },
         is_full: parts.is_full,
         offsets: brain.offsets,
         to_zone: false,
