--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -4,6 +4,10 @@
 //! what is sent early makes everything behind it late. Requests wait at their router instead, and
 //! are sent when their target will begin them soon: first those that can still be on time, of the
 //! most urgent kind, of teams below their share.
+//!
+//! Load pattern: a large team sends through all routers, a smaller one through a single router. Each
+//! router finds some idle target at some moment, so the large team would get most of what frees. The
+//! more a team is above its share, the idler the whole fleet must be before it gets more.
 
 use std::time::Duration;
 
@@ -18,8 +22,15 @@
     pub urgency_factor: f64,
     /// Factor on the threshold for a request that can't be on time any more.
     pub late_factor: f64,
-    /// Factor on the threshold for a team above its share.
-    pub over_share_factor: f64,
+    /// Ratio of a team's share from which its threshold falls.
+    pub free_share: f64,
+    /// Factor on the threshold for a team that has got its share.
+    pub full_share_factor: f64,
+    /// Ratio of a team's share from which it gets only targets with nothing to read.
+    pub last_share: f64,
+    /// Mean unread work of all targets, in ms, up to which a team gets more that has got twice its
+    /// share. With other ratios it falls as the excess grows.
+    pub double_share_mean_ms: f64,
     /// Longest wait at the router.
     pub max_wait: Duration,
     /// Factor on the longest wait for a team above its share.
@@ -32,7 +43,10 @@
             threshold_ms: 400.0,
             urgency_factor: 0.6,
             late_factor: 0.03,
-            over_share_factor: 0.1,
+            free_share: 0.6,
+            full_share_factor: 0.15,
+            last_share: 1.8,
+            double_share_mean_ms: 40.0,
             max_wait: Duration::from_millis(500),
             over_share_wait_factor: 0.5,
         }
@@ -46,10 +60,29 @@
             threshold_ms: f64::INFINITY,
             urgency_factor: 1.0,
             late_factor: 1.0,
-            over_share_factor: 1.0,
+            free_share: f64::INFINITY,
+            double_share_mean_ms: f64::INFINITY,
             ..Policy::default()
         }
     }
+
+    /// Factor on the threshold for a team that has got this ratio of its share.
+    pub fn share_factor(&self, ratio: f64) -> f64 {
+        let between = |from: f64, to: f64| ((ratio - from) / (to - from)).clamp(0.0, 1.0);
+        if ratio <= self.free_share {
+            1.0
+        } else if ratio <= OVER_SHARE {
+            1.0 - (1.0 - self.full_share_factor) * between(self.free_share, OVER_SHARE)
+        } else {
+            self.full_share_factor * (1.0 - between(OVER_SHARE, self.last_share))
+        }
+    }
+
+    /// Whether the fleet is idle enough for a team that has got this ratio of its share.
+    fn has_idle_fleet(&self, ratio: f64, mean_wait_ms: f64) -> bool {
+        ratio <= OVER_SHARE
+            || mean_wait_ms * (ratio - OVER_SHARE) <= self.double_share_mean_ms * OVER_SHARE
+    }
 }
 
 /// A request that waits.
@@ -76,6 +109,8 @@
     pub read_ms: f64,
     /// Whether the target has a free slot.
     pub has_slot: bool,
+    /// Mean over all targets of the time until they have read what was sent.
+    pub mean_wait_ms: f64,
 }
 
 /// What to do with a request now.
@@ -126,10 +161,9 @@
         if !waiter.can_be_on_time(outlook, now) {
             threshold_ms *= policy.late_factor;
         }
-        if is_over {
-            threshold_ms *= policy.over_share_factor;
-        }
-        if outlook.has_slot && outlook.wait_ms <= threshold_ms {
+        threshold_ms *= policy.share_factor(waiter.share_ratio);
+        let is_idle = policy.has_idle_fleet(waiter.share_ratio, outlook.mean_wait_ms);
+        if outlook.has_slot && outlook.wait_ms <= threshold_ms && is_idle {
             return Verdict::Send;
         }
     }
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -73,6 +73,8 @@
     pub load: Load,
     /// Whether the target has a free slot.
     pub has_slot: bool,
+    /// Mean over all candidates of the time until they have read what was sent.
+    pub mean_wait_ms: f64,
 }
 
 /// Chooses the target for a request with a prompt.
@@ -86,7 +88,8 @@
 ) -> Option<Choice> {
     let home = prompt.home_part().map(|part| part.id);
     let is_at_home = home.is_none_or(|part| candidates.iter().any(|c| view.keeps(c.hash, part)));
-    let miss_factor = miss_factor(candidates, view, weights);
+    let mean_wait_ms = mean_wait_ms(candidates, view, weights);
+    let miss_factor = miss_factor(mean_wait_ms, weights);
     let mut best: Option<(f64, Choice)> = None;
     for (at, candidate) in candidates.iter().enumerate() {
         let load = view.load(candidate.hash);
@@ -104,7 +107,16 @@
             cost_ms += weights.home_rank_ms * rendezvous_rank(candidate.hash, part);
         }
         let has_slot = load.running_count < candidate.slots;
-        let choice = Choice { at, wait_ms, read_ms, unread_tokens, missed_tokens, load, has_slot };
+        let choice = Choice {
+            at,
+            wait_ms,
+            read_ms,
+            unread_tokens,
+            missed_tokens,
+            load,
+            has_slot,
+            mean_wait_ms,
+        };
         let is_better = best
             .as_ref()
             .is_none_or(|(least_ms, chosen)| (!has_slot, cost_ms) < (!chosen.has_slot, *least_ms));
@@ -115,11 +127,14 @@
     best.map(|(_, choice)| choice)
 }
 
-/// What reading a shared part again costs now, as a multiple of the time to read it.
-fn miss_factor(candidates: &[Candidate<'_>], view: &LoadView, weights: &Weights) -> f64 {
+fn mean_wait_ms(candidates: &[Candidate<'_>], view: &LoadView, weights: &Weights) -> f64 {
     let unread_tokens = candidates.iter().map(|c| view.load(c.hash).unread_tokens).sum::<f64>();
-    let mean_ms = unread_tokens / weights.read_tokens_per_ms / candidates.len().max(1) as f64;
-    let busy_part = (mean_ms / weights.busy_ms).min(1.0);
+    unread_tokens / weights.read_tokens_per_ms / candidates.len().max(1) as f64
+}
+
+/// What reading a shared part again costs now, as a multiple of the time to read it.
+fn miss_factor(mean_wait_ms: f64, weights: &Weights) -> f64 {
+    let busy_part = (mean_wait_ms / weights.busy_ms).min(1.0);
     weights.idle_miss_factor + (weights.busy_miss_factor - weights.idle_miss_factor) * busy_part
 }
 
@@ -146,6 +161,7 @@
             missed_tokens: 0,
             load,
             has_slot,
+            mean_wait_ms: 0.0,
         };
         (cost, choice)
     });
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -21,7 +21,7 @@
 }
 
 fn outlook(wait_ms: f64) -> Outlook {
-    Outlook { wait_ms, read_ms: 90.0, has_slot: true }
+    Outlook { wait_ms, read_ms: 90.0, has_slot: true, mean_wait_ms: wait_ms }
 }
 
 fn decide(waiter: &Waiter, wait_ms: f64, now: Instant) -> Verdict {
@@ -38,6 +38,58 @@
     shares
 }
 
+/// Tokens that two teams get in some seconds, together asking for four times what there is: one 240
+/// requests a second through 40 routers, the other 60 through one. Eight targets read 40 tokens in a
+/// millisecond; each router sees what the others have sent 300 ms late.
+fn two_hogs(policy: &Policy) -> [f64; 2] {
+    const STEP: Duration = Duration::from_millis(10);
+    const REQUEST_TOKENS: u32 = 4_000;
+    const ROUTERS: usize = 41;
+    let (mut now, mut shares) = (Instant::now(), Shares::new(WINDOW));
+    let mut unread_ms = [0.0_f64; 8];
+    let mut seen = std::collections::VecDeque::from(vec![unread_ms; 30]);
+    let mut own_ms = vec![[0.0_f64; 8]; ROUTERS];
+    let mut waiting = [0_u32; ROUTERS];
+    let mut got = [0.0; 2];
+    for step in 0..1_200_usize {
+        if step % 40 == 0 {
+            shares.recompute(0.0, now);
+        }
+        let old = seen[0];
+        // Another router has its turn first in each step.
+        for router in (0..ROUTERS).map(|i| (i * 7 + step * 13) % ROUTERS) {
+            let team = u64::from(router == 0);
+            let requests_per_s = if router == 0 { 60 } else { 6 };
+            if (step * requests_per_s + router * 37) % 100 < requests_per_s {
+                shares.ask(team, REQUEST_TOKENS, now);
+                waiting[router] = (waiting[router] + 1).min(20);
+            }
+            if waiting[router] == 0 {
+                continue;
+            }
+            let view = |at: usize| old[at] + own_ms[router][at];
+            let at = (0..8).min_by(|a, b| view(*a).total_cmp(&view(*b))).unwrap();
+            let mean_wait_ms = (0..8).map(view).sum::<f64>() / 8.0;
+            let outlook = Outlook { wait_ms: view(at), mean_wait_ms, ..outlook(0.0) };
+            let waiter = Waiter { share_ratio: shares.ratio(team), ..waiter(now) };
+            if hold::decide(policy, &waiter, Some(&outlook), now) == Verdict::Send {
+                shares.begin(team, REQUEST_TOKENS, now);
+                waiting[router] -= 1;
+                unread_ms[at] += 100.0;
+                own_ms[router][at] += 100.0;
+                got[team as usize] += f64::from(REQUEST_TOKENS);
+            }
+        }
+        for ms in unread_ms.iter_mut().chain(own_ms.iter_mut().flatten()) {
+            *ms = (*ms - 10.0).max(0.0);
+        }
+        seen.push_back(unread_ms);
+        seen.pop_front();
+        now += STEP;
+    }
+    got
+}
+
 macro_rules! cases {
     ($($name:ident: $body:expr,)*) => { $(
         #[test]
@@ -54,6 +106,33 @@
         let now = Instant::now();
         assert_eq!(decide(&waiter(now), 600.0, now), Verdict::Wait);
     },
+    a_team_at_one_router_gets_at_least_half_of_what_one_at_all_routers_gets: {
+        let [all, one] = two_hogs(&Policy::default());
+        assert!(one >= all / 2.0, "{one} of {all}");
+        // A step at the share, whatever the excess and the load of the fleet, doesn't do.
+        let step = Policy {
+            free_share: 1.0,
+            full_share_factor: 0.1,
+            last_share: f64::INFINITY,
+            double_share_mean_ms: f64::INFINITY,
+            ..Policy::default()
+        };
+        let [all, one] = two_hogs(&step);
+        assert!(one < all / 2.0, "{one} of {all}");
+    },
+    the_threshold_falls_as_a_team_gets_its_share: {
+        let policy = Policy::default();
+        let factors = [0.0, 0.6, 0.8, 1.0, 1.4, 1.8, 9.0].map(|ratio| policy.share_factor(ratio));
+        assert!(factors.windows(2).all(|pair| pair[0] >= pair[1]), "{factors:?}");
+        assert_eq!((factors[1], factors[5]), (1.0, 0.0));
+    },
+    a_team_far_above_its_share_gets_more_while_the_fleet_is_idle: {
+        let now = Instant::now();
+        let above = Waiter { share_ratio: 3.0, ..waiter(now) };
+        assert_eq!(decide(&above, 0.0, now), Verdict::Send);
+        let busy = Outlook { mean_wait_ms: 100.0, ..outlook(0.0) };
+        assert_eq!(hold::decide(&Policy::default(), &above, Some(&busy), now), Verdict::Wait);
+    },
     the_less_urgent_kind_waits_first: {
         let now = Instant::now();
         let less_urgent = Waiter { urgency_step: 1, ..waiter(now) };
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -71,6 +71,8 @@
     pub share_ratio: f64,
     /// Unread work at the best target, in ms.
     pub backlog_ms: f64,
+    /// Mean unread work of all targets, in ms.
+    pub mean_backlog_ms: f64,
 }
 
 /// What to do with a request that needn't wait any longer.
@@ -196,6 +198,7 @@
             wait_ms: placed.choice.wait_ms,
             read_ms: placed.choice.read_ms,
             has_slot: placed.choice.has_slot,
+            mean_wait_ms: placed.choice.mean_wait_ms,
         });
         let waiter = self.waiter(ask);
         let policy = if ask.is_repeat { hold::Policy::for_repeats() } else { self.policy };
@@ -211,6 +214,7 @@
                 has_no_target: placed.is_none(),
                 share_ratio: waiter.share_ratio,
                 backlog_ms: outlook.map_or(0.0, |outlook| outlook.wait_ms),
+                mean_backlog_ms: outlook.map_or(0.0, |outlook| outlook.mean_wait_ms),
             })),
         }
     }
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -101,6 +101,7 @@
             has_no_target: false,
             share_ratio: self.context.brain().shares.ratio(team),
             backlog_ms: 0.0,
+            mean_backlog_ms: 0.0,
         })
     }
 
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -126,6 +126,7 @@
             if let Some(refused) = &self.refused {
                 line["share"] = ((refused.share_ratio * 1e3).round() / 1e3).into();
                 line["backlog_ms"] = (refused.backlog_ms as u64).into();
+                line["mean_backlog_ms"] = (refused.mean_backlog_ms as u64).into();
             }
             if !self.detail.is_empty() {
                 line["detail"] = self.detail.as_str().into();
