Long polls stretch with the fleet; an unreadable target is logged once

With 69 routers a poll is renewed somewhere each 0.1 s, and the reports tell the others. Targets are read at most each fifth of the drain bound.

--- a/daemon/src/edge/follow.rs
+++ b/daemon/src/edge/follow.rs
@@ -1,12 +1,14 @@
 //! Follows the topics of the store: configuration, targets, routers.
 
+use std::collections::HashSet;
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::ids::Name;
 use gentianhinge_core::registry::Change;
 use gentianhinge_core::report;
-use gentianhinge_platform::store::{Entries, Store, StoreError};
+use gentianhinge_platform::store::{Entries, Entry, Store, StoreError};
 use gentianhinge_platform::{config as platform_config, peers, registry};
 use rand::Rng;
 use serde_json::json;
@@ -29,14 +31,22 @@
 /// Longest pause after failed calls: half the time in which a configuration is to be in force.
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
 
-/// Pause between two reads of the targets, which may all write at once.
-const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+/// Part of the time in which a leaving target may still get requests that passes between two reads of
+/// the targets, which may all write at once.
+const TARGETS_PAUSE_PART: f64 = 0.2;
+
+/// Routers to each of which one long poll of the usual length is allowed at a time. Each renewed poll
+/// shows all of them, by their reports, whether the store has something new.
+const ROUTERS_PER_POLL: f64 = 8.0;
+
+/// Most by which a long poll is stretched in a large fleet.
+const MAX_POLL_FACTOR: f64 = 4.0;
 
 /// Pause between two reads of the routers, which all write at once when the fleet starts.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
 
 /// Longest wait for the next record of the routers; nothing hangs on its being soon.
-const ROUTERS_LONG_POLL: Duration = Duration::from_secs(10);
+const ROUTERS_LONG_POLL: Duration = Duration::from_secs(25);
 
 /// How to reach the store.
 #[derive(Clone, Copy, Debug)]
@@ -45,15 +55,33 @@
     pub addr: net::SocketAddr,
     /// Longest wait for an answer.
     pub timeout: Duration,
-    /// Longest wait of one read for the next record.
+    /// Longest wait of one read for the next record, in a small fleet.
     pub long_poll: Duration,
+    /// Pause between two reads of the targets.
+    pub targets_pause: Duration,
 }
 
 impl Settings {
     /// Settings for a store at `addr`.
-    pub fn new(addr: net::SocketAddr, timeout: Duration, config_apply: Duration) -> Settings {
+    pub fn new(
+        addr: net::SocketAddr,
+        timeout: Duration,
+        config_apply: Duration,
+        drain: Duration,
+    ) -> Settings {
         let long_poll = (config_apply * SILENCE_FACTOR).saturating_sub(timeout).max(timeout);
-        Settings { addr, timeout, long_poll }
+        let targets_pause = drain.mul_f64(TARGETS_PAUSE_PART);
+        Settings { addr, timeout, long_poll, targets_pause }
+    }
+
+    /// Longest wait of the next read, in a fleet of so many routers. They don't all renew their polls
+    /// at once.
+    pub fn next_poll(&self, router_count: usize) -> Duration {
+        let factor = (router_count as f64 / ROUTERS_PER_POLL).clamp(1.0, MAX_POLL_FACTOR);
+        if factor <= 1.0 {
+            return self.long_poll;
+        }
+        self.long_poll.mul_f64(factor * rand::rng().random_range(0.7..1.0))
     }
 }
 
@@ -211,7 +239,9 @@
     let mut follower =
         Follower::new(context.clone(), settings, platform_config::TOPIC, Some(offset_of));
     loop {
-        let (Step::All(read) | Step::More(read)) = follower.step(settings.long_poll).await;
+        let router_count = context.brain().load.router_count(Instant::now());
+        let wait = settings.next_poll(router_count);
+        let (Step::All(read) | Step::More(read)) = follower.step(wait).await;
         // An offset never goes back: a listing that ends earlier is stale.
         let next_offset = follower.next_offset.unwrap_or(0).max(read.next_offset);
         follower.next_offset = Some(next_offset);
@@ -258,22 +288,30 @@
 pub async fn targets(context: Arc<Context>, settings: Settings) {
     let offset_of: OffsetOf = |offsets| offsets.targets;
     let mut follower = Follower::new(context.clone(), settings, registry::TOPIC, Some(offset_of));
+    let mut unreadable = HashSet::new();
     loop {
-        let due_at = context.brain().registry.next_removal();
-        let until_due = due_at.map(|at| at.saturating_duration_since(Instant::now()));
-        let wait = until_due.unwrap_or(settings.long_poll).min(settings.long_poll);
+        let now = Instant::now();
+        let (due_at, router_count) = {
+            let brain = context.brain();
+            (brain.registry.next_removal(), brain.load.router_count(now))
+        };
+        let until_due = due_at.map(|at| at.saturating_duration_since(now));
+        let poll = settings.next_poll(router_count);
+        let wait = until_due.unwrap_or(poll).min(poll);
         let step = follower.step(wait).await;
         let now = Instant::now();
         if follower.is_back {
             context.brain().registry.resume_after_outage(now);
         }
         match step {
-            Step::All(listing) => apply_listing(&context, &mut follower, &listing, now),
+            Step::All(listing) => {
+                apply_listing(&context, &mut follower, &mut unreadable, &listing, now);
+            }
             Step::More(read) => {
                 follower.next_offset = Some(read.next_offset);
                 for entry in &read.entries {
                     let target = registry::decode(entry);
-                    count_unreadable(&context, entry, target.is_none());
+                    note_unreadable(&context, &mut unreadable, entry, target.is_none());
                     let mut brain = context.brain();
                     let before = brain.registry.get(&entry.key).cloned();
                     let change = brain.registry.apply(&entry.key, entry.offset, target, now);
@@ -287,14 +325,20 @@
         for id in gone {
             note_change(&context, &id, Change::Gone, None);
         }
-        time::sleep(TARGETS_PAUSE).await;
+        time::sleep(settings.targets_pause).await;
     }
 }
 
-fn apply_listing(context: &Context, follower: &mut Follower, listing: &Entries, now: Instant) {
+fn apply_listing(
+    context: &Context,
+    follower: &mut Follower,
+    unreadable: &mut HashSet<Name>,
+    listing: &Entries,
+    now: Instant,
+) {
     let targets = listing.entries.iter().filter_map(|entry| {
         let target = registry::decode(entry);
-        count_unreadable(context, entry, target.is_none());
+        note_unreadable(context, unreadable, entry, target.is_none());
         target
     });
     let targets = targets.collect();
@@ -316,13 +360,20 @@
     }
 }
 
-fn count_unreadable(
+/// Counts a record that names no usable target. It is logged once, though its target writes it again
+/// with each heartbeat.
+fn note_unreadable(
     context: &Context,
-    entry: &gentianhinge_platform::store::Entry,
+    unreadable: &mut HashSet<Name>,
+    entry: &Entry,
     is_unusable: bool,
 ) {
-    if is_unusable && entry.value.is_some() {
-        context.metrics.unreadable_records.increment(1);
+    if !is_unusable || entry.value.is_none() {
+        unreadable.remove(&*entry.key);
+        return;
+    }
+    context.metrics.unreadable_records.increment(1);
+    if unreadable.insert(entry.key.as_str().into()) {
         context.log.state(json!({
             "event": "target", "target": entry.key, "offset": entry.offset,
             "outcome": "record names no target that can be used",
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -260,7 +260,8 @@
     let store_addr = store_addr.unwrap_or(net::SocketAddr::from(([0, 0, 0, 0], 0)));
     let timeout = Duration::from_millis(settings.store.timeout_ms);
     let config_apply = Duration::from_millis(settings.bounds.config_apply_ms);
-    let store = follow::Settings::new(store_addr, timeout, config_apply);
+    let drain = Duration::from_millis(settings.bounds.drain_ms);
+    let store = follow::Settings::new(store_addr, timeout, config_apply, drain);
     tokio::spawn(follow::config(context.clone(), store));
     tokio::spawn(follow::targets(context.clone(), store));
     let addr = reports.local_addr()?;
