Bodies of the platform's store are generated from a schema

platform/schema/bodies.schema.json, by wire/regenerate.sh; the adapter decodes them into the product's types as before.

--- a/wire/generator/src/main.rs
+++ b/wire/generator/src/main.rs
@@ -1,4 +1,4 @@
-//! Writes the types of `wire/schema` to `wire/src/generated`.
+//! Writes the types of `wire/schema` to `wire/src/generated`, and those of `platform/schema`.
 
 use std::error;
 use std::fs;
@@ -6,14 +6,19 @@
 
 const SCHEMA_DIR: &str = "schema";
 const OUT_DIR: &str = "src/generated";
+/// What the platform's store holds; its names stand in that crate alone.
+const PLATFORM_SCHEMA: &str = "../platform/schema/bodies.schema.json";
+const PLATFORM_OUT: &str = "../platform/src/bodies.rs";
 const BOUNDS: [&str; 7] =
     ["minLength", "maxLength", "minimum", "maximum", "exclusiveMinimum", "minItems", "maxItems"];
 
 fn main() -> Result<(), Box<dyn error::Error>> {
     generate_messages()?;
-    generate_json("settings")?;
-    generate_json("edge")?;
-    generate_json("record")
+    for name in ["settings", "edge", "record"] {
+        let schema = path::Path::new(SCHEMA_DIR).join(format!("{name}.schema.json"));
+        generate_json(&schema, &path::Path::new(OUT_DIR).join(format!("{name}.rs")))?;
+    }
+    generate_json(path::Path::new(PLATFORM_SCHEMA), path::Path::new(PLATFORM_OUT))
 }
 
 /// Generates one module for each Cap'n Proto schema.
@@ -32,8 +37,8 @@
 }
 
 /// Generates the types of one JSON schema.
-fn generate_json(name: &str) -> Result<(), Box<dyn error::Error>> {
-    let text = fs::read_to_string(path::Path::new(SCHEMA_DIR).join(format!("{name}.schema.json")))?;
+fn generate_json(schema: &path::Path, out: &path::Path) -> Result<(), Box<dyn error::Error>> {
+    let text = fs::read_to_string(schema)?;
     let mut json = serde_json::from_str::<serde_json::Value>(&text)?;
     expand_defaults(&mut json);
     strip_bounds(&mut json);
@@ -41,7 +46,7 @@
     let mut space = typify::TypeSpace::new(typify::TypeSpaceSettings::default().with_struct_builder(false));
     space.add_root_schema(schema)?;
     let code = prettyplease::unparse(&syn::parse2(space.to_stream())?);
-    fs::write(path::Path::new(OUT_DIR).join(format!("{name}.rs")), code)?;
+    fs::write(out, code)?;
     Ok(())
 }
 
