--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -106,6 +106,7 @@
         for send in line["sends"].as_array().into_iter().flatten() {
             out += &sent(send);
         }
+        out += &turned_away(line);
         let outcome = text(line, "outcome");
         out += &format!("  +{whole_ms} ms: {outcome}, status {}\n", line["status"]);
         out += &format!("  meaning: {}\n", reply::meaning(outcome));
@@ -132,6 +133,16 @@
     )
 }
 
+/// What turned a request away; empty if nothing did.
+fn turned_away(line: &Value) -> String {
+    let Some(share) = line["share"].as_f64() else { return String::new() };
+    format!(
+        "  turned away: its team had {share:.2} of its fair share; {} ms of unread work at the best \
+         target, {} ms at the mean\n",
+        line["backlog_ms"], line["mean_backlog_ms"],
+    )
+}
+
 fn or_none(text: &str) -> &str {
     if text.is_empty() { "none" } else { text }
 }
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -49,6 +49,40 @@
     unknown_id: ["zz99"], 1, ["no line of these logs names zz99"];
 }
 
+/// A second and a half of a played day: what eight routers wrote, with some of their targets failing.
+fn played(id: &str) -> String {
+    let log = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../testdata/logs/played.log");
+    let (code, text) = explain(&[id, log.to_str().unwrap()]);
+    assert_eq!(code, Some(0), "{text}");
+    text
+}
+
+#[test]
+fn a_played_days_refusal_is_traced_to_its_teams_share() {
+    let text = played("f71dd7846c62bf9a");
+    assert!(text.contains("its team had 1.08 of its fair share"), "{text}");
+    assert!(
+        text.contains("114 ms of unread work at the best target, 212 ms at the mean"),
+        "{text}"
+    );
+    assert!(text.contains("+258 ms: overload, status 503"), "{text}");
+}
+
+#[test]
+fn a_played_days_cut_stream_is_traced_to_its_target() {
+    let text = played("efe3f06535c87695");
+    assert!(text.contains("sent to i-0db0702db8"), "{text}");
+    assert!(text.contains("time limit\n  +693 ms: stream-cut"), "{text}");
+}
+
+#[test]
+fn a_played_days_lost_outcome_is_traced_to_its_target() {
+    let text = played("7f711156fb03b4fc");
+    assert!(text.contains("sent to i-2f4fa44648"), "{text}");
+    assert!(text.contains(": 500\n"), "{text}");
+    assert!(text.contains("unknown-outcome, status 502"), "{text}");
+}
+
 #[test]
 fn logs_are_read_from_files() {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../testdata/logs/day.log");
