Counts of service have a lineage, told with virtual times; only within one do they compare

Cause of pair_restart_within_partition: all routers of one side restart without memory, so its dispatcher counts from 0; after the rejoin the new count was compared with the old one, and the restarted side's teams were served alone until they had had all that the others were ever served (119.9 s). A dispatcher now begins a lineage or goes on with the one that it first hears; times of another are passed over, and their teams are lifted as unknown ones are. Ruled out: translating by a team that both know (a router's list may be old for one team and fresh for another).

--- a/core/src/dispatch/grant.rs
+++ b/core/src/dispatch/grant.rs
@@ -7,6 +7,7 @@
 use super::session::{Line, SessionKey};
 use crate::ids::{GrantId, Name, RouterId};
 use crate::message::{Grant, GrantBatch, TeamVirtualTime};
+use crate::report;
 
 /// A team's virtual time is told with a grant no more often than this.
 ///
@@ -58,8 +59,14 @@
         let moves = std::mem::take(&mut session.moves);
         let virtual_times =
             grants.iter().filter_map(|grant| self.tell_virtual_time(&grant.flow.team)).collect();
-        let (dispatcher, cell) = (self.id.clone(), self.cell.clone());
-        Some((router, GrantBatch { dispatcher, cell, seq, grants, moves, virtual_times }))
+        let (dispatcher, cell, lineage) = (self.id.clone(), self.cell.clone(), self.lineage());
+        Some((router, GrantBatch { dispatcher, cell, seq, grants, moves, virtual_times, lineage }))
+    }
+
+    /// The count of service that this dispatcher goes on with, or begins.
+    fn lineage(&mut self) -> u64 {
+        let own = report::hash(&self.id.name, self.id.incarnation);
+        *self.lineage.get_or_insert(own)
     }
 
     fn tell_virtual_time(&mut self, team: &Name) -> Option<TeamVirtualTime> {
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -70,6 +70,8 @@
     /// Number of the last batch. It goes on from session to session, so that a late batch of an
     /// ended session can't hide those of the next one.
     batch_seq: u64,
+    /// Count of service that virtual times belong to; none before the first is told or heard.
+    lineage: Option<u64>,
 }
 
 /// A new dispatcher's wait for the routers that the one before it served.
@@ -100,6 +102,7 @@
             next_session: 0,
             next_grant: 1,
             batch_seq: 0,
+            lineage: None,
         }
     }
 
@@ -275,7 +278,11 @@
         self.unexpect(&report.router);
         self.clear_demand(key);
         self.clear_in_flight(key);
-        for line in &report.virtual_times {
+        let is_comparable = report.virtual_times.is_empty()
+            || *self.lineage.get_or_insert(report.lineage) == report.lineage;
+        // The numbers of another count, of routers that had all lost their memory, tell nothing here.
+        self.lift_due |= !is_comparable;
+        for line in report.virtual_times.iter().filter(|_| is_comparable) {
             let team = self.teams.index(&line.team, &self.table, self.now);
             let state = self.teams.get_mut(team);
             self.lift_due |= line.cost > state.account.settled();
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -99,6 +99,8 @@
     pub accounts: Vec<Account>,
     /// Virtual times last heard from a dispatcher; only if `full`.
     pub virtual_times: Vec<TeamVirtualTime>,
+    /// Which count of service they belong to; 0 if none was heard.
+    pub lineage: u64,
 }
 
 /// Leave to start one request.
@@ -201,4 +203,7 @@
     pub moves: Vec<Move>,
     /// Virtual times that have changed for teams of the receiving router.
     pub virtual_times: Vec<TeamVirtualTime>,
+    /// Which count of service they belong to: it begins with a dispatcher to which no router tells an
+    /// earlier one, and goes on with its successors. Only within one count do they compare.
+    pub lineage: u64,
 }
--- a/core/src/router/mod.rs
+++ b/core/src/router/mod.rs
@@ -286,6 +286,10 @@
             return Vec::new();
         }
         queue.acked_seq = batch.seq;
+        if !batch.virtual_times.is_empty() && batch.lineage != queue.lineage {
+            queue.lineage = batch.lineage;
+            queue.virtual_times.clear();
+        }
         for line in &batch.virtual_times {
             queue.virtual_times.insert(line.team.clone(), line.cost);
         }
@@ -338,6 +342,7 @@
             in_flight: Vec::new(),
             accounts: Vec::new(),
             virtual_times: Vec::new(),
+            lineage: 0,
         };
         if full {
             self.add_full_state(&mut report);
@@ -390,6 +395,7 @@
         report.accounts = accounts
             .map(|(team, cost)| Account { team: team.clone(), delivered_cost: *cost })
             .collect();
+        report.lineage = queue.lineage;
         let virtual_times = queue.virtual_times.iter();
         report.virtual_times = virtual_times
             .map(|(team, cost)| TeamVirtualTime { team: team.clone(), cost: *cost })
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -200,6 +200,7 @@
             grants: Vec::new(),
             moves: vec![back],
             virtual_times: Vec::new(),
+            lineage: 0,
         };
         pair.router.take_grants(&batch);
         pair.dispatchers[0].set_targets(&[target("t0", 8)]);
--- a/daemon/tests/session.rs
+++ b/daemon/tests/session.rs
@@ -45,6 +45,7 @@
         grants: vec![grant],
         moves: Vec::new(),
         virtual_times: Vec::new(),
+        lineage: 0,
     }
 }
 
--- a/daemon/tests/session_load.rs
+++ b/daemon/tests/session_load.rs
@@ -49,6 +49,7 @@
         in_flight: Vec::new(),
         accounts: Vec::new(),
         virtual_times: Vec::new(),
+        lineage: 0,
     }
 }
 
@@ -65,6 +66,7 @@
         }],
         moves: Vec::new(),
         virtual_times: vec![TeamVirtualTime { team, cost: 123_456.789 * seq as f64 }],
+        lineage: 7,
     }
 }
 
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -51,6 +51,7 @@
   accounts @8 :List(Account);       # only if full
   virtualTimes @9 :List(TeamVirtualTime);  # only if full: last heard
   failedGrants @10 :List(UInt64);   # those finished whose target couldn't be connected to
+  lineage @11 :UInt64;              # count of service that the virtual times belong to
 }
 
 struct Grant {
@@ -72,6 +73,7 @@
   grants @1 :List(Grant);
   moves @2 :List(Move);
   virtualTimes @3 :List(TeamVirtualTime);
+  lineage @4 :UInt64;               # count of service that they belong to
 }
 
 struct Frame {
--- a/wire/src/peer.rs
+++ b/wire/src/peer.rs
@@ -44,6 +44,7 @@
             entry.set_delivered_cost(line.delivered_cost);
         }
     }
+    builder.set_lineage(report.lineage);
     if !report.virtual_times.is_empty() {
         let list = builder.init_virtual_times(len(&report.virtual_times));
         write_virtual_times(list, &report.virtual_times);
@@ -143,6 +144,7 @@
             Ok(Account { team: name(line.get_team())?, delivered_cost })
         })?,
         virtual_times: read_list(reader.get_virtual_times()?, read_virtual_time)?,
+        lineage: reader.get_lineage(),
     })
 }
 
@@ -198,6 +200,7 @@
             entry.set_to_cell(&*line.to_cell);
         }
     }
+    builder.set_lineage(batch.lineage);
     if !batch.virtual_times.is_empty() {
         let list = builder.init_virtual_times(len(&batch.virtual_times));
         write_virtual_times(list, &batch.virtual_times);
@@ -230,6 +233,7 @@
         grants: read_list(reader.get_grants()?, grant)?,
         moves: read_list(reader.get_moves()?, movement)?,
         virtual_times: read_list(reader.get_virtual_times()?, read_virtual_time)?,
+        lineage: reader.get_lineage(),
     })
 }
 
