--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -29,7 +29,7 @@
     /// Ratio of a team's share from which it gets only targets with nothing to read.
     pub last_share: f64,
     /// Mean unread work of all targets, in ms, up to which a team gets more that has got twice its
-    /// share. With other ratios it falls as the excess grows.
+    /// share. With other ratios it falls with the square of the excess.
     pub double_share_mean_ms: f64,
     /// Longest wait at the router.
     pub max_wait: Duration,
@@ -46,7 +46,7 @@
             free_share: 0.6,
             full_share_factor: 0.15,
             last_share: 1.8,
-            double_share_mean_ms: 40.0,
+            double_share_mean_ms: 20.0,
             max_wait: Duration::from_millis(500),
             over_share_wait_factor: 0.5,
         }
@@ -80,8 +80,8 @@
 
     /// Whether the fleet is idle enough for a team that has got this ratio of its share.
     fn has_idle_fleet(&self, ratio: f64, mean_wait_ms: f64) -> bool {
-        ratio <= OVER_SHARE
-            || mean_wait_ms * (ratio - OVER_SHARE) <= self.double_share_mean_ms * OVER_SHARE
+        let excess = (ratio - OVER_SHARE) / OVER_SHARE;
+        excess <= 0.0 || mean_wait_ms * excess.powi(2) <= self.double_share_mean_ms
     }
 }
 
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -120,6 +120,16 @@
         let [all, one] = two_hogs(&step);
         assert!(one < all / 2.0, "{one} of {all}");
     },
+    of_two_teams_above_their_share_the_one_far_above_is_held_back: {
+        // Ratios, and mean backlog in ms, of a flood at one router beside one at all routers.
+        let now = Instant::now();
+        let busy = Outlook { mean_wait_ms: 100.0, ..outlook(0.0) };
+        let verdict = |share_ratio| {
+            let above = Waiter { share_ratio, ..waiter(now) };
+            hold::decide(&Policy::default(), &above, Some(&busy), now)
+        };
+        assert_eq!((verdict(1.2), verdict(1.6)), (Verdict::Send, Verdict::Wait));
+    },
     the_threshold_falls_as_a_team_gets_its_share: {
         let policy = Policy::default();
         let factors = [0.0, 0.6, 0.8, 1.0, 1.4, 1.8, 9.0].map(|ratio| policy.share_factor(ratio));
