--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -168,6 +168,23 @@
         tokio::time::sleep(Duration::from_millis(300)).await;
         assert!(is_in_force().await);
     },
+    a_target_that_cannot_be_read_is_counted_and_logged_once: {
+        let (store, _targets, router) = fleet(&[Act::Serve]).await;
+        let count = async || {
+            let metrics = edge_kit::get(router.operators, "/metrics").await.unwrap().1;
+            let name = "gentianhinge_unreadable_records_total ";
+            metrics.lines().find_map(|line| line.strip_prefix(name)?.parse::<u32>().ok())
+        };
+        for written in 1..=3 {
+            store.put("keyed.servers", "t9", "not JSON");
+            edge_kit::wait_for(APPLY_BOUND, async || count().await == Some(written)).await;
+        }
+        let lines = router.process.written();
+        let told = lines.iter().filter(|line| line.contains("names no target that can be used"));
+        assert_eq!(told.count(), 1, "{lines:#?}");
+        let answer = edge_kit::call(&router, edge_kit::request("/book/", "a1", &[])).await;
+        assert_eq!(answer.status, 200);
+    },
     a_silent_long_poll_is_noticed_by_what_other_routers_have_read: {
         let (store, store_addr) = Store::start().await;
         store.put_config(3);
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// The lines that it has written since the last call.
+    pub fn written(&self) -> Vec<String> {
+        self.lines.try_iter().collect()
+    }
+
     /// The process's id.
     pub fn pid(&self) -> rustix::process::Pid {
         rustix::process::Pid::from_child(&self.child)
