--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -226,9 +226,9 @@
             self.full_at = now + FULL_INTERVAL.max(time_at(FULL_PART));
         }
         if parts.has_changes {
-            // A full report is paid for over the time until the next one.
-            let is_small = parts.is_full || parts.has_sums;
-            let pause = if is_small { Duration::ZERO } else { time_at(CHANGES_PART) };
+            // What holds more than changes is paid for by the time until the other part is due again.
+            let is_paid = parts.is_full || parts.has_sums;
+            let pause = if is_paid { Duration::ZERO } else { time_at(CHANGES_PART) };
             self.changes_at = now + REPORT_INTERVAL.max(pause);
         }
     }
