--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -17,6 +17,9 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+/// Time between two computations of the fair level.
+const SHARES_INTERVAL: Duration = Duration::from_millis(350);
+
 /// What a request needs of a target.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -105,6 +108,7 @@
     pub heard_offsets: report::Offsets,
     weights: place::Weights,
     policy: hold::Policy,
+    shares_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
     listed_revision: u64,
     knows_targets: bool,
@@ -124,12 +128,24 @@
             heard_offsets: report::Offsets::default(),
             weights: place::Weights::default(),
             policy: hold::Policy::default(),
+            shares_at: None,
             by_service: HashMap::new(),
             listed_revision: 0,
             knows_targets: false,
         }
     }
 
+    /// Works the fair level out anew if some time has passed. Both threads ask for it: the control
+    /// thread for its reports, and the traffic thread since under a flood it leaves the other little.
+    pub fn refresh_shares(&mut self, now: Instant) {
+        if self.shares_at.is_some_and(|at| now < at + SHARES_INTERVAL) {
+            return;
+        }
+        self.shares_at = Some(now);
+        let capacity = self.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
+        self.shares.recompute(capacity, now);
+    }
+
     /// Takes over bounds that have changed.
     pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
         self.repeats.set_bounds(bounds.retry_ratio, bounds.extra_retries);
--- a/daemon/src/edge/exchange.rs
+++ b/daemon/src/edge/exchange.rs
@@ -238,10 +238,7 @@
     let now = Instant::now();
     let mut brain = context.brain();
     brain.load.expire(now);
-    if parts.has_sums {
-        let capacity = brain.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
-        brain.shares.recompute(capacity, now);
-    }
+    brain.refresh_shares(now);
     let report = report::LoadReport {
         sender: context.name.clone(),
         incarnation: context.incarnation,
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -155,6 +155,7 @@
         let mut waiting = self.waiting.borrow_mut();
         waiting.retain(|entry| !entry.answer.is_closed());
         let mut brain = self.context.brain();
+        brain.refresh_shares(now);
         waiting.sort_by_cached_key(|entry| brain.waiter(&entry.ask).rank(now));
         let mut left = Vec::new();
         let mut decided = Vec::new();
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use gentianhinge_platform::peers;
+use gentianhinge_wire::edge;
+use gentianhinged::edge::brain::Brain;
 use gentianhinged::edge::exchange::{Parts, Peers, Schedule};
 use gentianhinged::edge::strain::Strain;
 use tokio::time::{self, Instant};
@@ -53,6 +55,18 @@
     (sums, full, bytes)
 }
 
+fn bounds() -> edge::EdgeBounds {
+    edge::EdgeBounds {
+        config_apply_ms: 2_000,
+        drain_ms: 2_000,
+        extra_retries: 50,
+        grace_ms: 8_000,
+        retry_ratio: 0.2,
+        retry_window_ms: 10_000,
+        share_window_ms: 4_000,
+    }
+}
+
 /// Samples of one lag, for a time; returns whether the thread falls behind at the end.
 async fn lag(strain: &mut Strain, lag: Duration, span: Duration) -> bool {
     let ends_at = Instant::now() + span;
@@ -109,6 +123,17 @@
         let next = schedule.parts(schedule.next_at());
         assert_eq!(next, Parts { has_changes: true, has_sums: false, is_full: false });
     },
+    a_share_ages_without_the_control_thread: {
+        let (team, now) = (7, Instant::now());
+        let mut brain = Brain::new(&bounds());
+        brain.shares.ask(team, 4_000, now);
+        brain.shares.begin(team, 4_000, now);
+        brain.shares.ask(8, 9_000, now);
+        brain.refresh_shares(now);
+        assert!(brain.shares.ratio(team) > 1.0);
+        brain.refresh_shares(now + Duration::from_secs(5));
+        assert_eq!(brain.shares.ratio(team), 0.0);
+    },
     a_thread_that_is_late_all_the_time_falls_behind_and_recovers: {
         let mut strain = Strain::default();
         assert!(!lag(&mut strain, Duration::from_millis(5), Duration::from_secs(5)).await);
