--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -133,11 +133,11 @@
     )
 }
 
-/// What turned a request away; empty if nothing did.
+/// What kept a request from being sent, or from being sent once more; empty if nothing did.
 fn turned_away(line: &Value) -> String {
     let Some(share) = line["share"].as_f64() else { return String::new() };
     format!(
-        "  turned away: its team had {share:.2} of its fair share; {} ms of unread work at the best \
+        "  not sent further: its team had {share:.2} of its fair share; {} ms of unread work at the best \
          target, {} ms at the mean\n",
         line["backlog_ms"], line["mean_backlog_ms"],
     )
--- a/core/src/dispatch/teams.rs
+++ b/core/src/dispatch/teams.rs
@@ -348,7 +348,7 @@
     }
 
     /// Lifts backlogged teams that weren't in service when this dispatcher took over to the least
-    /// virtual time of those that were.
+    /// settled virtual time of those that were.
     ///
     /// The time of a team of which none is known begins at 0; that of a team that returned from a
     /// pause during the take-over stands where the pause began. The others would wait for all that
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -38,7 +38,7 @@
     shares
 }
 
-/// Tokens that two teams get in some seconds, together asking for four times what there is: one 240
+/// Tokens that two teams get in some seconds, together asking for nearly four times what there is: one 240
 /// requests a second through 40 routers, the other 60 through one. Eight targets read 40 tokens in a
 /// millisecond; each router sees what the others have sent 300 ms late.
 fn two_hogs(policy: &Policy) -> [f64; 2] {
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -72,9 +72,9 @@
     pub has_no_target: bool,
     /// What the team had got, as a ratio of the fair share.
     pub share_ratio: f64,
-    /// Unread work at the best target, in ms.
+    /// Unread work at the best target, in ms; 0 if the queue was full.
     pub backlog_ms: f64,
-    /// Mean unread work of all targets, in ms.
+    /// Mean unread work of all targets, in ms; 0 if the queue was full, and for plain services.
     pub mean_backlog_ms: f64,
 }
 
