Log what each team asks for and gets each second; gentianhinge fairness prints the margin

Each router now logs a line 'shares' once a second: by team the tokens asked for and begun, requests refused, crowded out of a full queue or late, the share believed, with the level and the age of the oldest sums. 'gentianhinge fairness' adds the lines up over the routers and prints each team's worst six seconds by the rule's own text. State lines have a tenth of the log's rate for themselves, so that a flood of failed requests doesn't push them out. A request's line tells 'crowded_out' in place of two zeros.

No decision changes.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -18,6 +18,7 @@
         )
         .subcommand(table())
         .subcommand(explain())
+        .subcommand(fairness())
         .subcommand(status())
 }
 
@@ -25,15 +26,26 @@
     Command::new("explain")
         .about("Tells the story of a request, or of a team's requests, from routers' logs")
         .arg(Arg::new("WHAT").help("Id of the request, or name of the team").required(true))
-        .arg(
-            Arg::new("LOG")
-                .help("Logs of any number of routers; else standard input")
-                .num_args(0..)
-                .value_parser(clap::value_parser!(path::PathBuf)),
-        )
+        .arg(logs())
         .arg(flag("json", "Print the lines of the logs as a JSON array"))
 }
 
+fn fairness() -> Command {
+    Command::new("fairness")
+        .about(
+            "Prints what each team got in its worst seconds against its share, from routers' logs",
+        )
+        .arg(logs())
+        .arg(flag("json", "Print it as a JSON array"))
+}
+
+fn logs() -> Arg {
+    Arg::new("LOG")
+        .help("Logs of any number of routers; else standard input")
+        .num_args(0..)
+        .value_parser(clap::value_parser!(path::PathBuf))
+}
+
 fn status() -> Command {
     Command::new("status")
         .about("Prints what a router on the platform believes of targets and other routers")
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -44,7 +44,12 @@
     if story.is_empty() { Exit::Failed } else { Exit::Ok }
 }
 
-fn read<'a>(files: impl Iterator<Item = &'a path::PathBuf>) -> Result<String, String> {
+/// Reads logs, or standard input if no file is named.
+///
+/// # Errors
+///
+/// The file that can't be read, and why.
+pub fn read<'a>(files: impl Iterator<Item = &'a path::PathBuf>) -> Result<String, String> {
     let mut text = String::new();
     let mut is_empty = true;
     for file in files {
@@ -70,7 +75,8 @@
     lines
 }
 
-fn at_ms(line: &Value) -> u64 {
+/// Time of a line, in milliseconds since 1970.
+pub fn at_ms(line: &Value) -> u64 {
     line["at_unix_ms"].as_u64().unwrap_or(0)
 }
 
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod command;
 pub mod exit;
 pub mod explain;
+pub mod fairness;
 pub mod hash;
 pub mod status;
 pub mod table;
@@ -32,6 +33,7 @@
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
         Some(("explain", matches)) => explain::run(matches),
+        Some(("fairness", matches)) => fairness::run(matches),
         Some(("key-hash", _)) => hash::run(),
         Some(("status", matches)) => status::run(matches),
         Some(("table", matches)) => table::run(matches),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod dispatch;
 pub mod estimate;
 pub mod fair;
+pub mod fairness;
 pub mod health;
 pub mod hold;
 pub mod ids;
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -126,6 +126,12 @@
         if self.level > 0.0 { begun / self.level } else { 0.0 }
     }
 
+    /// Time since the sums of the router that was heard longest ago.
+    pub fn oldest_age(&self, now: Instant) -> Duration {
+        let ages = self.peers.values().map(|(heard_at, _)| now.duration_since(*heard_at));
+        ages.max().unwrap_or_default()
+    }
+
     /// Tokens that the fair share comes to within the window.
     pub fn level(&self) -> f64 {
         self.level
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -76,6 +76,8 @@
     pub backlog_ms: f64,
     /// Mean unread work of all targets, in ms; 0 if the queue was full, and for plain services.
     pub mean_backlog_ms: f64,
+    /// Whether as many requests waited as may, and this one was last in their order.
+    pub is_crowded_out: bool,
 }
 
 /// What to do with a request that needn't wait any longer.
@@ -231,6 +233,7 @@
                 share_ratio: waiter.share_ratio,
                 backlog_ms: outlook.map_or(0.0, |outlook| outlook.wait_ms),
                 mean_backlog_ms: outlook.map_or(0.0, |outlook| outlook.mean_wait_ms),
+                is_crowded_out: false,
             })),
         }
     }
--- a/daemon/src/edge/decisions.rs
+++ b/daemon/src/edge/decisions.rs
@@ -24,6 +24,9 @@
 /// Part of the rate that is kept for failed requests and changes of state.
 const RESERVED_PART: f64 = 0.3;
 
+/// Part of the rate that is kept for changes of state alone.
+const STATE_PART: f64 = 0.1;
+
 /// What a line is about; decides what is left out first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -136,7 +139,11 @@
         rate.tokens += now.duration_since(rate.at).as_secs_f64() * max;
         rate.tokens = rate.tokens.min(max);
         rate.at = now;
-        let reserve = if kind == Kind::Request { max * RESERVED_PART } else { 0.0 };
+        let reserve = match kind {
+            Kind::State => 0.0,
+            Kind::Failed => max * STATE_PART,
+            Kind::Request => max * RESERVED_PART,
+        };
         let is_admitted = rate.tokens >= 1.0 + reserve;
         if is_admitted {
             rate.tokens -= 1.0;
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -96,6 +96,7 @@
         is_repeat: false,
         service,
     };
+    story.asked(ask.share_tokens(), ask.due_at);
     count_arrival(&traffic.context, &ask);
     let team = team.map(|team| team.name.clone());
     let id = ask.request_id.clone();
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -11,7 +11,7 @@
 //! [`decisions`] writes the log, [`brain`] holds what is believed, [`follow`] and [`exchange`] feed
 //! it, [`queue`] decides which request goes next, [`upstream`] sends one, [`attempt`], [`whole`],
 //! [`events`] and [`relay`] bring answers back, [`handle`] leads a request through all of it and
-//! [`story`] tells what became of it, [`serve`] accepts callers, [`strain`] notices that the traffic thread
+//! [`story`] tells what became of it, [`tally`] what each team got, [`serve`] accepts callers, [`strain`] notices that the traffic thread
 //! falls behind.
 
 use std::fs;
@@ -45,6 +45,7 @@
 pub mod serve;
 pub mod story;
 pub mod strain;
+pub mod tally;
 pub mod upstream;
 pub mod whole;
 
@@ -112,6 +113,8 @@
     pub log: decisions::Log,
     /// Counters and histograms.
     pub metrics: operators::Metrics,
+    /// What teams ask for and get, for the log.
+    pub tally: tally::Tally,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Requests in progress.
@@ -177,6 +180,7 @@
         brain: Mutex::new(brain::Brain::new(&settings.bounds)),
         log: decisions::Log::start(settings.router.name.as_str().into(), &settings.log)?,
         metrics: operators::Metrics::new(),
+        tally: tally::Tally::default(),
         phase: watch::Sender::new(Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
         is_strained: atomic::AtomicBool::new(false),
@@ -272,6 +276,7 @@
     tokio::spawn(follow::routers(context.clone(), store, me, known.clone()));
     tokio::spawn(exchange::receive(context.clone(), socket.clone(), known.clone()));
     tokio::spawn(exchange::send(context.clone(), socket, known));
+    tokio::spawn(tally::write(context.clone()));
     tokio::spawn(operators::serve(context.clone(), operators));
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -102,6 +102,7 @@
             share_ratio: self.context.brain().shares.ratio(team),
             backlog_ms: 0.0,
             mean_backlog_ms: 0.0,
+            is_crowded_out: true,
         })
     }
 
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -19,6 +19,8 @@
     route: Option<Name>,
     team: Option<Name>,
     config_version: u64,
+    tokens: u32,
+    due_at: Option<Instant>,
     flow: Option<Arc<operators::Flow>>,
     sends: Vec<Value>,
     refused: Option<Refused>,
@@ -40,6 +42,8 @@
             route: None,
             team: None,
             config_version: 0,
+            tokens: 0,
+            due_at: None,
             flow: None,
             sends: Vec::new(),
             refused: None,
@@ -61,6 +65,19 @@
         self.flow = Some(flow);
     }
 
+    /// Notes what the request asks for, in the tokens that its team is charged.
+    pub fn asked(&mut self, tokens: u32, due_at: Instant) {
+        (self.tokens, self.due_at) = (tokens, Some(due_at));
+        if let Some(team) = self.charged_team() {
+            self.context.tally.asked(team, tokens);
+        }
+    }
+
+    /// The team, if the request is one that shares are about.
+    fn charged_team(&self) -> Option<&Name> {
+        self.team.as_ref().filter(|_| self.tokens > 0)
+    }
+
     /// Notes that the request is sent to a target, and what chose it.
     pub fn sent(&mut self, flight: &Flight) {
         let choice = &flight.placed.choice;
@@ -90,6 +107,10 @@
     /// Notes the first event, or the whole answer.
     pub fn first_event(&mut self) {
         let first = self.arrived_at.elapsed();
+        if let Some(team) = self.charged_team().filter(|_| self.first_ms.is_none()) {
+            let is_late = self.due_at.is_some_and(|due_at| Instant::now() > due_at);
+            self.context.tally.begun(team, self.tokens, is_late);
+        }
         self.first_ms = u64::try_from(first.as_millis()).ok();
         if let Some(flow) = &self.flow {
             flow.first.record(first.as_secs_f64());
@@ -115,11 +136,15 @@
             flow.whole.record(whole.as_secs_f64());
         }
         self.context.metrics.count_outcome(self.outcome);
+        if let Some(team) = self.charged_team().filter(|_| self.first_ms.is_none()) {
+            let is_crowded_out = self.refused.is_some_and(|refused| refused.is_crowded_out);
+            self.context.tally.refused(team, is_crowded_out);
+        }
         let kind = if self.is_served { decisions::Kind::Request } else { decisions::Kind::Failed };
         self.context.log.write(kind, || {
             let mut line = json!({
                 "event": "request", "id": &*self.request_id, "route": self.route.as_deref(),
-                "team": self.team.as_deref(), "config": self.config_version, "sends": self.sends,
+                "team": self.team.as_deref(), "tokens": self.tokens, "config": self.config_version, "sends": self.sends,
                 "first_ms": self.first_ms, "whole_ms": whole.as_millis() as u64,
                 "outcome": self.outcome, "status": self.status,
             });
@@ -127,6 +152,7 @@
                 line["share"] = ((refused.share_ratio * 1e3).round() / 1e3).into();
                 line["backlog_ms"] = (refused.backlog_ms as u64).into();
                 line["mean_backlog_ms"] = (refused.mean_backlog_ms as u64).into();
+                line["crowded_out"] = refused.is_crowded_out.into();
             }
             if !self.detail.is_empty() {
                 line["detail"] = self.detail.as_str().into();
--- /dev/null
+++ b/daemon/src/edge/tally.rs
@@ -0,0 +1,107 @@
+//! Counts what each team asks for and gets, and logs it once a second.
+//!
+//! The lines of all routers together tell what every team got in each second, and what this router
+//! believed of its share at that time.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use gentianhinge_core::ids::Name;
+use gentianhinge_core::report;
+use serde_json::{Value, json};
+use tokio::time::{self, Instant};
+
+use super::Context;
+
+/// Time that one line covers.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What one team asked for and got at this router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    asked_tokens: u64,
+    begun_tokens: u64,
+    largest_tokens: u32,
+    refused_count: u32,
+    crowded_out_count: u32,
+    late_count: u32,
+}
+
+/// Counts by team since the last line.
+#[derive(Debug, Default)]
+pub struct Tally {
+    teams: Mutex<BTreeMap<Name, Counts>>,
+}
+
+impl Tally {
+    fn teams(&self) -> MutexGuard<'_, BTreeMap<Name, Counts>> {
+        // A panic while counting leaves counts that are off by one request at most.
+        self.teams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, team: &Name, change: impl FnOnce(&mut Counts)) {
+        let mut teams = self.teams();
+        if let Some(counts) = teams.get_mut(team) {
+            change(counts);
+        } else {
+            change(teams.entry(team.clone()).or_default());
+        }
+    }
+
+    /// Counts a request that has arrived.
+    pub fn asked(&self, team: &Name, tokens: u32) {
+        self.count(team, |counts| {
+            counts.asked_tokens += u64::from(tokens);
+            counts.largest_tokens = counts.largest_tokens.max(tokens);
+        });
+    }
+
+    /// Counts a request whose first event has come.
+    pub fn begun(&self, team: &Name, tokens: u32, is_late: bool) {
+        self.count(team, |counts| {
+            counts.begun_tokens += u64::from(tokens);
+            counts.late_count += u32::from(is_late);
+        });
+    }
+
+    /// Counts a request that was refused, or that never got its first event.
+    pub fn refused(&self, team: &Name, is_crowded_out: bool) {
+        self.count(team, |counts| {
+            counts.refused_count += 1;
+            counts.crowded_out_count += u32::from(is_crowded_out);
+        });
+    }
+}
+
+/// Logs the counts of each second; never returns.
+pub async fn write(context: Arc<Context>) {
+    loop {
+        time::sleep(LINE_INTERVAL).await;
+        let teams = std::mem::take(&mut *context.tally.teams());
+        if !teams.is_empty() {
+            context.log.state(line(&context, &teams));
+        }
+    }
+}
+
+fn line(context: &Context, teams: &BTreeMap<Name, Counts>) -> Value {
+    let now = Instant::now();
+    let brain = context.brain();
+    let lines = teams.iter().map(|(team, counts)| {
+        let share = brain.shares.ratio(report::hash(team, 0));
+        let told = json!({
+            "asked": counts.asked_tokens, "begun": counts.begun_tokens,
+            "largest": counts.largest_tokens, "refused": counts.refused_count,
+            "crowded_out": counts.crowded_out_count, "late": counts.late_count,
+            "share": (share * 1e3).round() / 1e3,
+        });
+        (team.to_string(), told)
+    });
+    let lines = lines.collect::<serde_json::Map<_, _>>();
+    json!({
+        "event": "shares", "level": brain.shares.level().min(f64::from(u32::MAX)) as u64,
+        "oldest_sums_ms": brain.shares.oldest_age(now).as_millis() as u64,
+        "routers": brain.load.router_count(now), "teams": lines,
+    })
+}
--- /dev/null
+++ b/daemon/tests/edge_shares.rs
@@ -0,0 +1,74 @@
+//! What the log tells once a second of each team.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, atomic};
+use std::time::Duration;
+
+use gentianhinge_wire::edge;
+use gentianhinged::edge::{self as router, brain, decisions, operators, tally};
+use serde_json::Value;
+use tokio::sync::watch;
+use tokio::time;
+
+#[derive(Clone, Default)]
+struct Output(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn context(output: Output) -> Arc<router::Context> {
+    let bounds = edge::EdgeBounds {
+        config_apply_ms: 2_000,
+        drain_ms: 2_000,
+        extra_retries: 50,
+        grace_ms: 8_000,
+        retry_ratio: 0.2,
+        retry_window_ms: 10_000,
+        share_window_ms: 4_000,
+    };
+    Arc::new(router::Context {
+        name: "r1".into(),
+        zone: "z1".into(),
+        incarnation: 1,
+        brain: Mutex::new(brain::Brain::new(&bounds)),
+        log: decisions::Log::start_on("r1".into(), 100, output).unwrap(),
+        metrics: operators::Metrics::new(),
+        tally: tally::Tally::default(),
+        phase: watch::Sender::new(router::Phase::Serving),
+        open_requests: atomic::AtomicUsize::new(0),
+        is_strained: atomic::AtomicBool::new(false),
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_second_has_a_line_with_what_teams_asked_for_and_got() {
+    let output = Output::default();
+    let context = context(output.clone());
+    let team = "clubs".into();
+    context.tally.asked(&team, 300);
+    context.tally.asked(&team, 500);
+    context.tally.begun(&team, 300, true);
+    context.tally.refused(&team, true);
+    let writer = tokio::spawn(tally::write(context.clone()));
+    time::sleep(Duration::from_millis(2500)).await;
+    writer.abort();
+    context.log.flush();
+    let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
+    let lines = lines.collect::<Vec<_>>();
+    // The second in which nothing was asked has none.
+    assert_eq!(lines.len(), 1, "{text}");
+    let clubs = &lines[0]["teams"]["clubs"];
+    let counts = ["asked", "begun", "largest", "refused", "crowded_out", "late"];
+    let counts = counts.map(|key| clubs[key].as_u64().unwrap());
+    assert_eq!(counts, [800, 300, 500, 1, 1, 1], "{text}");
+    assert!(lines[0]["level"].is_u64() && lines[0]["oldest_sums_ms"] == 0, "{text}");
+}
