A team that lacks part of what is due to it goes first, whatever targets are stated to produce

Cause: below 0.6 of its share every team had the same threshold, and the share was held against what targets are stated to produce. With empty caches or lost targets they produce less (1.6 to 2.9 of 4 million tokens a second), so all teams were below 0.6 and the race for targets went to whoever had requests waiting at most routers.

Fix: a team's shortfall, the part that it lacks of min(asked, an even share of what was served), gives it precedence: first in the order, up to four times the threshold, also when late. It needs no stated figure, so it holds however little targets produce.

The log tells the shortfall, and the tokens sent beside those begun: a router that falls behind sees first events late.

--- a/cli/src/fairness.rs
+++ b/cli/src/fairness.rs
@@ -56,6 +56,7 @@
     Second {
         asked_tokens: number("asked"),
         got_tokens: number("begun"),
+        sent_tokens: number("sent"),
         largest_tokens: number("largest"),
         turned_away_count: (number("refused") + number("late")) as u64,
     }
@@ -65,6 +66,7 @@
     json!({
         "team": &*margin.team, "from_unix_s": began_s + margin.from as u64,
         "asked_tokens": margin.asked_tokens, "got_tokens": margin.got_tokens,
+        "sent_tokens": margin.sent_tokens,
         "bound_tokens": margin.bound_tokens, "ratio": margin.ratio(),
     })
 }
@@ -77,13 +79,15 @@
     );
     for margin in margins {
         out += &format!(
-            "{:>6.2}  {:<16} from second {:>3}: asked {:>10.0}, got {:>10.0}, at least {:>10.0}\n",
+            "{:>6.2}  {:<16} from second {:>3}: asked {:>10.0}, got {:>10.0}, at least {:>10.0}, \
+             sent {:>10.0}\n",
             margin.ratio(),
             margin.team,
             margin.from,
             margin.asked_tokens,
             margin.got_tokens,
             margin.bound_tokens,
+            margin.sent_tokens,
         );
     }
     out
--- a/cli/tests/fairness.rs
+++ b/cli/tests/fairness.rs
@@ -8,12 +8,12 @@
     let line = |second: u64, router: &str, small: &str| {
         format!(
             "prefix {{\"event\":\"shares\",\"at_unix_ms\":{},\"router\":\"{router}\",\"teams\":{{\
-             \"large\":{{\"asked\":1000,\"begun\":500,\"largest\":10,\"refused\":3,\"late\":0}}{small}}}}}\n",
+             \"large\":{{\"asked\":1000,\"sent\":700,\"begun\":500,\"largest\":10,\"refused\":3,\"late\":0}}{small}}}}}\n",
             1_000_000 + second * 1000,
         )
     };
     let small = format!(
-        ",\"small\":{{\"asked\":400,\"begun\":{small_got},\"largest\":20,\"refused\":1,\"late\":0}}"
+        ",\"small\":{{\"asked\":400,\"sent\":700,\"begun\":{small_got},\"largest\":20,\"refused\":1,\"late\":0}}"
     );
     let lines = (0..8).map(|second| line(second, "r1", &small) + &line(second, "r2", ""));
     lines.collect()
@@ -43,7 +43,7 @@
         assert_eq!(code, Some(0), "{text}");
         let line = text.lines().nth(1).unwrap();
         assert!(line.contains("0.50  small"), "{text}");
-        assert!(line.contains("asked       2400, got        570, at least       1140"), "{text}");
+        assert!(line.contains("asked       2400, got        570, at least       1140, sent       4200"), "{text}");
         // The large one got 1,000 of 2,000 a second, which is all that the best served team got.
         assert!(text.lines().nth(2).unwrap().contains("2.02  large"), "{text}");
     },
--- a/core/src/fairness.rs
+++ b/core/src/fairness.rs
@@ -24,6 +24,9 @@
     pub asked_tokens: f64,
     /// Tokens of the requests whose first event came.
     pub got_tokens: f64,
+    /// Tokens of the requests that were sent to a target: a router that falls behind sees first events
+    /// late.
+    pub sent_tokens: f64,
     /// Tokens of the largest request that arrived.
     pub largest_tokens: f64,
     /// Requests that were refused, or waited past their latency target.
@@ -35,6 +38,7 @@
     pub fn add(&mut self, other: Second) {
         self.asked_tokens += other.asked_tokens;
         self.got_tokens += other.got_tokens;
+        self.sent_tokens += other.sent_tokens;
         self.largest_tokens = self.largest_tokens.max(other.largest_tokens);
         self.turned_away_count += other.turned_away_count;
     }
@@ -51,6 +55,8 @@
     pub asked_tokens: f64,
     /// Tokens that it got.
     pub got_tokens: f64,
+    /// Tokens of its requests that were sent to targets.
+    pub sent_tokens: f64,
     /// Tokens that it was to get at least.
     pub bound_tokens: f64,
 }
@@ -106,6 +112,7 @@
         from,
         asked_tokens: own.iter().map(|second| second.asked_tokens).sum(),
         got_tokens: own.iter().map(|second| second.got_tokens).sum(),
+        sent_tokens: own.iter().map(|second| second.sent_tokens).sum(),
         bound_tokens: FAIR_PART * due.sum::<f64>() - LARGEST_COUNT * largest,
     })
 }
--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -8,11 +8,17 @@
 //! Load pattern: a large team sends through all routers, a smaller one through a single router. Each
 //! router finds some idle target at some moment, so the large team would get most of what frees. The
 //! more a team is above its share, the idler the whole fleet must be before it gets more.
+//!
+//! Load pattern: targets are busier than the threshold, and large teams fill whatever frees. A team
+//! that has got too little of what is due to it may send to busier targets than the others, and late,
+//! so that it doesn't depend on being the first to see a free target.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::share::Standing;
+
 /// Settings of the wait.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
@@ -35,6 +41,12 @@
     pub max_wait: Duration,
     /// Factor on the longest wait for a team above its share.
     pub over_share_wait_factor: f64,
+    /// Shortfall up to which a team goes with the others: single requests that wait.
+    pub free_shortfall: f64,
+    /// Shortfall from which a team has full precedence.
+    pub full_shortfall: f64,
+    /// Factor on the threshold for a team with full precedence.
+    pub precedence_factor: f64,
 }
 
 impl Default for Policy {
@@ -49,6 +61,9 @@
             double_share_mean_ms: 20.0,
             max_wait: Duration::from_millis(500),
             over_share_wait_factor: 0.5,
+            free_shortfall: 0.2,
+            full_shortfall: 0.6,
+            precedence_factor: 4.0,
         }
     }
 }
@@ -78,6 +93,12 @@
         }
     }
 
+    /// Precedence of a team, 0 to 1, by what it lacks of what is due to it.
+    pub fn precedence(&self, shortfall: f64) -> f64 {
+        let span = self.full_shortfall - self.free_shortfall;
+        ((shortfall - self.free_shortfall) / span).clamp(0.0, 1.0)
+    }
+
     /// Whether the fleet is idle enough for a team that has got this ratio of its share.
     fn has_idle_fleet(&self, ratio: f64, mean_wait_ms: f64) -> bool {
         let excess = (ratio - OVER_SHARE) / OVER_SHARE;
@@ -96,8 +117,8 @@
     pub deadline: Instant,
     /// Steps of urgency below the most urgent kind of the service.
     pub urgency_step: u32,
-    /// What its team has got, as a ratio of the fair share.
-    pub share_ratio: f64,
+    /// Where its team stands against the others.
+    pub standing: Standing,
 }
 
 /// What a request's best target looks like.
@@ -133,6 +154,16 @@
 /// Least time to come back in, as a queue of that length clears in about that time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Place in the order in which requests are looked at; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    is_over_share: bool,
+    has_no_precedence: bool,
+    is_late: bool,
+    urgency_step: u32,
+    arrived_at: Instant,
+}
+
 impl Waiter {
     /// Whether the first event can still come in time.
     pub fn can_be_on_time(&self, outlook: &Outlook, now: Instant) -> bool {
@@ -140,9 +171,16 @@
         expected <= self.due_at
     }
 
-    /// Order in which requests are looked at; the least goes first.
-    pub fn rank(&self, now: Instant) -> (bool, bool, u32, Instant) {
-        (self.share_ratio > OVER_SHARE, now >= self.due_at, self.urgency_step, self.arrived_at)
+    /// Place of the request in the order.
+    pub fn rank(&self, policy: &Policy, now: Instant) -> Rank {
+        let has_precedence = policy.precedence(self.standing.shortfall) > 0.0;
+        Rank {
+            is_over_share: self.standing.ratio > OVER_SHARE,
+            has_no_precedence: !has_precedence,
+            is_late: now >= self.due_at,
+            urgency_step: self.urgency_step,
+            arrived_at: self.arrived_at,
+        }
     }
 }
 
@@ -154,20 +192,22 @@
     now: Instant,
 ) -> Verdict {
     let waited = now.duration_since(waiter.arrived_at);
-    let is_over = waiter.share_ratio > OVER_SHARE;
+    let Standing { ratio, shortfall } = waiter.standing;
+    let precedence = policy.precedence(shortfall);
     if let Some(outlook) = outlook {
         let mut threshold_ms = policy.threshold_ms;
         threshold_ms *= policy.urgency_factor.powi(waiter.urgency_step.min(8) as i32);
         if !waiter.can_be_on_time(outlook, now) {
-            threshold_ms *= policy.late_factor;
+            threshold_ms *= policy.late_factor.powf(1.0 - precedence);
         }
-        threshold_ms *= policy.share_factor(waiter.share_ratio);
-        let is_idle = policy.has_idle_fleet(waiter.share_ratio, outlook.mean_wait_ms);
+        threshold_ms *= policy.share_factor(ratio);
+        threshold_ms *= 1.0 + (policy.precedence_factor - 1.0) * precedence;
+        let is_idle = policy.has_idle_fleet(ratio, outlook.mean_wait_ms);
         if outlook.has_slot && outlook.wait_ms <= threshold_ms && is_idle {
             return Verdict::Send;
         }
     }
-    let wait_factor = if is_over { policy.over_share_wait_factor } else { 1.0 };
+    let wait_factor = if ratio > OVER_SHARE { policy.over_share_wait_factor } else { 1.0 };
     let max_wait = policy.max_wait.mul_f64(wait_factor);
     if waited < max_wait && now < waiter.deadline {
         return Verdict::Wait;
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -2,6 +2,10 @@
 //!
 //! Load pattern: one team sends many times its usual. What is served is divided so that the teams
 //! that ask for more than an even share all get the same, and no team waits behind the large one.
+//!
+//! Load pattern: targets produce less than is stated, as with empty caches or after a loss. Then no
+//! team has got its share of what is stated; what a team lacks of its part of what was served tells
+//! who goes first.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -43,14 +47,27 @@
     buckets: VecDeque<Bucket>,
     peers: HashMap<Name, (Instant, Vec<report::TeamUse>)>,
     level: f64,
+    served_level: f64,
     totals: HashMap<Hash, Use>,
 }
 
+/// Where a team stands against the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// What the team has got, as a ratio of its share of what targets are stated to produce; above 1
+    /// it has more than its share.
+    pub ratio: f64,
+    /// Part of what is due to the team that it hasn't got, 0 to 1. Due is what it asked for, up to an
+    /// even share of what was served.
+    pub shortfall: f64,
+}
+
 impl Shares {
     /// Creates an empty count over a window.
     pub fn new(window: Duration) -> Shares {
         let (buckets, peers) = (VecDeque::new(), HashMap::new());
-        Shares { window, buckets, peers, level: f64::INFINITY, totals: HashMap::new() }
+        let (level, served_level) = (f64::INFINITY, f64::INFINITY);
+        Shares { window, buckets, peers, level, served_level, totals: HashMap::new() }
     }
 
     /// Counts a request that has arrived.
@@ -116,14 +133,22 @@
         let served = totals.values().map(|used| used.begun_tokens).sum::<f64>();
         let capacity = served.max(capacity_tokens_per_s * window.as_secs_f64());
         let asked = totals.values().map(|used| used.asked_tokens.max(used.begun_tokens));
-        self.level = water_level(asked.collect(), capacity);
+        let asked = asked.collect::<Vec<_>>();
+        self.served_level = water_level(asked.clone(), served);
+        self.level = water_level(asked, capacity);
         self.totals = totals;
     }
 
-    /// What a team has got, as a ratio of the fair level; above 1 it is over its share.
-    pub fn ratio(&self, team: Hash) -> f64 {
-        let begun = self.totals.get(&team).map_or(0.0, |used| used.begun_tokens);
-        if self.level > 0.0 { begun / self.level } else { 0.0 }
+    /// Where a team stands against the others.
+    pub fn standing(&self, team: Hash) -> Standing {
+        let used = self.totals.get(&team).copied().unwrap_or_default();
+        let due_tokens = used.asked_tokens.min(self.served_level);
+        let part_of = |whole: f64| if whole > 0.0 { used.begun_tokens / whole } else { 0.0 };
+        let lacks_any = used.begun_tokens < due_tokens;
+        Standing {
+            ratio: part_of(self.level),
+            shortfall: if lacks_any { 1.0 - part_of(due_tokens) } else { 0.0 },
+        }
     }
 
     /// Time since the sums of the router that was heard longest ago.
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -5,18 +5,23 @@
 use gentianhinge_core::hold::{self, Outlook, Policy, Verdict, Waiter};
 use gentianhinge_core::repeat::RepeatBudget;
 use gentianhinge_core::report::{ServiceUse, TeamUse};
-use gentianhinge_core::share::{self, Shares};
+use gentianhinge_core::share::{self, Shares, Standing};
 use tokio::time::Instant;
 
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// A team that has got this ratio of its share, and lacks nothing of what was served.
+fn standing(ratio: f64) -> Standing {
+    Standing { ratio, shortfall: 0.0 }
+}
+
 fn waiter(now: Instant) -> Waiter {
     Waiter {
         arrived_at: now,
         due_at: now + Duration::from_millis(800),
         deadline: now + Duration::from_secs(12),
         urgency_step: 0,
-        share_ratio: 0.5,
+        standing: standing(0.5),
     }
 }
 
@@ -71,7 +76,7 @@
             let at = (0..8).min_by(|a, b| view(*a).total_cmp(&view(*b))).unwrap();
             let mean_wait_ms = (0..8).map(view).sum::<f64>() / 8.0;
             let outlook = Outlook { wait_ms: view(at), mean_wait_ms, ..outlook(0.0) };
-            let waiter = Waiter { share_ratio: shares.ratio(team), ..waiter(now) };
+            let waiter = Waiter { standing: shares.standing(team), ..waiter(now) };
             if hold::decide(policy, &waiter, Some(&outlook), now) == Verdict::Send {
                 shares.begin(team, REQUEST_TOKENS, now);
                 waiting[router] -= 1;
@@ -124,8 +129,8 @@
         // Ratios, and mean backlog in ms, of a flood at one router beside one at all routers.
         let now = Instant::now();
         let busy = Outlook { mean_wait_ms: 100.0, ..outlook(0.0) };
-        let verdict = |share_ratio| {
-            let above = Waiter { share_ratio, ..waiter(now) };
+        let verdict = |ratio| {
+            let above = Waiter { standing: standing(ratio), ..waiter(now) };
             hold::decide(&Policy::default(), &above, Some(&busy), now)
         };
         assert_eq!((verdict(1.2), verdict(1.6)), (Verdict::Send, Verdict::Wait));
@@ -138,7 +143,7 @@
     },
     a_team_far_above_its_share_gets_more_while_the_fleet_is_idle: {
         let now = Instant::now();
-        let above = Waiter { share_ratio: 3.0, ..waiter(now) };
+        let above = Waiter { standing: standing(3.0), ..waiter(now) };
         assert_eq!(decide(&above, 0.0, now), Verdict::Send);
         let busy = Outlook { mean_wait_ms: 100.0, ..outlook(0.0) };
         assert_eq!(hold::decide(&Policy::default(), &above, Some(&busy), now), Verdict::Wait);
@@ -157,10 +162,48 @@
     },
     a_team_above_its_share_yields: {
         let now = Instant::now();
-        let over = Waiter { share_ratio: 1.5, ..waiter(now) };
+        let over = Waiter { standing: standing(1.5), ..waiter(now) };
         assert_eq!(decide(&over, 100.0, now), Verdict::Wait);
         assert_eq!(decide(&over, 0.0, now), Verdict::Send);
     },
+    a_team_short_of_its_due_sends_to_busier_targets_and_late: {
+        let now = Instant::now();
+        let short = |shortfall| Waiter {
+            standing: Standing { ratio: 0.1, shortfall },
+            due_at: now,
+            ..waiter(now)
+        };
+        // Late, at a target that is busier than the threshold for others that are on time.
+        assert_eq!(decide(&short(0.0), 900.0, now), Verdict::Wait);
+        assert_eq!(decide(&short(0.8), 900.0, now), Verdict::Send);
+        let policy = Policy::default();
+        // Half of what is due is the least that is fair: precedence begins well above it.
+        assert!(policy.precedence(0.3) > 0.0 && policy.precedence(0.5) > 0.5);
+        assert_eq!((policy.precedence(0.0), policy.precedence(1.0)), (0.0, 1.0));
+    },
+    a_team_short_of_its_due_goes_first: {
+        let now = Instant::now();
+        let short = Waiter {
+            standing: Standing { ratio: 0.1, shortfall: 0.6 },
+            due_at: now,
+            urgency_step: 2,
+            ..waiter(now)
+        };
+        let policy = Policy::default();
+        assert!(short.rank(&policy, now) < waiter(now).rank(&policy, now));
+    },
+    what_a_team_lacks_is_held_against_what_was_served: {
+        let now = Instant::now();
+        // 4,000 could have begun within the window, 1,000 did; each team had asked for more.
+        let mut shares = shares_of(&[(1, 9_000, 850), (2, 300, 50), (3, 100, 100)], now);
+        shares.recompute(4_000.0 / WINDOW.as_secs_f64(), now);
+        // An even share of the 1,000 is 600 beside the small teams; all are below what was stated.
+        assert_eq!(shares.standing(1).shortfall, 0.0);
+        assert!((shares.standing(2).shortfall - 5.0 / 6.0).abs() < 1e-9);
+        assert_eq!(shares.standing(3).shortfall, 0.0);
+        assert!(shares.standing(1).ratio < 1.0);
+        assert_eq!(shares.standing(4), Standing::default());
+    },
     a_request_without_a_free_slot_waits: {
         let now = Instant::now();
         let full = Outlook { has_slot: false, ..outlook(0.0) };
@@ -179,21 +222,21 @@
     },
     the_order_is_by_share_then_time_then_urgency: {
         let now = Instant::now();
-        let over = Waiter { share_ratio: 1.5, ..waiter(now) };
+        let over = Waiter { standing: standing(1.5), ..waiter(now) };
         let late = Waiter { due_at: now, ..waiter(now) };
         let less_urgent = Waiter { urgency_step: 1, ..waiter(now) };
-        let mut ranks = [over.rank(now), late.rank(now), less_urgent.rank(now), waiter(now).rank(now)];
+        let mut ranks = [over.rank(&Policy::default(), now), late.rank(&Policy::default(), now), less_urgent.rank(&Policy::default(), now), waiter(now).rank(&Policy::default(), now)];
         ranks.sort();
-        assert_eq!(ranks[0], waiter(now).rank(now));
-        assert_eq!(ranks[1], less_urgent.rank(now));
-        assert_eq!(ranks[2], late.rank(now));
+        assert_eq!(ranks[0], waiter(now).rank(&Policy::default(), now));
+        assert_eq!(ranks[1], less_urgent.rank(&Policy::default(), now));
+        assert_eq!(ranks[2], late.rank(&Policy::default(), now));
     },
     a_flood_of_one_team_lowers_no_other_team: {
         let now = Instant::now();
         // Team 1 asks for ten times what the others ask for, and 600 are served.
         let shares = shares_of(&[(1, 4_000, 400), (2, 100, 100), (3, 100, 100)], now);
-        assert!(shares.ratio(1) >= 1.0);
-        assert!(shares.ratio(2) < 0.5);
+        assert!(shares.standing(1).ratio >= 1.0);
+        assert!(shares.standing(2).ratio < 0.5);
     },
     demands_that_fit_have_no_level: {
         assert_eq!(share::water_level(vec![10.0, 20.0], 30.0), f64::INFINITY);
@@ -204,9 +247,9 @@
         let now = Instant::now();
         // Targets could have begun 2,000 tokens within the window, and began 300.
         let mut shares = shares_of(&[(1, 9_000, 150), (2, 9_000, 150)], now);
-        assert!(shares.ratio(1) >= 1.0);
+        assert!(shares.standing(1).ratio >= 1.0);
         shares.recompute(2_000.0 / WINDOW.as_secs_f64(), now);
-        assert!(shares.ratio(1) < 0.2);
+        assert!(shares.standing(1).ratio < 0.2);
     },
     shares_count_what_other_routers_report: {
         let now = Instant::now();
@@ -214,14 +257,14 @@
         let lines = vec![TeamUse { team: 1, asked_tokens: 900, begun_tokens: 500 }];
         shares.hear(&"r2".into(), lines, now);
         shares.recompute(0.0, now);
-        assert!(shares.ratio(1) > shares.ratio(2));
-        assert!(shares.ratio(1) > 1.0);
+        assert!(shares.standing(1).ratio > shares.standing(2).ratio);
+        assert!(shares.standing(1).ratio > 1.0);
     },
     shares_forget_what_left_the_window: {
         let now = Instant::now();
         let mut shares = shares_of(&[(1, 1_000, 900), (2, 1_000, 100)], now);
         shares.recompute(0.0, now + WINDOW + Duration::from_millis(1));
-        assert!(shares.ratio(1) < f64::EPSILON);
+        assert!(shares.standing(1).ratio < f64::EPSILON);
     },
     the_budget_of_repeats_is_one_for_the_fleet: {
         let now = Instant::now();
--- a/core/tests/team_shares.rs
+++ b/core/tests/team_shares.rs
@@ -109,7 +109,7 @@
                     due_at: request.arrived_at + LATENCY_TARGET,
                     deadline: request.arrived_at + Duration::from_secs(12),
                     urgency_step: 0,
-                    share_ratio: shares[router].ratio(request.team as u64),
+                    standing: shares[router].standing(request.team as u64),
                 };
                 match hold::decide(&policy, &waiter, Some(&outlook), now) {
                     Verdict::Send => {
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -11,7 +11,7 @@
 use gentianhinge_core::repeat::RepeatBudget;
 use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::routing::RouteTable;
-use gentianhinge_core::share::Shares;
+use gentianhinge_core::share::{Shares, Standing};
 use gentianhinge_core::{health, hold, place};
 use gentianhinge_wire::edge;
 use smallvec::SmallVec;
@@ -70,8 +70,8 @@
     pub retry_after: Duration,
     /// Whether no target was there at all.
     pub has_no_target: bool,
-    /// What the team had got, as a ratio of the fair share.
-    pub share_ratio: f64,
+    /// Where the team stood against the others.
+    pub standing: Standing,
     /// Unread work at the best target, in ms; 0 if the queue was full.
     pub backlog_ms: f64,
     /// Mean unread work of all targets, in ms; 0 if the queue was full, and for plain services.
@@ -230,7 +230,7 @@
             hold::Verdict::Refuse { retry_after } => Some(Decision::Refuse(Refused {
                 retry_after,
                 has_no_target: placed.is_none(),
-                share_ratio: waiter.share_ratio,
+                standing: waiter.standing,
                 backlog_ms: outlook.map_or(0.0, |outlook| outlook.wait_ms),
                 mean_backlog_ms: outlook.map_or(0.0, |outlook| outlook.mean_wait_ms),
                 is_crowded_out: false,
@@ -255,10 +255,15 @@
             due_at: ask.due_at,
             deadline: ask.deadline,
             urgency_step: ask.urgency_step,
-            share_ratio: self.shares.ratio(ask.team),
+            standing: self.shares.standing(ask.team),
         }
     }
 
+    /// Place of a request in the order in which those that wait are looked at.
+    pub fn rank(&self, ask: &Ask, now: Instant) -> hold::Rank {
+        self.waiter(ask).rank(&self.policy, now)
+    }
+
     /// Takes another router's report.
     pub fn hear(&mut self, heard: report::LoadReport, now: Instant) {
         if !self.load.hear(&heard, now) {
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -99,7 +99,7 @@
         Admission::Refuse(Refused {
             retry_after: FULL_RETRY_AFTER,
             has_no_target: false,
-            share_ratio: self.context.brain().shares.ratio(team),
+            standing: self.context.brain().shares.standing(team),
             backlog_ms: 0.0,
             mean_backlog_ms: 0.0,
             is_crowded_out: true,
@@ -116,9 +116,9 @@
         let now = Instant::now();
         let mut waiting = self.waiting.borrow_mut();
         let brain = self.context.brain();
-        let ranks = waiting.iter().map(|entry| brain.waiter(&entry.ask).rank(now));
+        let ranks = waiting.iter().map(|entry| brain.rank(&entry.ask, now));
         let last = ranks.enumerate().max_by_key(|(_, rank)| *rank);
-        let Some((at, _)) = last.filter(|(_, rank)| brain.waiter(ask).rank(now) < *rank) else {
+        let Some((at, _)) = last.filter(|(_, rank)| brain.rank(ask, now) < *rank) else {
             return false;
         };
         // Dropping its sender refuses it.
@@ -157,7 +157,7 @@
         waiting.retain(|entry| !entry.answer.is_closed());
         let mut brain = self.context.brain();
         brain.refresh_shares(now);
-        waiting.sort_by_cached_key(|entry| brain.waiter(&entry.ask).rank(now));
+        waiting.sort_by_cached_key(|entry| brain.rank(&entry.ask, now));
         let mut left = Vec::new();
         let mut decided = Vec::new();
         for entry in waiting.drain(..) {
--- a/daemon/src/edge/story.rs
+++ b/daemon/src/edge/story.rs
@@ -9,7 +9,7 @@
 
 use super::brain::Refused;
 use super::queue::Flight;
-use super::{Context, decisions, operators};
+use super::{Context, decisions, operators, tally};
 
 /// Collects what decided a request; the line is written when the story is dropped.
 pub struct Story {
@@ -85,6 +85,9 @@
         if let Some(flow) = self.flow.as_ref().filter(|_| self.sends.is_empty()) {
             flow.waiting.record(waited.as_secs_f64());
         }
+        if let Some(team) = self.charged_team().filter(|_| self.sends.is_empty()) {
+            self.context.tally.sent(team, self.tokens);
+        }
         self.sends.push(json!({
             "target": &*flight.placed.target.id, "at_ms": waited.as_millis() as u64,
             "wait_ms": choice.wait_ms as u64, "read_ms": choice.read_ms as u64,
@@ -149,7 +152,8 @@
                 "outcome": self.outcome, "status": self.status,
             });
             if let Some(refused) = &self.refused {
-                line["share"] = ((refused.share_ratio * 1e3).round() / 1e3).into();
+                line["share"] = tally::rounded(refused.standing.ratio).into();
+                line["shortfall"] = tally::rounded(refused.standing.shortfall).into();
                 line["backlog_ms"] = (refused.backlog_ms as u64).into();
                 line["mean_backlog_ms"] = (refused.mean_backlog_ms as u64).into();
                 line["crowded_out"] = refused.is_crowded_out.into();
--- a/daemon/src/edge/tally.rs
+++ b/daemon/src/edge/tally.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Counts {
     asked_tokens: u64,
+    sent_tokens: u64,
     begun_tokens: u64,
     largest_tokens: u32,
     refused_count: u32,
@@ -57,6 +58,11 @@
         });
     }
 
+    /// Counts a request that is sent to its first target.
+    pub fn sent(&self, team: &Name, tokens: u32) {
+        self.count(team, |counts| counts.sent_tokens += u64::from(tokens));
+    }
+
     /// Counts a request whose first event has come.
     pub fn begun(&self, team: &Name, tokens: u32, is_late: bool) {
         self.count(team, |counts| {
@@ -89,12 +95,12 @@
     let now = Instant::now();
     let brain = context.brain();
     let lines = teams.iter().map(|(team, counts)| {
-        let share = brain.shares.ratio(report::hash(team, 0));
+        let standing = brain.shares.standing(report::hash(team, 0));
         let told = json!({
-            "asked": counts.asked_tokens, "begun": counts.begun_tokens,
-            "largest": counts.largest_tokens, "refused": counts.refused_count,
+            "asked": counts.asked_tokens, "sent": counts.sent_tokens,
+            "begun": counts.begun_tokens, "largest": counts.largest_tokens, "refused": counts.refused_count,
             "crowded_out": counts.crowded_out_count, "late": counts.late_count,
-            "share": (share * 1e3).round() / 1e3,
+            "share": rounded(standing.ratio), "shortfall": rounded(standing.shortfall),
         });
         (team.to_string(), told)
     });
@@ -105,3 +111,8 @@
         "routers": brain.load.router_count(now), "teams": lines,
     })
 }
+
+/// A ratio with three digits, as the log shows it.
+pub fn rounded(ratio: f64) -> f64 {
+    (ratio * 1e3).round() / 1e3
+}
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -130,9 +130,9 @@
         brain.shares.begin(team, 4_000, now);
         brain.shares.ask(8, 9_000, now);
         brain.refresh_shares(now);
-        assert!(brain.shares.ratio(team) > 1.0);
+        assert!(brain.shares.standing(team).ratio > 1.0);
         brain.refresh_shares(now + Duration::from_secs(5));
-        assert_eq!(brain.shares.ratio(team), 0.0);
+        assert_eq!(brain.shares.standing(team).ratio, 0.0);
     },
     a_thread_that_is_late_all_the_time_falls_behind_and_recovers: {
         let mut strain = Strain::default();
--- a/daemon/tests/edge_shares.rs
+++ b/daemon/tests/edge_shares.rs
@@ -55,6 +55,7 @@
     let team = "clubs".into();
     context.tally.asked(&team, 300);
     context.tally.asked(&team, 500);
+    context.tally.sent(&team, 300);
     context.tally.begun(&team, 300, true);
     context.tally.refused(&team, true);
     let writer = tokio::spawn(tally::write(context.clone()));
@@ -67,8 +68,8 @@
     // The second in which nothing was asked has none.
     assert_eq!(lines.len(), 1, "{text}");
     let clubs = &lines[0]["teams"]["clubs"];
-    let counts = ["asked", "begun", "largest", "refused", "crowded_out", "late"];
+    let counts = ["asked", "sent", "begun", "largest", "refused", "crowded_out", "late"];
     let counts = counts.map(|key| clubs[key].as_u64().unwrap());
-    assert_eq!(counts, [800, 300, 500, 1, 1, 1], "{text}");
+    assert_eq!(counts, [800, 300, 300, 500, 1, 1, 1], "{text}");
     assert!(lines[0]["level"].is_u64() && lines[0]["oldest_sums_ms"] == 0, "{text}");
 }
