Bytes without end from a target are bounded, in a head and in a body

A connection now has an allowance of 256 KB until the head is complete, interim answers included. Answers share one room of a sixteenth of the process's memory for what each holds beyond 64 KB, so that large ones don't stop the usual ones. The body of an answer that says not run is dropped, not kept.

--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tokio::time::{self, Instant};
 
+use super::intake;
 use super::queue::Flight;
 use super::serve::Traffic;
 use super::upstream::{Lease, SendError};
@@ -147,11 +148,13 @@
     let status = answer.status();
     if is_not_run {
         // The body of such an answer is of no use; the connection may be.
-        let _ = whole::read(answer, said, lease, &traffic.upstream).await;
+        if intake::discard(answer.into_body()).await && !said.is_closing && !said.is_strange {
+            lease.give_back(&traffic.upstream, said.idle_time);
+        }
         let is_away = status == http::StatusCode::MISDIRECTED_REQUEST;
         return Outcome::NotRun { cause: format!("the target answers {status}: not run"), is_away };
     }
-    match whole::read(answer, said, lease, &traffic.upstream).await {
+    match whole::read(answer, said, lease, traffic).await {
         Ok(whole) => Outcome::Whole(whole),
         Err(message) => Outcome::Lost(message),
     }
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -9,7 +9,7 @@
 //! # Modules, from the ground up
 //!
 //! [`decisions`] writes the log, [`brain`] holds what is believed, [`follow`] and [`exchange`] feed
-//! it, [`queue`] decides which request goes next, [`upstream`] sends one, [`attempt`], [`whole`],
+//! it, [`queue`] decides which request goes next, [`upstream`] sends one within the bounds of [`intake`], [`attempt`], [`whole`],
 //! [`events`] and [`relay`] bring answers back, [`handle`] leads a request through all of it and
 //! [`story`] tells what became of it, [`tally`] what each team got, [`serve`] accepts callers, [`strain`] notices that the traffic thread
 //! falls behind.
@@ -38,6 +38,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod handle;
+pub mod intake;
 pub mod operators;
 pub mod queue;
 pub mod relay;
@@ -190,12 +191,15 @@
         "incarnation": context.incarnation, "callers_addr": addrs.callers.to_string(),
     }));
     let traffic_context = context.clone();
-    let max_connections = max_connections(&settings.callers);
+    let bounds = serve::Bounds {
+        max_connections: max_connections(&settings.callers),
+        memory_mb: settings.callers.memory_mb,
+    };
     let traffic = thread::Builder::new().name("traffic".to_string()).spawn(move || {
         traffic_context
             .metrics
             .recorder()
-            .collect(|| serve::run(traffic_context.clone(), callers, readiness, max_connections))
+            .collect(|| serve::run(traffic_context.clone(), callers, readiness, bounds))
     })?;
     let control = runtime::Builder::new_current_thread().enable_all().build()?;
     control.block_on(control_thread(&context, path, &settings, operators, reports))?;
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -22,7 +22,7 @@
 
 use super::queue::Queue;
 use super::upstream::Upstream;
-use super::{Context, Phase, handle, strain};
+use super::{Context, Phase, handle, intake, strain};
 
 /// Wait after an accept that failed, as it does when file descriptors run out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -30,6 +30,15 @@
 /// Longest wait at the end of the process for answers that are being written.
 const CLOSE_TIME: Duration = Duration::from_millis(100);
 
+/// What bounds the traffic thread's memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most open connections of callers.
+    pub max_connections: usize,
+    /// Memory of the process, in MB.
+    pub memory_mb: u32,
+}
+
 /// What requests share on the traffic thread.
 pub struct Traffic {
     /// What all parts of the process share.
@@ -38,6 +47,8 @@
     pub queue: Rc<Queue>,
     /// Connections to targets.
     pub upstream: Upstream,
+    /// Memory for answers.
+    pub answer_room: intake::Room,
     /// Room for connections of callers.
     pub room: Rc<Semaphore>,
     /// Most open connections of callers.
@@ -71,7 +82,7 @@
     context: Arc<Context>,
     callers: net::TcpListener,
     readiness: net::TcpListener,
-    max_connections: usize,
+    bounds: Bounds,
 ) {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
@@ -82,8 +93,7 @@
         }
     };
     let local = task::LocalSet::new();
-    let result =
-        local.block_on(&runtime, serve(context.clone(), callers, readiness, max_connections));
+    let result = local.block_on(&runtime, serve(context.clone(), callers, readiness, bounds));
     if let Err(err) = result {
         context.log.state(json!({ "event": "stop", "outcome": err.to_string() }));
     }
@@ -93,15 +103,22 @@
     context: Arc<Context>,
     callers: net::TcpListener,
     readiness: net::TcpListener,
-    max_connections: usize,
+    bounds: Bounds,
 ) -> std::io::Result<()> {
     let queue = Rc::new(Queue::new(context.clone()));
     task::spawn_local(queue.clone().run());
     let upstream = Upstream::default();
+    let max_connections = bounds.max_connections;
     let room = Rc::new(Semaphore::new(max_connections));
     let permits = room.clone();
-    let traffic = Traffic { context: context.clone(), queue, upstream, room, max_connections };
-    let traffic = Rc::new(traffic);
+    let traffic = Rc::new(Traffic {
+        context: context.clone(),
+        queue,
+        upstream,
+        answer_room: intake::Room::new(bounds.memory_mb),
+        room,
+        max_connections,
+    });
     let tidied = traffic.clone();
     task::spawn_local(async move { tidied.upstream.tidy().await });
     task::spawn_local(strain::watch(context.clone()));
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -16,12 +16,17 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use super::intake::{Allowance, Bounded};
+
 /// Longest time to connect: some round trips, and one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time for which an unused connection is kept if the target doesn't tell its own.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Most bytes that are read from a connection at once, and longest head of an answer.
+const READ_BUF_BYTES: usize = 32 << 10;
+
 /// Part of the target's own idle time that is used; the rest covers what is on its way.
 const IDLE_PART: f64 = 0.7;
 
@@ -59,6 +64,7 @@
 pub struct Lease {
     sender: Option<http1::SendRequest<Full<Bytes>>>,
     task: task::AbortHandle,
+    allowance: Allowance,
     target: Hash,
     /// Whether the connection had been used before.
     pub is_reused: bool,
@@ -82,8 +88,8 @@
         if kept.len() >= MAX_IDLE {
             kept.remove(0).task.abort();
         }
-        let (task, since) = (self.task.clone(), Instant::now());
-        kept.push(Idle { sender, task, since, until: since + idle_time });
+        let (task, allowance, since) = (self.task.clone(), self.allowance.clone(), Instant::now());
+        kept.push(Idle { sender, task, allowance, since, until: since + idle_time });
     }
 }
 
@@ -91,6 +97,7 @@
 struct Idle {
     sender: http1::SendRequest<Full<Bytes>>,
     task: task::AbortHandle,
+    allowance: Allowance,
     since: Instant,
     until: Instant,
 }
@@ -120,8 +127,12 @@
             let Some(sender) = lease.sender.as_mut() else {
                 return Err(SendError::NotSent("no connection".to_string()));
             };
+            lease.allowance.bound_head();
             match sender.try_send_request(request).await {
-                Ok(answer) => return Ok((answer, lease)),
+                Ok(answer) => {
+                    lease.allowance.lift();
+                    return Ok((answer, lease));
+                }
                 Err(mut err) => match err.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) if lease.is_reused => request = unsent,
@@ -139,13 +150,25 @@
         runs_once: bool,
     ) -> Result<Lease, SendError> {
         if let Some(idle) = self.take_idle(hash, runs_once) {
-            let (sender, task) = (Some(idle.sender), idle.task);
-            return Ok(Lease { sender, task, target: hash, is_reused: true });
+            let Idle { sender, task, allowance, .. } = idle;
+            return Ok(Lease {
+                sender: Some(sender),
+                task,
+                allowance,
+                target: hash,
+                is_reused: true,
+            });
         }
         let not_sent = |message: String| SendError::NotSent(message);
         let stream = connection::connect(target.addr, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(|err| SendError::Unreachable(err.to_string()))?;
-        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let allowance = Allowance::default();
+        allowance.bound_head();
+        let stream = Bounded::new(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUF_BYTES)
+            .handshake(rt::TokioIo::new(stream))
+            .await;
         let (mut sender, connection) = handshake.map_err(|err| not_sent(err.to_string()))?;
         let task = task::spawn_local(async move {
             // A break of the connection shows in the request that uses it.
@@ -153,7 +176,7 @@
         });
         let task = task.abort_handle();
         sender.ready().await.map_err(|err| not_sent(err.to_string()))?;
-        Ok(Lease { sender: Some(sender), task, target: hash, is_reused: false })
+        Ok(Lease { sender: Some(sender), task, allowance, target: hash, is_reused: false })
     }
 
     fn take_idle(&self, hash: Hash, runs_once: bool) -> Option<Idle> {
--- a/daemon/src/edge/whole.rs
+++ b/daemon/src/edge/whole.rs
@@ -2,13 +2,10 @@
 
 use bytes::Bytes;
 use gentianhinge_platform::answer;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use super::upstream::{Lease, Upstream};
-
-/// Largest answer that is read.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+use super::serve::Traffic;
+use super::upstream::Lease;
 
 /// A complete answer of a target.
 #[derive(Debug)]
@@ -27,18 +24,17 @@
 ///
 /// # Errors
 ///
-/// The body breaks off, or is too large.
+/// The body breaks off, or there is no room for it.
 pub async fn read(
     answer: http::Response<Incoming>,
     said: answer::Said,
     lease: Lease,
-    upstream: &Upstream,
+    traffic: &Traffic,
 ) -> Result<Whole, String> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|err| err.to_string())?.to_bytes();
+    let body = traffic.answer_room.read(body).await?;
     if !said.is_closing && !said.is_strange {
-        lease.give_back(upstream, said.idle_time);
+        lease.give_back(&traffic.upstream, said.idle_time);
     }
     Ok(Whole { status: head.status, headers: head.headers, said, body })
 }
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins of the platform's store and targets, and a router process between them.
 
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, HashMap};
 use std::net;
 use std::sync::{Arc, Mutex};
