Under a flood most requests are spared the choice among all targets

A router of 0.12 cores that one team floods with 1,000 requests a second weighed 140 targets for each request that arrived and for each that waited, ten times a second and more, though a team above its share gets nothing while the fleet is busy, whatever the target.

A look at all targets of a service, at most 10 ms old, now tells the mean and the least unread work; a request that no target could get by these is not weighed against each. The choice itself looks each load up once and skips targets that are already worse before what they lack of the prompt is added.

The test holds the look against the decision itself: it never forbids what the least busy target would be sent.

--- a/core/src/hold.rs
+++ b/core/src/hold.rs
@@ -99,6 +99,21 @@
         ((shortfall - self.free_shortfall) / span).clamp(0.0, 1.0)
     }
 
+    /// Unread work at a target, in ms, below which it gets a request that can be on time.
+    fn threshold_ms(&self, waiter: &Waiter) -> f64 {
+        let Standing { ratio, shortfall } = waiter.standing;
+        let urgency_factor = self.urgency_factor.powi(waiter.urgency_step.min(8) as i32);
+        let precedence_factor = 1.0 + (self.precedence_factor - 1.0) * self.precedence(shortfall);
+        self.threshold_ms * urgency_factor * self.share_factor(ratio) * precedence_factor
+    }
+
+    /// Whether some target might get the request now. Under a flood most requests have no such target,
+    /// and are spared the choice among all of them.
+    pub fn may_send(&self, waiter: &Waiter, outline: &Outline) -> bool {
+        self.has_idle_fleet(waiter.standing.ratio, outline.mean_wait_ms)
+            && outline.least_wait_ms <= self.threshold_ms(waiter)
+    }
+
     /// Whether the fleet is idle enough for a team that has got this ratio of its share.
     fn has_idle_fleet(&self, ratio: f64, mean_wait_ms: f64) -> bool {
         let excess = (ratio - OVER_SHARE) / OVER_SHARE;
@@ -134,6 +149,15 @@
     pub mean_wait_ms: f64,
 }
 
+/// What the targets of a service look like as a whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outline {
+    /// Mean of the time until a target has read what was sent.
+    pub mean_wait_ms: f64,
+    /// Least of these times.
+    pub least_wait_ms: f64,
+}
+
 /// What to do with a request now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
@@ -193,15 +217,11 @@
 ) -> Verdict {
     let waited = now.duration_since(waiter.arrived_at);
     let Standing { ratio, shortfall } = waiter.standing;
-    let precedence = policy.precedence(shortfall);
     if let Some(outlook) = outlook {
-        let mut threshold_ms = policy.threshold_ms;
-        threshold_ms *= policy.urgency_factor.powi(waiter.urgency_step.min(8) as i32);
+        let mut threshold_ms = policy.threshold_ms(waiter);
         if !waiter.can_be_on_time(outlook, now) {
-            threshold_ms *= policy.late_factor.powf(1.0 - precedence);
+            threshold_ms *= policy.late_factor.powf(1.0 - policy.precedence(shortfall));
         }
-        threshold_ms *= policy.share_factor(ratio);
-        threshold_ms *= 1.0 + (policy.precedence_factor - 1.0) * precedence;
         let is_idle = policy.has_idle_fleet(ratio, outlook.mean_wait_ms);
         if outlook.has_slot && outlook.wait_ms <= threshold_ms && is_idle {
             return Verdict::Send;
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -3,8 +3,10 @@
 //! Load pattern: prompts share long parts, and a target that keeps a part reads 3 to 5 times less.
 //! Without homes the fleet reads every part everywhere and has half the capacity that it needs.
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::hold::Outline;
 use crate::load::{Load, LoadView};
 use crate::prompt::Prompt;
 use crate::registry::Target;
@@ -88,25 +90,34 @@
 ) -> Option<Choice> {
     let home = prompt.home_part().map(|part| part.id);
     let is_at_home = home.is_none_or(|part| candidates.iter().any(|c| view.keeps(c.hash, part)));
-    let mean_wait_ms = mean_wait_ms(candidates, view, weights);
+    let loads = candidates.iter().map(|candidate| view.load(candidate.hash));
+    let loads = loads.collect::<SmallVec<[Load; 32]>>();
+    let mean_wait_ms = outline(loads.iter().copied(), weights).mean_wait_ms;
     let miss_factor = miss_factor(mean_wait_ms, weights);
     let mut best: Option<(f64, Choice)> = None;
-    for (at, candidate) in candidates.iter().enumerate() {
-        let load = view.load(candidate.hash);
+    for (at, (candidate, load)) in candidates.iter().zip(&loads).enumerate() {
+        let load = *load;
+        let has_slot = load.running_count < candidate.slots;
+        let wait_ms = load.unread_tokens / weights.read_tokens_per_ms;
+        let mut cost_ms = wait_ms + load.running_count * weights.running_ms;
+        if is_at_home && &*candidate.target.zone != zone {
+            cost_ms += weights.other_zone_ms;
+        }
+        let is_worse = |(least_ms, chosen): &(f64, Choice)| {
+            (!has_slot, cost_ms) >= (!chosen.has_slot, *least_ms)
+        };
+        if best.as_ref().is_some_and(is_worse) {
+            // What the target lacks of the prompt only adds to the cost.
+            continue;
+        }
         let unread_tokens = view.unread_of(candidate.hash, prompt, now);
         let missed_tokens = unread_tokens.saturating_sub(prompt.own_tokens());
         let rate = weights.read_tokens_per_ms;
-        let wait_ms = load.unread_tokens / rate;
         let read_ms = f64::from(unread_tokens) / rate;
-        let mut cost_ms = wait_ms + read_ms + miss_factor * f64::from(missed_tokens) / rate;
-        cost_ms += load.running_count * weights.running_ms;
-        if is_at_home && &*candidate.target.zone != zone {
-            cost_ms += weights.other_zone_ms;
-        }
+        cost_ms += read_ms + miss_factor * f64::from(missed_tokens) / rate;
         if let Some(part) = home.filter(|_| !is_at_home) {
             cost_ms += weights.home_rank_ms * rendezvous_rank(candidate.hash, part);
         }
-        let has_slot = load.running_count < candidate.slots;
         let choice = Choice {
             at,
             wait_ms,
@@ -127,9 +138,16 @@
     best.map(|(_, choice)| choice)
 }
 
-fn mean_wait_ms(candidates: &[Candidate<'_>], view: &LoadView, weights: &Weights) -> f64 {
-    let unread_tokens = candidates.iter().map(|c| view.load(c.hash).unread_tokens).sum::<f64>();
-    unread_tokens / weights.read_tokens_per_ms / candidates.len().max(1) as f64
+/// What targets with these loads look like as a whole.
+pub fn outline(loads: impl Iterator<Item = Load>, weights: &Weights) -> Outline {
+    let (mut sum, mut least, mut count) = (0.0, f64::INFINITY, 0.0_f64);
+    for load in loads {
+        sum += load.unread_tokens;
+        least = load.unread_tokens.min(least);
+        count += 1.0;
+    }
+    let rate = weights.read_tokens_per_ms;
+    Outline { mean_wait_ms: sum / rate / count.max(1.0), least_wait_ms: least / rate }
 }
 
 /// What reading a shared part again costs now, as a multiple of the time to read it.
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentianhinge_core::hold::{self, Outlook, Policy, Verdict, Waiter};
+use gentianhinge_core::hold::{self, Outline, Outlook, Policy, Verdict, Waiter};
 use gentianhinge_core::repeat::RepeatBudget;
 use gentianhinge_core::report::{ServiceUse, TeamUse};
 use gentianhinge_core::share::{self, Shares, Standing};
@@ -181,6 +181,29 @@
         assert!(policy.precedence(0.3) > 0.0 && policy.precedence(0.5) > 0.5);
         assert_eq!((policy.precedence(0.0), policy.precedence(1.0)), (0.0, 1.0));
     },
+    what_no_target_may_get_is_known_without_a_choice: {
+        let now = Instant::now();
+        let policy = Policy::default();
+        // The outline never forbids what the choice of the least busy target would allow.
+        for ratio in [0.0, 0.5, 0.8, 1.0, 1.2, 1.7, 3.0] {
+            for shortfall in [0.0, 0.4, 0.9] {
+                for (least_wait_ms, mean_wait_ms) in
+                    [(0.0, 0.0), (30.0, 50.0), (100.0, 300.0), (500.0, 700.0), (2_000.0, 2_000.0)]
+                {
+                    let waiter = Waiter { standing: Standing { ratio, shortfall }, ..waiter(now) };
+                    let least = Outlook { read_ms: 0.0, mean_wait_ms, ..outlook(least_wait_ms) };
+                    let verdict = hold::decide(&policy, &waiter, Some(&least), now);
+                    let outline = Outline { mean_wait_ms, least_wait_ms };
+                    let may_send = policy.may_send(&waiter, &outline);
+                    assert!(may_send || verdict != Verdict::Send, "{waiter:?} {outline:?}");
+                }
+            }
+        }
+        let flood = Waiter { standing: standing(3.0), ..waiter(now) };
+        let busy = Outline { mean_wait_ms: 300.0, least_wait_ms: 0.0 };
+        assert!(!policy.may_send(&flood, &busy));
+        assert!(policy.may_send(&waiter(now), &busy));
+    },
     a_team_short_of_its_due_goes_first: {
         let now = Instant::now();
         let short = Waiter {
--- a/daemon/src/edge/brain.rs
+++ b/daemon/src/edge/brain.rs
@@ -20,6 +20,11 @@
 /// Time between two computations of the fair level.
 const SHARES_INTERVAL: Duration = Duration::from_millis(350);
 
+/// Time for which a look at all targets of a service holds: that between two looks at what waits.
+const OUTLINE_INTERVAL: Duration = Duration::from_millis(10);
+
+type Candidates<'a> = SmallVec<[place::Candidate<'a>; 32]>;
+
 /// What a request needs of a target.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -112,6 +117,7 @@
     policy: hold::Policy,
     shares_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
+    outlines: HashMap<Name, (Instant, hold::Outline)>,
     listed_revision: u64,
     knows_targets: bool,
 }
@@ -132,6 +138,7 @@
             policy: hold::Policy::default(),
             shares_at: None,
             by_service: HashMap::new(),
+            outlines: HashMap::new(),
             listed_revision: 0,
             knows_targets: false,
         }
@@ -176,6 +183,7 @@
         }
         self.listed_revision = self.registry.revision();
         self.by_service.clear();
+        self.outlines.clear();
         for target in self.registry.targets().filter(|target| !target.is_leaving) {
             let listed = self.by_service.entry(target.service.clone()).or_default();
             listed.push((target.clone(), target.hash()));
@@ -186,16 +194,24 @@
         self.refresh();
         let all = self.by_service.get(&ask.service)?;
         let untried = all.iter().filter(|(_, hash)| !ask.tried.contains(hash));
-        let there = untried.clone().filter(|(_, hash)| !self.health.is_away(*hash, now));
-        let healthy = there.clone().filter(|(_, hash)| !self.health.is_ejected(*hash, now));
-        let mut candidates = healthy.map(candidate).collect::<SmallVec<[_; 32]>>();
-        let there_count = there.clone().count();
+        let (mut candidates, mut ejected, mut away) =
+            (Candidates::new(), Candidates::new(), Candidates::new());
+        for entry in untried {
+            let hash = entry.1;
+            let list = match self.health.is_ejected(hash, now) {
+                false => &mut candidates,
+                true if self.health.is_away(hash, now) => &mut away,
+                true => &mut ejected,
+            };
+            list.push(candidate(entry));
+        }
+        let there_count = candidates.len() + ejected.len();
         if (candidates.len() as f64) < there_count as f64 * (1.0 - health::MAX_EJECTED_PART) {
             // Too many are left out: the rest would drown.
-            candidates = there.map(candidate).collect();
+            candidates.extend(ejected);
         }
         if candidates.is_empty() {
-            candidates = untried.map(candidate).collect();
+            candidates = away;
         }
         let weights = &self.weights;
         let choice = match &ask.prompt {
@@ -208,9 +224,40 @@
         Some(Placed { target, hash, choice })
     }
 
-    /// Decides on one request; if it is to be sent, its load counts from now on. `None` means that it
-    /// is to be looked at again soon.
-    pub fn decide(&mut self, ask: &Ask, zone: &str, now: Instant) -> Option<Decision> {
+    /// What the targets of a service look like as a whole, a moment ago.
+    fn outline(&mut self, service: &Name, now: Instant) -> Option<hold::Outline> {
+        self.refresh();
+        if let Some((at, outline)) = self.outlines.get(service)
+            && now < *at + OUTLINE_INTERVAL
+        {
+            return Some(*outline);
+        }
+        let targets = self.by_service.get(service).filter(|targets| !targets.is_empty())?;
+        let loads = targets.iter().map(|(_, hash)| self.load.load(*hash));
+        let outline = place::outline(loads, &self.weights);
+        self.outlines.insert(service.clone(), (now, outline));
+        Some(outline)
+    }
+
+    /// The chosen target for a request, and what it looks like; without the target if none might get
+    /// the request now.
+    fn outlook(
+        &mut self,
+        ask: &Ask,
+        waiter: &hold::Waiter,
+        policy: &hold::Policy,
+        zone: &str,
+        now: Instant,
+    ) -> (Option<Placed>, Option<hold::Outlook>) {
+        if ask.prompt.is_some()
+            && let Some(outline) = self.outline(&ask.service, now)
+            && !policy.may_send(waiter, &outline)
+        {
+            let mean_wait_ms = outline.mean_wait_ms;
+            let wait_ms = mean_wait_ms;
+            let busy = hold::Outlook { wait_ms, read_ms: 0.0, has_slot: false, mean_wait_ms };
+            return (None, Some(busy));
+        }
         let placed = self.choose(ask, zone, now);
         let outlook = placed.as_ref().map(|placed| hold::Outlook {
             wait_ms: placed.choice.wait_ms,
@@ -218,8 +265,15 @@
             has_slot: placed.choice.has_slot,
             mean_wait_ms: placed.choice.mean_wait_ms,
         });
+        (placed, outlook)
+    }
+
+    /// Decides on one request; if it is to be sent, its load counts from now on. `None` means that it
+    /// is to be looked at again soon.
+    pub fn decide(&mut self, ask: &Ask, zone: &str, now: Instant) -> Option<Decision> {
         let waiter = self.waiter(ask);
         let policy = if ask.is_repeat { hold::Policy::for_repeats() } else { self.policy };
+        let (placed, outlook) = self.outlook(ask, &waiter, &policy, zone, now);
         match hold::decide(&policy, &waiter, outlook.as_ref(), now) {
             hold::Verdict::Send => {
                 let placed = placed?;
@@ -229,7 +283,7 @@
             hold::Verdict::Wait => None,
             hold::Verdict::Refuse { retry_after } => Some(Decision::Refuse(Refused {
                 retry_after,
-                has_no_target: placed.is_none(),
+                has_no_target: outlook.is_none(),
                 standing: waiter.standing,
                 backlog_ms: outlook.map_or(0.0, |outlook| outlook.wait_ms),
                 mean_backlog_ms: outlook.map_or(0.0, |outlook| outlook.mean_wait_ms),
