A stream goes on behind the last event that its caller got, also when a target skipped one

Cause: events that come with a gap are dropped and the stream goes on at another target, but the id noted was that of the last event dropped, so the other target went on behind events that the caller never got.

The id is now noted only for events that are passed on. The test lets a target skip the event behind the fourth: before, the caller got 1 to 4 and 7 to 12; now all twelve, and the other target is asked to go on behind 4.

--- a/daemon/src/edge/events.rs
+++ b/daemon/src/edge/events.rs
@@ -26,14 +26,14 @@
         Splitter { rest: BytesMut::new(), last_id, has_gap: false }
     }
 
-    /// Takes bytes and returns the whole events that they complete.
+    /// Takes bytes and returns the whole events that they complete; none if an event is missing among
+    /// them, so that another target goes on behind the last one that was returned.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         let scanned = self.rest.len().saturating_sub(3);
         self.rest.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.rest, scanned) else { return Bytes::new() };
         let whole = self.rest.split_to(end).freeze();
-        self.note_ids(&whole);
-        whole
+        if self.note_ids(&whole) { whole } else { Bytes::new() }
     }
 
     /// Whether bytes of an event that isn't whole are left.
@@ -46,14 +46,20 @@
         self.rest.len() > MAX_EVENT_BYTES
     }
 
-    fn note_ids(&mut self, whole: &[u8]) {
+    /// Notes the id of the last of these events; returns whether each follows the one before it.
+    fn note_ids(&mut self, whole: &[u8]) -> bool {
+        let mut last_id = self.last_id;
         for line in whole.split(|byte| *byte == b'\n') {
             let Some(id) = line.strip_prefix(b"id:") else { continue };
             let id = std::str::from_utf8(id).ok().and_then(|id| id.trim().parse::<u64>().ok());
             let Some(id) = id else { continue };
-            self.has_gap |= self.last_id.is_some_and(|last| id != last + 1);
-            self.last_id = Some(id);
+            self.has_gap |= last_id.is_some_and(|last| id != last + 1);
+            last_id = Some(id);
         }
+        if !self.has_gap {
+            self.last_id = last_id;
+        }
+        !self.has_gap
     }
 }
 
--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -72,6 +72,14 @@
         assert_eq!(resumed.len(), 1);
         assert_eq!(resumed[0]["last-event-id"], "4");
     },
+    a_stream_in_which_a_target_skips_an_event_has_no_gap: {
+        let (_store, targets, router) = fleet(&[Act::SkipAfter(4), Act::SkipAfter(4)]).await;
+        let answer = edge_kit::call(&router, edge_kit::request("/brief/", "a1", &[])).await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, edge_kit::all_events());
+        let resumed = targets.iter().flat_map(Target::seen).find(|h| h.contains_key("last-event-id"));
+        assert_eq!(resumed.unwrap()["last-event-id"], "4");
+    },
     a_stream_that_cannot_be_resumed_does_not_look_complete: {
         let (_store, targets, router) = fleet(&[Act::CutAfter(4), Act::CutAfter(4)]).await;
         let answer = edge_kit::call(&router, edge_kit::request("/note/", "a1", &[])).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -190,6 +190,8 @@
     Fail,
     /// Breaks a stream off in the middle of the event behind this one, unless it goes on with one.
     CutAfter(u64),
+    /// Leaves out the event behind this one, unless it goes on with a stream.
+    SkipAfter(u64),
     /// Answers to another request.
     Strange,
     /// Answers without a signature.
@@ -280,11 +282,15 @@
         Act::CutAfter(id) if from == 0 => Some(id),
         _ => None,
     };
+    let skipped = match act {
+        Act::SkipAfter(id) if from == 0 => Some(id + 1),
+        _ => None,
+    };
     *target.open_streams.lock().unwrap() += 1;
     let open = OpenStream(target.clone());
     let body = stream::unfold((from, open), move |(last, open)| async move {
         tokio::time::sleep(Duration::from_millis(30)).await;
-        let next = last + 1;
+        let next = if skipped == Some(last + 1) { last + 2 } else { last + 1 };
         if cut_after == Some(last) {
             let half = Ok(Bytes::from(format!("id: {next}\nda")));
             return Some((half, (u64::MAX - 1, open)));
