--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -166,6 +166,9 @@
 ///
 /// The settings hold mistakes, or an address can't be listened on.
 pub fn run(path: &path::Path) -> Result<(), EdgeError> {
+    let control = runtime::Builder::new_current_thread().enable_all().build()?;
+    // Before anything else: until then a signal ends the process without a word.
+    let signals = Signals::new(&control)?;
     let settings = read_settings(path)?;
     let addrs = Addrs::new(&settings.listen);
     let callers = listen(addrs.callers)?;
@@ -201,8 +204,7 @@
             .recorder()
             .collect(|| serve::run(traffic_context.clone(), callers, readiness, bounds))
     })?;
-    let control = runtime::Builder::new_current_thread().enable_all().build()?;
-    control.block_on(control_thread(&context, path, &settings, operators, reports))?;
+    control.block_on(control_thread(&context, path, &settings, signals, operators, reports))?;
     if traffic.join().is_err() {
         context.log.state(json!({ "event": "stop", "outcome": "the traffic thread has failed" }));
     }
@@ -257,10 +259,29 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Signals that the process acts on.
+struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    fn new(runtime: &runtime::Runtime) -> io::Result<Signals> {
+        let _context = runtime.enter();
+        Ok(Signals {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
+        })
+    }
+}
+
 async fn control_thread(
     context: &Arc<Context>,
     path: &path::Path,
     settings: &edge::EdgeSettings,
+    mut signals: Signals,
     operators: net::TcpListener,
     reports: net::UdpSocket,
 ) -> Result<(), EdgeError> {
@@ -282,15 +303,12 @@
     tokio::spawn(exchange::send(context.clone(), socket, known));
     tokio::spawn(tally::write(context.clone()));
     tokio::spawn(operators::serve(context.clone(), operators));
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
     let mut watcher = SettingsFile::new(path);
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => watcher.reload(context, "signal"),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => watcher.reload(context, "signal"),
             () = time::sleep(SETTINGS_INTERVAL) => watcher.look(context),
         }
     }
