A flooded router lets those it serves go before those it would refuse

Cause: the accept loop took all connections that waited before it let anything else go, up to 128 at a time, and each then asked for its part of the processor; a tenth of a core is less than refusing 1,000 a second takes.

The loop now lets other tasks go between two accepted connections, and pauses for 5% of the mean lag while timers lag by more than 30 ms. Connections beyond that wait in the system's queue, and the balancer sends new ones elsewhere, as before. The flood is told less often 503 and more often finds no connection; either is 'not run'.

The test models the thread: the longest wait of an event under 1,200 connections a second is below the latency target of 800 ms; it is above when all are accepted at once, as before.

--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -122,6 +122,8 @@
     pub open_requests: atomic::AtomicUsize,
     /// Whether the traffic thread falls behind.
     pub is_strained: atomic::AtomicBool,
+    /// Mean lag of its timers, in ms.
+    pub lag_ms: atomic::AtomicU64,
 }
 
 impl Context {
@@ -188,6 +190,7 @@
         phase: watch::Sender::new(Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
         is_strained: atomic::AtomicBool::new(false),
+        lag_ms: atomic::AtomicU64::new(0),
     });
     context.log.state(json!({
         "event": "start", "zone": &*context.zone,
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -151,9 +152,17 @@
         if let Some((stream, permit)) = accepted {
             task::spawn_local(converse(traffic.clone(), stream, permit));
         }
+        let mean_lag = Duration::from_millis(context.lag_ms.load(Ordering::Relaxed));
+        let pause = strain::accept_pause(mean_lag);
+        if pause.is_zero() {
+            // Else all that wait to be accepted would go before requests in progress.
+            task::yield_now().await;
+        } else {
+            time::sleep(pause).await;
+        }
     }
     drop(callers);
-    while context.open_requests.load(std::sync::atomic::Ordering::Relaxed) > 0 {
+    while context.open_requests.load(Ordering::Relaxed) > 0 {
         time::sleep(CLOSE_TIME).await;
     }
     time::sleep(CLOSE_TIME).await;
--- a/daemon/src/edge/strain.rs
+++ b/daemon/src/edge/strain.rs
@@ -1,7 +1,8 @@
 //! Notices that the traffic thread falls behind, so that new callers go to other routers.
 //!
 //! Load pattern: the balancer sends one team's flood to one small host. What it can't serve in time
-//! it can't even refuse in time, while its neighbours have processor time to spare.
+//! it can't even refuse in time, while its neighbours have processor time to spare. Those that it serves
+//! go before those that it would refuse, so it accepts more slowly the further it falls behind.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,6 +28,12 @@
 /// Mean lag below which they may come back.
 const RELIEVED_LAG: Duration = Duration::from_millis(15);
 
+/// Mean lag from which connections are accepted more slowly.
+const SLOW_LAG: Duration = Duration::from_millis(30);
+
+/// Part of the mean lag that passes between two accepted connections.
+const ACCEPT_PAUSE_PART: f64 = 0.05;
+
 /// Least time without new callers: the balancer takes two seconds to notice, and a flood of which all
 /// callers come back at once would bring the lag back.
 const MIN_STRAIN: Duration = Duration::from_secs(5);
@@ -60,6 +67,11 @@
     }
 }
 
+/// Pause behind an accepted connection while the thread lags by this much at the mean.
+pub fn accept_pause(mean_lag: Duration) -> Duration {
+    if mean_lag <= SLOW_LAG { Duration::ZERO } else { mean_lag.mul_f64(ACCEPT_PAUSE_PART) }
+}
+
 /// Watches the thread that it runs on; never returns.
 pub async fn watch(context: Arc<Context>) {
     let mut strain = Strain::default();
@@ -68,6 +80,7 @@
         time::sleep_until(due_at).await;
         let now = Instant::now();
         let is_strained = strain.sample(now.saturating_duration_since(due_at), now);
+        context.lag_ms.store(strain.mean_lag().as_millis() as u64, Ordering::Relaxed);
         if context.is_strained.swap(is_strained, Ordering::Relaxed) != is_strained {
             let outcome = if is_strained { "not ready" } else { "ready again" };
             let lag_ms = strain.mean_lag().as_millis() as u64;
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -7,7 +7,7 @@
 use gentianhinge_wire::edge;
 use gentianhinged::edge::brain::Brain;
 use gentianhinged::edge::exchange::{Parts, Peers, Schedule};
-use gentianhinged::edge::strain::Strain;
+use gentianhinged::edge::strain::{self, Strain};
 use tokio::time::{self, Instant};
 
 macro_rules! cases {
@@ -67,6 +67,43 @@
     }
 }
 
+/// The longest wait of a stream's event at a thread that also refuses 1,200 new connections a second for
+/// 8 s. Each event and each refusal takes it a millisecond; what has come first goes first. It accepts one
+/// connection between two pieces of work, with the pause of its lag, or all at once.
+fn longest_event_wait(accepts_all: bool) -> Duration {
+    const STEP: Duration = Duration::from_millis(1);
+    let start = Instant::now();
+    let (mut strain, mut mean_lag) = (Strain::default(), Duration::ZERO);
+    // Times at which work came: events and accepted connections, and connections not accepted yet.
+    let (mut work, mut backlog) = (std::collections::VecDeque::new(), 0_u32);
+    let (mut accept_at, mut sample_at) = (start, start);
+    let mut longest = Duration::ZERO;
+    for step in 0..8_000_u32 {
+        let now = start + STEP * step;
+        backlog = (backlog + 1 + u32::from(step % 5 == 0)).min(4_096);
+        if step % 3 == 0 {
+            work.push_back((now, true));
+        }
+        let accepted = if accepts_all { backlog } else { backlog.min(u32::from(accept_at <= now)) };
+        for _ in 0..accepted {
+            backlog -= 1;
+            work.push_back((now, false));
+            accept_at = now + strain::accept_pause(mean_lag);
+        }
+        let Some((came_at, is_event)) = work.pop_front() else { continue };
+        let wait = now.duration_since(came_at);
+        if is_event {
+            longest = longest.max(wait);
+        }
+        if now >= sample_at {
+            strain.sample(wait, now);
+            mean_lag = strain.mean_lag();
+            sample_at = now + Duration::from_millis(50);
+        }
+    }
+    longest
+}
+
 /// Samples of one lag, for a time; returns whether the thread falls behind at the end.
 async fn lag(strain: &mut Strain, lag: Duration, span: Duration) -> bool {
     let ends_at = Instant::now() + span;
@@ -134,6 +171,13 @@
         brain.refresh_shares(now + Duration::from_secs(5));
         assert_eq!(brain.shares.standing(team).ratio, 0.0);
     },
+    a_flood_of_connections_leaves_time_to_streams: {
+        let latency_target = Duration::from_millis(800);
+        let slowed = longest_event_wait(false);
+        assert!(slowed < latency_target, "{slowed:?}");
+        let at_once = longest_event_wait(true);
+        assert!(at_once > latency_target, "{at_once:?}");
+    },
     a_thread_that_is_late_all_the_time_falls_behind_and_recovers: {
         let mut strain = Strain::default();
         assert!(!lag(&mut strain, Duration::from_millis(5), Duration::from_secs(5)).await);
--- a/daemon/tests/edge_shares.rs
+++ b/daemon/tests/edge_shares.rs
@@ -45,6 +45,7 @@
         phase: watch::Sender::new(router::Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
         is_strained: atomic::AtomicBool::new(false),
+        lag_ms: atomic::AtomicU64::new(0),
     })
 }
 
