explain tells that a request was crowded out, and what its team lacked

A request that was refused at once because as many waited as may was told as refused with 0 ms of unread work at the best target, which points nowhere.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -142,10 +142,16 @@
 /// What kept a request from being sent, or from being sent once more; empty if nothing did.
 fn turned_away(line: &Value) -> String {
     let Some(share) = line["share"].as_f64() else { return String::new() };
+    let shortfall = line["shortfall"].as_f64().unwrap_or(0.0);
+    let cause = if line["crowded_out"] == true {
+        "its router held as many as may wait, and this one was last in their order".to_string()
+    } else {
+        let (best, mean) = (&line["backlog_ms"], &line["mean_backlog_ms"]);
+        format!("{best} ms of unread work at the best target, {mean} ms at the mean")
+    };
     format!(
-        "  not sent further: its team had {share:.2} of its fair share; {} ms of unread work at the best \
-         target, {} ms at the mean\n",
-        line["backlog_ms"], line["mean_backlog_ms"],
+        "  not sent further: its team had {share:.2} of its fair share and lacked {shortfall:.2} of its \
+         due; {cause}\n",
     )
 }
 
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -39,6 +39,9 @@
     refused_under_load: ["aa01"], 0,
         ["router r1: route quotes, team clubs, configuration 7", "+500 ms: overload, status 503",
          "not run: every target was too busy", "health {\"cause\":\"500\",\"outcome\":\"left out\""];
+    crowded_out: ["aa04"], 0,
+        ["its team had 0.04 of its fair share and lacked 0.97 of its due", "held as many as may wait",
+         "overload, status 503"];
     cut_in_a_stream: ["aa02"], 0,
         ["sent to t1", "silence", "stream-cut", "could not be gone on with", "no budget for a repeat"];
     lost_outcome: ["aa03"], 0,
