--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -426,7 +426,11 @@
 /// Sends a request and reads all of the answer.
 pub async fn call(router: &Router, request: http::Request<Full<Bytes>>) -> Answer {
     let mut sender = connected(router.callers).await.unwrap();
-    let answer = sender.send_request(request).await.unwrap();
+    read_answer(sender.send_request(request).await.unwrap()).await
+}
+
+/// Reads all of an answer that comes.
+pub async fn read_answer(answer: http::Response<hyper::body::Incoming>) -> Answer {
     let (head, mut body) = answer.into_parts();
     let (mut bytes, mut is_whole) = (Vec::new(), true);
     while let Some(frame) = body.frame().await {
--- a/daemon/tests/edge_soak.rs
+++ b/daemon/tests/edge_soak.rs
@@ -131,7 +131,7 @@
         !entry.is_stopped && entry.disturbed_at.is_none_or(|at| at < since)
     }
 
-    /// Targets that were sent a request under an id, with their times.
+    /// How often targets were sent a request under an id.
     fn arrivals(&self, id: &str) -> usize {
         let servers = self.servers.lock().unwrap();
         let seen = servers.iter().flat_map(|server| server.target.seen());
@@ -184,7 +184,7 @@
                     Some(addr) => callers::once(addr, path, &id).await,
                     None => None,
                 };
-                if answer.is_some_and(|answer| answer.0 == 200) {
+                if answer.is_some_and(|answer| answer.status == 200) {
                     break;
                 }
                 if Instant::now() > end {
--- a/daemon/tests/soak/callers.rs
+++ b/daemon/tests/soak/callers.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use edge_kit::Answer;
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use rand::Rng;
@@ -68,28 +69,14 @@
     Some(sender)
 }
 
-/// An answer: its status, id and body, whether the body came to its end, and whether the connection
-/// stays.
-pub type Answer = (u16, String, String, bool, bool);
-
 async fn send(sender: &mut Sender, path: &str, id: &str) -> Option<Answer> {
     sender.ready().await.ok()?;
     let answer = sender.send_request(edge_kit::request(path, id, &[])).await.ok()?;
-    let (head, mut body) = answer.into_parts();
-    let header = |name: &str| head.headers.get(name).map_or("", |value| value.to_str().unwrap());
-    let (mut bytes, mut is_whole) = (Vec::new(), true);
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Err(_) => {
-                is_whole = false;
-                break;
-            }
-        }
-    }
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let stays = is_whole && header("connection") != "close";
-    Some((head.status.as_u16(), header("attempt-id").to_string(), text, is_whole, stays))
+    Some(edge_kit::read_answer(answer).await)
+}
+
+fn header<'a>(answer: &'a Answer, name: &str) -> &'a str {
+    answer.headers.get(name).map_or("", |value| value.to_str().unwrap())
 }
 
 /// Sends one request on a connection of its own.
@@ -131,7 +118,8 @@
         match answer.ok().flatten() {
             Some(answer) => {
                 check(&world, path, &id, &answer, &mut tally);
-                connection = answer.4.then_some(sender);
+                let stays = answer.is_whole && header(&answer, "connection") != "close";
+                connection = stays.then_some(sender);
             }
             None => {
                 tally.closed += 1;
@@ -149,7 +137,8 @@
 }
 
 fn check(world: &World, path: &str, id: &str, answer: &Answer, tally: &mut Tally) {
-    let (status, answered_id, body, is_whole, _) = answer;
+    let Answer { status, body, is_whole, .. } = answer;
+    let answered_id = header(answer, "attempt-id");
     if answered_id != id {
         world.wrong(format!("{id} got the answer to {answered_id:?}"));
     }
