The soak's links lose no bytes in the middle of a connection; routers of tests have addresses of their own

The tests took a free port of 127.0.0.1 and released it, and outgoing connections may take such a port meanwhile; that this was the cause wasn't seen. Routers of tests now listen on loopback addresses of their own, which no outgoing connection uses.

--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, atomic};
 use std::time::{Duration, Instant};
 
 use axum::body::Body;
@@ -340,9 +340,15 @@
     .to_string()
 }
 
-/// An address on which nothing listens yet.
+/// An address on which nothing listens yet, and which no outgoing connection takes meanwhile: those come
+/// from 127.0.0.1.
 fn free_addr() -> net::SocketAddr {
-    net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let pid = std::process::id();
+    let octet = |number: u32| u8::try_from(number % 250).unwrap() + 1;
+    let ip = net::Ipv4Addr::new(127, octet(pid), octet(pid / 250), octet(number));
+    net::TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
 }
 
 impl Router {
--- a/daemon/tests/soak/faults.rs
+++ b/daemon/tests/soak/faults.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use edge_kit::APPLY_BOUND;
-use gentianhinge_standin::relay::{Direction, Faults};
+use gentianhinge_standin::relay::{Direction, Faults, Relay};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
@@ -179,15 +179,20 @@
     match form {
         0 => return relay.cut_open(),
         1 => return relay.silence_open(),
-        2 => relay.set_faults(Faults { up: held.clone(), down: held, ..Faults::default() }),
-        3 => relay.set_faults(Faults { refuse: true, ..Faults::default() }),
-        4 => relay.set_faults(Faults { down: silent, ..Faults::default() }),
-        _ => relay.set_faults(Faults { drop_reply_count: 2, ..Faults::default() }),
+        2 => set_faults(&relay, Faults { up: held.clone(), down: held, ..Faults::default() }),
+        3 => set_faults(&relay, Faults { refuse: true, ..Faults::default() }),
+        4 => set_faults(&relay, Faults { down: silent, ..Faults::default() }),
+        _ => set_faults(&relay, Faults { drop_reply_count: 2, ..Faults::default() }),
     }
     tokio::time::sleep(lasts).await;
-    if form == 4 {
+    set_faults(&relay, Faults::default());
+}
+
+/// Replaces the faults of a link, which may be another fault's.
+fn set_faults(relay: &Relay, faults: Faults) {
+    if relay.faults().down.silent {
         // No connection delivers later bytes once some are lost.
         relay.cut_open();
     }
-    relay.set_faults(Faults::default());
+    relay.set_faults(faults);
 }
