One router polls the store for all; bounds of the platform may be fractions

Ruled out: heartbeats in the topic of targets (its records are changes only). Change: the first router in a topic's order polls and relays records; the others poll when nothing confirmed their view in time (core::polling).

All bounds and limits of the template are numbers now, windows in seconds (8.5 s of grace was rendered as 8.5 ms); a test by key.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod message;
 pub mod pause;
 pub mod placement;
+pub mod polling;
 pub mod prompt;
 pub mod registry;
 pub mod report;
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -193,6 +193,24 @@
         1 + self.peers.values().filter(is_live).count()
     }
 
+    /// Mean age of the reports of live routers.
+    pub fn mean_report_age(&self, now: Instant) -> Duration {
+        let ages = self.peers.values().map(|peer| now.duration_since(peer.received_at));
+        let (mut sum, mut count) = (Duration::ZERO, 0);
+        for age in ages.filter(|age| *age <= PEER_TIMEOUT) {
+            sum += age;
+            count += 1;
+        }
+        if count == 0 { Duration::ZERO } else { sum / count }
+    }
+
+    /// Names of the other routers with a report within `window`.
+    pub fn routers_heard(&self, window: Duration, now: Instant) -> impl Iterator<Item = &str> {
+        let peers = self.peers.iter();
+        let is_recent = move |peer: &Peer| now.duration_since(peer.received_at) <= window;
+        peers.filter(move |(_, peer)| is_recent(peer)).map(|(name, _)| &**name)
+    }
+
     /// This router's load by target, for its report: all of it, or what changed since the last one.
     pub fn own_report(&mut self, is_full: bool) -> Vec<report::TargetLoad> {
         let mut lines =
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -67,26 +67,65 @@
     pub is_full: bool,
     /// Offsets up to which the router has read the store.
     pub offsets: Offsets,
+    /// Polls of the store by the sender, for routers that don't poll themselves.
+    pub polls: Vec<Poll>,
     /// Whether the receiver forwards the report to the other routers of its zone.
     pub forward_in_zone: bool,
 }
 
-/// Position of a router in the topics of the store: offsets after the last record read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Offsets {
-    /// Offset in the configuration topic.
-    pub config: u64,
-    /// Offset in the topic of targets.
-    pub targets: u64,
+/// A topic of the store that routers follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Configurations.
+    Config,
+    /// Targets.
+    Targets,
+    /// Routers.
+    Routers,
 }
 
-impl Offsets {
-    /// The greater of both offsets, by topic.
-    pub fn max(self, other: Offsets) -> Offsets {
-        Offsets { config: self.config.max(other.config), targets: self.targets.max(other.targets) }
+impl Topic {
+    /// All topics, in the order of their numbers.
+    pub const ALL: [Topic; 3] = [Topic::Config, Topic::Targets, Topic::Routers];
+
+    /// Number of the topic in reports.
+    pub fn number(self) -> u64 {
+        match self {
+            Topic::Config => 0,
+            Topic::Targets => 1,
+            Topic::Routers => 2,
+        }
     }
 }
 
+/// Position of a router in the topics of the store: offsets after the last record read, by
+/// [`Topic::number`].
+pub type Offsets = [u64; Topic::ALL.len()];
+
+/// Result of a poll of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// The topic.
+    pub topic: Topic,
+    /// Offset of the first record.
+    pub from: u64,
+    /// Offset at which the topic ended.
+    pub next_offset: u64,
+    /// Time since the topic ended there, in milliseconds.
+    pub age_ms: u32,
+    /// All records from `from` to `next_offset`; empty if they are too long for a report.
+    pub records: Vec<Record>,
+}
+
+/// A record of a topic; records have successive offsets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Key of the record.
+    pub key: String,
+    /// Value; `None` if the record removes the key.
+    pub value: Option<Vec<u8>>,
+}
+
 /// Load of a target by requests of one router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetLoad {
--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -42,15 +42,15 @@
 
 impl RetryBudget {
     /// Creates a budget of `ratio` retries per request plus `extra_retries` per window, for each
-    /// service.
-    pub fn new(ratio: f64, extra_retries: u32, window: Duration) -> RetryBudget {
+    /// service. Both may be fractions; a retry is allowed only if a whole one is left.
+    pub fn new(ratio: f64, extra_retries: f64, window: Duration) -> RetryBudget {
         let (buckets, peers) = (VecDeque::new(), HashMap::new());
-        RetryBudget { ratio, extra_retries: f64::from(extra_retries), window, buckets, peers }
+        RetryBudget { ratio, extra_retries, window, buckets, peers }
     }
 
     /// Replaces the bounds; counts stay.
-    pub fn set_bounds(&mut self, ratio: f64, extra_retries: u32) {
-        (self.ratio, self.extra_retries) = (ratio, f64::from(extra_retries));
+    pub fn set_bounds(&mut self, ratio: f64, extra_retries: f64) {
+        (self.ratio, self.extra_retries) = (ratio, extra_retries);
     }
 
     /// Counts a request of a caller, without its retries.
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -310,7 +310,7 @@
     },
     the_retry_budget_is_shared_by_the_fleet: {
         let now = Instant::now();
-        let mut budget = RetryBudget::new(0.2, 10, Duration::from_secs(10));
+        let mut budget = RetryBudget::new(0.2, 10.0, Duration::from_secs(10));
         assert!(budget.try_take(1, now));
         let spent = ServiceUse { service: 1, request_count: 100, retry_count: 30 };
         budget.apply_report(&"r2".into(), vec![spent], now);
@@ -320,7 +320,7 @@
     },
     the_retry_budget_grows_with_requests: {
         let now = Instant::now();
-        let mut budget = RetryBudget::new(0.2, 0, Duration::from_secs(10));
+        let mut budget = RetryBudget::new(0.2, 0.0, Duration::from_secs(10));
         assert!(!budget.try_take(1, now));
         (0..100).for_each(|_| budget.count_request(1, now));
         let taken = (0..100).filter(|_| budget.try_take(1, now)).count();
@@ -328,7 +328,7 @@
     },
     retries_that_left_the_window_no_longer_count: {
         let now = Instant::now();
-        let mut budget = RetryBudget::new(0.0, 4, Duration::from_secs(10));
+        let mut budget = RetryBudget::new(0.0, 4.0, Duration::from_secs(10));
         while budget.try_take(1, now) {}
         assert!(budget.try_take(1, now + Duration::from_secs(11)));
     },
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -63,7 +63,8 @@
         services: vec![],
         cached_parts: vec![],
         is_full,
-        offsets: gentianhinge_core::report::Offsets::default(),
+        offsets: Default::default(),
+        polls: Vec::new(),
         forward_in_zone: false,
     }
 }
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -10,9 +10,10 @@
 use gentianhinge_wire::load;
 use serde_json::json;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
 
-use super::Context;
+use super::{Context, topic_reader};
 
 /// Minimum interval between two reports: about the time in which a target processes a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -99,8 +100,13 @@
     }
 }
 
-/// Receives the reports of other routers; never returns.
-pub async fn receive(context: Arc<Context>, socket: Arc<UdpSocket>, peers: Peers) {
+/// Receives the reports of other routers; never returns. Polls of the store are passed to `polls`.
+pub async fn receive(
+    context: Arc<Context>,
+    socket: Arc<UdpSocket>,
+    peers: Peers,
+    polls: topic_reader::PollSenders,
+) {
     let mut buffer = vec![0; load::MAX_DATAGRAM_BYTES];
     loop {
         let len = match socket.recv_from(&mut buffer).await {
@@ -119,6 +125,9 @@
                 if std::mem::take(&mut report.forward_in_zone) {
                     deliver(&context, &socket, &report, &peers.of_zone(&context.zone)).await;
                 }
+                for poll in std::mem::take(&mut report.polls) {
+                    polls.send(poll);
+                }
                 context.state().apply_report(report, Instant::now());
             }
             Err(err) => {
@@ -129,14 +138,27 @@
     }
 }
 
-/// Sends this router's reports; never returns.
-pub async fn send(context: Arc<Context>, socket: Arc<UdpSocket>, peers: Peers) {
+/// Sends this router's reports and its polls of the store, which come from `polls`; never returns.
+pub async fn send(
+    context: Arc<Context>,
+    socket: Arc<UdpSocket>,
+    peers: Peers,
+    mut polls: mpsc::Receiver<report::Poll>,
+) {
     let mut schedule = Schedule::new(Instant::now());
     let mut seq = 0;
     let mut router_count = 0;
     loop {
-        time::sleep_until(schedule.next_at()).await;
         seq += 1;
+        let due_at = schedule.next_at();
+        let poll = tokio::select! {
+            Some(poll) = polls.recv() => Some(poll),
+            () = time::sleep_until(due_at) => None,
+        };
+        if let Some(poll) = poll {
+            relay_poll(&context, &socket, &peers, seq, poll).await;
+            continue;
+        }
         let now = Instant::now();
         let parts = schedule.parts(now);
         let (mut report, count) = compose(&context, seq, parts);
@@ -150,14 +172,39 @@
             schedule.sent(parts, 0, now);
             continue;
         }
-        let receivers = peers.receivers(&context.zone, seq);
-        let len = deliver(&context, &socket, &report, &receivers.direct).await;
-        report.forward_in_zone = true;
-        deliver(&context, &socket, &report, &receivers.relays).await;
+        let len = deliver_to_all(&context, &socket, &peers, &mut report).await;
         schedule.sent(parts, len * peers.count(), now);
     }
 }
 
+/// Sends the result of a poll to all other routers.
+async fn relay_poll(
+    context: &Context,
+    socket: &UdpSocket,
+    peers: &Peers,
+    seq: u64,
+    poll: report::Poll,
+) {
+    let no_parts = Parts { has_changes: false, has_sums: false, is_full: false };
+    let (mut report, _) = compose(context, seq, no_parts);
+    report.polls.push(poll);
+    deliver_to_all(context, socket, peers, &mut report).await;
+}
+
+/// Sends a report to all other routers; returns the size of the datagram.
+async fn deliver_to_all(
+    context: &Context,
+    socket: &UdpSocket,
+    peers: &Peers,
+    report: &mut report::LoadReport,
+) -> usize {
+    let receivers = peers.receivers(&context.zone, report.seq);
+    let len = deliver(context, socket, report, &receivers.direct).await;
+    report.forward_in_zone = true;
+    deliver(context, socket, report, &receivers.relays).await;
+    len
+}
+
 /// Sends a report to some addresses; returns the size of the datagram.
 async fn deliver(
     context: &Context,
@@ -255,7 +302,8 @@
             Vec::new()
         },
         is_full: parts.is_full,
-        offsets: state.offsets,
+        offsets: state.offsets(),
+        polls: Vec::new(),
         forward_in_zone: false,
     };
     (report, state.load.router_count(now))
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! - [`decisions`] writes the log.
 //! - [`state`] holds the router's view of the fleet; [`store_sync`] and [`load_reports`] update it.
+//!   [`topic_reader`] reads the store's topics, or hears from the router that reads them.
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
 //! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on.
@@ -26,13 +27,15 @@
 use std::thread;
 use std::time::{Duration, SystemTime};
 
+use gentianhinge_core::report;
+use gentianhinge_platform::store::Store;
 use gentianhinge_platform::{names, peers};
 use gentianhinge_wire::{edge, settings};
 use quick_error::quick_error;
 use serde_json::json;
 use tokio::runtime;
 use tokio::signal::unix;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
 pub mod attempt;
@@ -52,6 +55,7 @@
 pub mod state;
 pub mod store_sync;
 pub mod team_counts;
+pub mod topic_reader;
 pub mod upstream;
 
 /// Interval at which the settings file is checked for changes without a signal.
@@ -227,15 +231,15 @@
 /// rest is for connections to targets), and no more than the memory allows.
 fn max_connections(callers: &edge::EdgeCallers) -> usize {
     /// Descriptors reserved for files.
-    const RESERVED_FILES: u32 = 200;
+    const RESERVED_FILES: f64 = 200.0;
     /// Part of the memory that callers' connections may use.
     const MEMORY_PART: f64 = 0.4;
     /// Memory of a connection with a request in progress: the peak memory of a flooded router is
     /// 36 KB per open file.
     const CONNECTION_BYTES: f64 = 40e3;
-    let by_files = callers.max_files.saturating_sub(RESERVED_FILES) as usize * 2 / 3;
-    let by_memory = f64::from(callers.memory_mb) * 1e6 * MEMORY_PART / CONNECTION_BYTES;
-    by_files.min(by_memory as usize).max(1)
+    let by_files = (callers.max_files - RESERVED_FILES) * 2.0 / 3.0;
+    let by_memory = callers.memory_mb * 1e6 * MEMORY_PART / CONNECTION_BYTES;
+    by_files.min(by_memory).max(1.0) as usize
 }
 
 struct Addrs {
@@ -299,19 +303,40 @@
     let store_addr = settings.store.addr.parse();
     let store_addr = store_addr.unwrap_or(net::SocketAddr::from(([0, 0, 0, 0], 0)));
     let timeout = Duration::from_millis(settings.store.timeout_ms);
-    let config_apply = Duration::from_millis(settings.bounds.config_apply_ms);
-    let drain = Duration::from_millis(settings.bounds.drain_ms);
-    let store = store_sync::Settings::new(store_addr, timeout, config_apply, drain);
-    tokio::spawn(store_sync::config(context.clone(), store));
-    tokio::spawn(store_sync::targets(context.clone(), store));
+    let config_apply = edge::duration_ms(settings.bounds.config_apply_ms);
+    let drain = edge::duration_ms(settings.bounds.drain_ms);
+    let store = Store::new(store_addr, timeout);
+    let (poll_senders, polls) = topic_reader::poll_channels();
+    let [config_polls, target_polls, router_polls] = polls;
+    let (outbox, own_polls) = mpsc::channel(topic_reader::POLL_QUEUE_LEN);
+    let reader = |topic, bound, polls| {
+        topic_reader::TopicReader::new(
+            context.clone(),
+            store.another(),
+            topic,
+            bound,
+            polls,
+            outbox.clone(),
+        )
+    };
+    let config_reader = reader(report::Topic::Config, config_apply, config_polls);
+    let target_reader = reader(report::Topic::Targets, drain, target_polls);
+    let router_reader = reader(report::Topic::Routers, store_sync::ROUTERS_BOUND, router_polls);
+    tokio::spawn(store_sync::config(config_reader));
+    tokio::spawn(store_sync::targets(target_reader, drain));
     let addr = reports.local_addr()?;
     let socket = Arc::new(tokio::net::UdpSocket::from_std(reports)?);
     let (incarnation, zone) = (context.incarnation, context.zone.to_string());
     let me = peers::Peer { addr, incarnation, zone };
     let peers = load_reports::Peers::default();
-    tokio::spawn(store_sync::routers(context.clone(), store, me, peers.clone()));
-    tokio::spawn(load_reports::receive(context.clone(), socket.clone(), peers.clone()));
-    tokio::spawn(load_reports::send(context.clone(), socket, peers));
+    tokio::spawn(store_sync::routers(router_reader, me, peers.clone()));
+    tokio::spawn(load_reports::receive(
+        context.clone(),
+        socket.clone(),
+        peers.clone(),
+        poll_senders,
+    ));
+    tokio::spawn(load_reports::send(context.clone(), socket, peers, own_polls));
     tokio::spawn(team_counts::log_counts(context.clone()));
     tokio::spawn(operators::serve(context.clone(), operators));
     let mut watcher = SettingsFile::new(path);
@@ -323,7 +348,7 @@
             () = time::sleep(SETTINGS_INTERVAL) => watcher.reload_if_changed(context),
         }
     }
-    let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(GRACE_RESERVE);
+    let grace = edge::duration_s(settings.bounds.grace_s).saturating_sub(GRACE_RESERVE);
     shut_down(context, grace).await;
     Ok(())
 }
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -16,6 +16,8 @@
     telemetry: telemetry::Telemetry,
     histograms_by_team: Mutex<HashMap<Name, HashMap<Name, Arc<RouteHistograms>>>>,
     outcomes: Mutex<HashMap<&'static str, metrics::Counter>>,
+    /// Calls to the store.
+    pub store_calls: metrics::Counter,
     /// Failed calls to the store.
     pub store_failures: metrics::Counter,
     /// Store records that can't be decoded.
@@ -53,6 +55,7 @@
     pub fn new() -> Metrics {
         let telemetry = telemetry::Telemetry::new();
         Metrics {
+            store_calls: telemetry.counter("gentianhinge_store_calls_total"),
             store_failures: telemetry.counter("gentianhinge_store_failures_total"),
             unreadable_records: telemetry.counter("gentianhinge_unreadable_records_total"),
             report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -97,8 +97,8 @@
 impl BufferBudget {
     /// Creates the budget of a process with `memory_mb` MB of memory.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Far below 2^52 bytes.
-    pub fn new(memory_mb: u32) -> BufferBudget {
-        let bytes = f64::from(memory_mb) * 1e6 * MEMORY_PART;
+    pub fn new(memory_mb: f64) -> BufferBudget {
+        let bytes = memory_mb * 1e6 * MEMORY_PART;
         BufferBudget { free_bytes: Cell::new(bytes as usize) }
     }
 
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -39,7 +39,7 @@
     /// Maximum number of open connections of callers.
     pub max_connections: usize,
     /// Memory of the process, in MB.
-    pub memory_mb: u32,
+    pub memory_mb: f64,
 }
 
 /// State shared by all requests of the traffic thread.
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -111,10 +111,8 @@
     pub retries: RetryBudget,
     /// Health of targets.
     pub health: health::Health,
-    /// Offsets up to which this router has read the store.
-    pub offsets: report::Offsets,
-    /// Highest offsets that other routers report to have read.
-    pub peer_offsets: report::Offsets,
+    /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
+    topic_views: [polling::View; report::Topic::ALL.len()],
     weights: placement::Weights,
     policy: admission::Policy,
     shares_computed_at: Option<Instant>,
@@ -131,11 +129,10 @@
             table: None,
             registry: Registry::default(),
             load: LoadView::default(),
-            shares: Shares::new(Duration::from_millis(bounds.share_window_ms)),
+            shares: Shares::new(edge::duration_s(bounds.share_window_s)),
             retries: retry_budget(bounds),
             health: health::Health::default(),
-            offsets: report::Offsets::default(),
-            peer_offsets: report::Offsets::default(),
+            topic_views: Default::default(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
             shares_computed_at: None,
@@ -166,6 +163,20 @@
     /// Whether a configuration and the targets have been read.
     pub fn can_serve(&self) -> bool {
         self.table.is_some() && self.are_targets_loaded
+    /// What this router knows of a topic of the store.
+    pub fn topic_view(&mut self, topic: report::Topic) -> &mut polling::View {
+        match topic {
+            report::Topic::Config => &mut self.topic_views[0],
+            report::Topic::Targets => &mut self.topic_views[1],
+            report::Topic::Routers => &mut self.topic_views[2],
+        }
+    }
+
+    /// Offsets up to which this router has read the store.
+    pub fn offsets(&self) -> report::Offsets {
+        self.topic_views.map(|view| view.next_offset.unwrap_or(0))
+    }
+
     }
 
     /// Records that the registry holds a complete listing.
@@ -331,7 +342,9 @@
         if !self.load.apply_report(&report, now) {
             return;
         }
-        self.peer_offsets = self.peer_offsets.max(report.offsets);
+        for (view, offset) in self.topic_views.iter_mut().zip(report.offsets) {
+            view.hear(offset, now);
+        }
         if !report.teams.is_empty() {
             self.shares.apply_report(&report.sender, report.teams, now);
         }
@@ -346,6 +359,6 @@
 }
 
 fn retry_budget(bounds: &edge::EdgeBounds) -> RetryBudget {
-    let window = Duration::from_millis(bounds.retry_window_ms);
+    let window = edge::duration_s(bounds.retry_window_s);
     RetryBudget::new(bounds.retry_ratio, bounds.extra_retries, window)
 }
--- /dev/null
+++ b/daemon/src/edge/topic_reader.rs
@@ -0,0 +1,358 @@
+//! Follows one topic of the store: polls it, or hears of the polls of the router that polls for
+//! all. [`polling`] decides when this router polls.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gentianhinge_core::polling;
+use gentianhinge_core::report::{self, Topic};
+use gentianhinge_platform::store::{Entries, Entry, Store, StoreError};
+use gentianhinge_platform::{config, peers, registry};
+use rand::Rng;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time::{self, Instant};
+
+use super::Context;
+
+/// Capacity of the channels of polls; further ones are dropped, and the next one makes up for them.
+pub const POLL_QUEUE_LEN: usize = 64;
+
+/// Interval at which a router checks whether it has to poll: reports may show that it is behind.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval between two computations of the position in the order of routers.
+const RANK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without a report after which a router loses its position in the order.
+const RANK_WINDOW: Duration = Duration::from_secs(15);
+
+/// Maximum size of the records that are relayed with a poll, so that they fit one datagram.
+const MAX_RELAYED_BYTES: usize = 5000;
+
+/// Time for which a record is relayed again with further polls, as a part of the bound. The
+/// repetition makes up for lost datagrams.
+const RELAY_TIME_PART: f64 = 0.5;
+
+/// Senders of the polls of other routers, by [`Topic::number`].
+#[derive(Clone, Debug)]
+pub struct PollSenders([mpsc::Sender<report::Poll>; Topic::ALL.len()]);
+
+impl PollSenders {
+    /// Passes a poll to the reader of its topic.
+    pub fn send(&self, poll: report::Poll) {
+        let [config, targets, routers] = &self.0;
+        let sender = match poll.topic {
+            Topic::Config => config,
+            Topic::Targets => targets,
+            Topic::Routers => routers,
+        };
+        if sender.try_send(poll).is_err() {
+            tracing::debug!("a poll of another router is dropped: the queue is full");
+        }
+    }
+}
+
+/// Creates the channels for the polls of other routers.
+pub fn poll_channels() -> (PollSenders, [mpsc::Receiver<report::Poll>; Topic::ALL.len()]) {
+    let (config_sender, config) = mpsc::channel(POLL_QUEUE_LEN);
+    let (targets_sender, targets) = mpsc::channel(POLL_QUEUE_LEN);
+    let (routers_sender, routers) = mpsc::channel(POLL_QUEUE_LEN);
+    let senders = PollSenders([config_sender, targets_sender, routers_sender]);
+    (senders, [config, targets, routers])
+}
+
+/// Records read from a topic.
+#[derive(Debug)]
+pub enum Batch {
+    /// The newest record of each key.
+    Snapshot(Entries),
+    /// Records since the last batch.
+    Updates(Entries),
+}
+
+/// Reader of one topic, with the state of its connection to the store.
+#[derive(Debug)]
+pub struct TopicReader {
+    /// The router.
+    pub context: Arc<Context>,
+    /// Client of the store.
+    pub store: Store,
+    topic: Topic,
+    policy: polling::Policy,
+    /// Polls of other routers.
+    polls: mpsc::Receiver<report::Poll>,
+    /// Receives this router's polls.
+    outbox: mpsc::Sender<report::Poll>,
+    /// Position in the order of routers, and when it was computed.
+    rank: (usize, Option<Instant>),
+    needs_listing: bool,
+    /// Earliest time of the next poll: after failures, and after batches that have a pause.
+    not_before: Instant,
+    backoff: Duration,
+    failing_since: Option<Instant>,
+    /// Whether the last batch was the first one after an outage.
+    pub has_recovered: bool,
+    /// Records that are relayed, in the order of their offsets, and when they were read.
+    relayed: VecDeque<(Instant, Entry)>,
+}
+
+impl TopicReader {
+    /// Creates a reader of `topic`, whose records must be known within `bound`.
+    pub fn new(
+        context: Arc<Context>,
+        store: Store,
+        topic: Topic,
+        bound: Duration,
+        polls: mpsc::Receiver<report::Poll>,
+        outbox: mpsc::Sender<report::Poll>,
+    ) -> TopicReader {
+        TopicReader {
+            context,
+            store,
+            topic,
+            policy: polling::Policy { bound },
+            polls,
+            outbox,
+            rank: (0, None),
+            needs_listing: true,
+            not_before: Instant::now(),
+            backoff: polling::MIN_BACKOFF,
+            failing_since: None,
+            has_recovered: false,
+            relayed: VecDeque::new(),
+        }
+    }
+
+    /// Name of the topic in the store.
+    pub fn topic_name(&self) -> &'static str {
+        match self.topic {
+            Topic::Config => config::TOPIC,
+            Topic::Targets => registry::TOPIC,
+            Topic::Routers => peers::TOPIC,
+        }
+    }
+
+    /// Postpones this router's next poll, so that records that are written at the same time are
+    /// read together.
+    pub fn pause(&mut self, pause: Duration) {
+        self.not_before = self.not_before.max(Instant::now() + pause);
+    }
+
+    /// Reads the next batch, by a poll of this or another router; retries failed calls. If the
+    /// future is dropped, [`Store::disconnect`] has to be called.
+    pub async fn next_batch(&mut self) -> Batch {
+        loop {
+            let now = Instant::now();
+            let rank = self.rank(now);
+            let view = *self.context.state().topic_view(self.topic);
+            let due_at =
+                if self.needs_listing { now } else { view.next_poll(&self.policy, rank, now) };
+            let due_at = due_at.max(self.not_before);
+            let batch = if due_at <= now {
+                self.poll(&view, rank, now).await
+            } else {
+                tokio::select! {
+                    Some(poll) = self.polls.recv() => self.accept(poll),
+                    () = time::sleep_until(due_at.min(now + CHECK_INTERVAL)) => None,
+                }
+            };
+            if let Some(batch) = batch {
+                return batch;
+            }
+        }
+    }
+
+    fn rank(&mut self, now: Instant) -> usize {
+        if self.rank.1.is_none_or(|at| now >= at + RANK_INTERVAL) {
+            let state = self.context.state();
+            let others = state.load.routers_heard(RANK_WINDOW, now);
+            self.rank = (polling::rank(&self.context.name, others, self.topic), Some(now));
+        }
+        self.rank.0
+    }
+
+    /// Polls the store; `None` if there are no new records or the call failed.
+    async fn poll(&mut self, view: &polling::View, rank: usize, now: Instant) -> Option<Batch> {
+        self.context.metrics.store_calls.increment(1);
+        let from = match view.next_offset {
+            Some(from) if !self.needs_listing => from,
+            _ => return self.list(now).await,
+        };
+        let is_behind = view.is_behind();
+        // After a failure the store should respond at once, so that its recovery is noticed.
+        let needs_answer = is_behind || self.failing_since.is_some();
+        let wait = if needs_answer { Duration::ZERO } else { self.policy.long_poll(rank) };
+        let result = tokio::select! {
+            result = self.store.read(self.topic_name(), from, wait) => result,
+            news = next_news(&mut self.polls, &self.context, &self.policy, from) => {
+                // Another router has read further, so this poll may have failed silently.
+                self.store.disconnect();
+                return self.accept(news);
+            }
+        };
+        match result {
+            Ok(read) => {
+                self.record_success();
+                // An empty response comes after the wait, and so says that there is no record then.
+                let at = if read.entries.is_empty() { now + wait } else { now };
+                self.confirm(&read, at.min(Instant::now()));
+                if !is_behind {
+                    self.relay(&read, at);
+                }
+                Some(Batch::Updates(read)).filter(|_| self.has_news(from))
+            }
+            Err(err) => {
+                self.handle_failure(&err, rank);
+                None
+            }
+        }
+    }
+
+    /// Reads the newest record of each key.
+    async fn list(&mut self, now: Instant) -> Option<Batch> {
+        match self.store.newest(self.topic_name()).await {
+            Ok(listing) => {
+                self.needs_listing = false;
+                self.record_success();
+                self.confirm(&listing, now);
+                self.relayed.clear();
+                Some(Batch::Snapshot(listing))
+            }
+            Err(err) => {
+                let rank = if self.context.state().can_serve() { self.rank.0 } else { 0 };
+                self.handle_failure(&err, rank);
+                None
+            }
+        }
+    }
+
+    /// Whether the view has passed the offset `from`, or the caller has to act on an outage.
+    fn has_news(&self, from: u64) -> bool {
+        let next_offset = self.context.state().topic_view(self.topic).next_offset;
+        self.has_recovered || next_offset.is_some_and(|next| next > from)
+    }
+
+    /// Updates the view after a read of this router.
+    fn confirm(&mut self, read: &Entries, at: Instant) {
+        let mut state = self.context.state();
+        let view = state.topic_view(self.topic);
+        if read.next_offset < read.end_offset {
+            view.next_offset = view.next_offset.max(Some(read.next_offset));
+            view.hear(read.end_offset, at);
+        } else {
+            self.has_recovered |= view.confirm(&self.policy, read.next_offset, at);
+        }
+    }
+
+    /// Sends the result of a poll to the other routers, with the records of the last polls.
+    fn relay(&mut self, read: &Entries, at: Instant) {
+        let kept_since = Instant::now() - self.policy.bound.mul_f64(RELAY_TIME_PART);
+        self.relayed.retain(|(read_at, _)| *read_at >= kept_since);
+        self.relayed.extend(read.entries.iter().map(|entry| (Instant::now(), entry.clone())));
+        let record_len =
+            |entry: &Entry| entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16;
+        let mut len = self.relayed.iter().map(|(_, entry)| record_len(entry)).sum::<usize>();
+        while len > MAX_RELAYED_BYTES {
+            let Some((_, entry)) = self.relayed.pop_front() else { break };
+            len -= record_len(&entry);
+        }
+        let poll = report::Poll {
+            topic: self.topic,
+            from: self.relayed.front().map_or(read.next_offset, |(_, entry)| entry.offset),
+            next_offset: read.next_offset,
+            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            records: self.relayed.iter().map(|(_, entry)| record(entry)).collect(),
+        };
+        if self.outbox.try_send(poll).is_err() {
+            tracing::debug!("a poll isn't relayed: the queue is full");
+        }
+    }
+
+    /// Takes a poll of another router into account; returns the records that are new.
+    fn accept(&mut self, poll: report::Poll) -> Option<Batch> {
+        let now = Instant::now();
+        let mut state = self.context.state();
+        let view = state.topic_view(self.topic);
+        let from = view.next_offset?;
+        let is_complete =
+            poll.next_offset - poll.from.min(poll.next_offset) == poll.records.len() as u64;
+        if poll.next_offset > from && (poll.from > from || !is_complete) {
+            view.hear(poll.next_offset, now);
+            return None;
+        }
+        let at = now - Duration::from_millis(poll.age_ms.into());
+        self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
+        drop(state);
+        self.end_failure("another router reads the store");
+        let (first, next_offset) = (poll.from, poll.next_offset);
+        let entries = poll.records.into_iter().zip(first..).map(|(record, offset)| Entry {
+            offset,
+            key: record.key,
+            value: record.value.map(Bytes::from),
+        });
+        let entries = entries.filter(|entry| entry.offset >= from).collect::<Vec<_>>();
+        let is_news = !entries.is_empty() || self.has_recovered;
+        is_news.then_some(Batch::Updates(Entries { entries, next_offset, end_offset: next_offset }))
+    }
+
+    /// Records a successful call.
+    fn record_success(&mut self) {
+        self.backoff = polling::MIN_BACKOFF;
+        self.has_recovered = self.failing_since.is_some();
+        self.end_failure("regained");
+    }
+
+    fn end_failure(&mut self, outcome: &str) {
+        let Some(since) = self.failing_since.take() else { return };
+        let outage_ms = since.elapsed().as_millis() as u64;
+        self.context.log.state_change(json!({
+            "event": "dependency", "dependency": "store", "topic": self.topic_name(),
+            "outcome": outcome, "away_ms": outage_ms,
+        }));
+    }
+
+    /// Records a failed call, also one of the caller's, and postpones the next one.
+    pub fn handle_failure(&mut self, err: &StoreError, rank: usize) {
+        if matches!(err, StoreError::Gone) {
+            self.needs_listing = true;
+            return;
+        }
+        if self.failing_since.is_none() {
+            self.failing_since = Some(Instant::now());
+            self.context.log.state_change(json!({
+                "event": "dependency", "dependency": "store", "topic": self.topic_name(),
+                "outcome": "lost", "cause": err.to_string(), "rank": rank,
+            }));
+        }
+        self.context.metrics.store_failures.increment(1);
+        let jitter = rand::rng().random_range(0.5..1.0);
+        self.pause(self.backoff.mul_f64(jitter));
+        self.backoff = (self.backoff * 2).min(self.policy.max_backoff(rank));
+    }
+}
+
+/// Waits for a poll of another router that has read further than `from`; others only confirm the
+/// view.
+async fn next_news(
+    polls: &mut mpsc::Receiver<report::Poll>,
+    context: &Context,
+    policy: &polling::Policy,
+    from: u64,
+) -> report::Poll {
+    loop {
+        let Some(poll) = polls.recv().await else { return std::future::pending().await };
+        if poll.next_offset > from {
+            return poll;
+        }
+        let at = Instant::now() - Duration::from_millis(poll.age_ms.into());
+        context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
+    }
+}
+
+fn record(entry: &Entry) -> report::Record {
+    let value = entry.value.as_ref().map(|value| value.to_vec());
+    report::Record { key: entry.key.clone(), value }
+}
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -60,13 +60,13 @@
 
 fn bounds() -> edge::EdgeBounds {
     edge::EdgeBounds {
-        config_apply_ms: 2_000,
-        drain_ms: 2_000,
-        extra_retries: 50,
-        grace_ms: 8_000,
+        config_apply_ms: 2_000.0,
+        drain_ms: 2_000.0,
+        extra_retries: 50.0,
+        grace_s: 8.0,
         retry_ratio: 0.2,
-        retry_window_ms: 10_000,
-        share_window_ms: 4_000,
+        retry_window_s: 10.0,
+        share_window_s: 4.0,
     }
 }
 
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -340,8 +340,8 @@
         "store": { "addr": store },
         "callers": { "max_files": max_files },
         "bounds": {
-            "drain_ms": 2000, "config_apply_ms": 2000, "grace_ms": 8000, "retry_ratio": 0.2,
-            "retry_window_ms": 10000, "extra_retries": 50,
+            "drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 8, "retry_ratio": 0.2,
+            "retry_window_s": 10, "extra_retries": 50,
         },
     })
     .to_string()
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -14,6 +14,8 @@
   configOffset @8 :UInt64;          # offset after the last configuration record read
   targetsOffset @9 :UInt64;         # offset after the last target record read
   toZone @10 :Bool;                 # the receiver forwards the report to the other routers of its zone
+  routersOffset @11 :UInt64;        # offset after the last router record read
+  polls @12 :List(Poll);
 }
 
 struct TargetLoad {
@@ -34,6 +36,25 @@
   repeatCount @2 :UInt32;           # retries within the window: attempts after a request's first
 }
 
+struct Poll {
+  topic @0 :Topic;
+  from @1 :UInt64;                  # offset of the first record
+  nextOffset @2 :UInt64;            # offset at which the topic ended
+  ageMs @3 :UInt32;                 # time since the topic ended there
+  records @4 :List(Record);         # all of them, or none if they are too long
+}
+
+enum Topic {
+  config @0;
+  targets @1;
+  routers @2;
+}
+
+struct Record {
+  key @0 :Text;
+  value @1 :Data;                   # empty if the record removes the key
+}
+
 struct KeptPart {
   target @0 :UInt64;                # hash of the target's incarnation
   part @1 :UInt64;                  # identity of a shared prompt part that the target has read
--- a/wire/src/edge.rs
+++ b/wire/src/edge.rs
@@ -5,6 +5,7 @@
 
 use std::net;
 use std::sync;
+use std::time::Duration;
 
 use crate::settings::{self, check};
 
@@ -24,6 +25,18 @@
     settings::parse_checked(text, &VALIDATOR, check_addrs)
 }
 
+/// Converts a setting in milliseconds; the schema bounds its size.
+#[must_use]
+pub fn duration_ms(ms: f64) -> Duration {
+    duration_s(ms / 1e3)
+}
+
+/// Converts a setting in seconds; the schema bounds its size.
+#[must_use]
+pub fn duration_s(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
 /// Reports invalid addresses, which the schema can't express.
 fn check_addrs(json: &serde_json::Value) -> Vec<check::Found> {
     const ADDRS: [&str; 5] = [
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -44,7 +44,7 @@
 /// The datagram isn't a valid report.
 pub fn decode(mut bytes: &[u8]) -> Result<report::LoadReport, LoadError> {
     let mut options = capnp::message::ReaderOptions::new();
-    options.traversal_limit_in_words(Some(TRAVERSAL_LIMIT_WORDS)).nesting_limit(4);
+    options.traversal_limit_in_words(Some(TRAVERSAL_LIMIT_WORDS)).nesting_limit(8);
     let reader = capnp::serialize_packed::read_message(&mut bytes, options);
     let reader = reader.map_err(DecodeError::from)?;
     Ok(read_report(reader.get_root().map_err(DecodeError::from)?)?)
@@ -56,8 +56,10 @@
     builder.set_incarnation(report.incarnation);
     builder.set_seq(report.seq);
     builder.set_is_full(report.is_full);
-    builder.set_config_offset(report.offsets.config);
-    builder.set_targets_offset(report.offsets.targets);
+    let [config, targets, routers] = report.offsets;
+    builder.set_config_offset(config);
+    builder.set_targets_offset(targets);
+    builder.set_routers_offset(routers);
     builder.set_to_zone(report.forward_in_zone);
     let mut targets = builder.reborrow().init_targets(report.targets.len() as u32);
     for (i, line) in report.targets.iter().enumerate() {
@@ -80,6 +82,10 @@
         service.set_request_count(line.request_count);
         service.set_repeat_count(line.retry_count);
     }
+    let mut polls = builder.reborrow().init_polls(report.polls.len() as u32);
+    for (i, poll) in report.polls.iter().enumerate() {
+        write_poll(polls.reborrow().get(i as u32), poll);
+    }
     let mut cached_parts = builder.init_kept(report.cached_parts.len() as u32);
     for (i, line) in report.cached_parts.iter().enumerate() {
         let mut part = cached_parts.reborrow().get(i as u32);
@@ -88,6 +94,44 @@
     }
 }
 
+#[allow(clippy::cast_possible_truncation)] // A poll has far fewer than 2^32 records.
+fn write_poll(mut builder: load_capnp::poll::Builder<'_>, poll: &report::Poll) {
+    builder.set_topic(match poll.topic {
+        report::Topic::Config => load_capnp::Topic::Config,
+        report::Topic::Targets => load_capnp::Topic::Targets,
+        report::Topic::Routers => load_capnp::Topic::Routers,
+    });
+    builder.set_from(poll.from);
+    builder.set_next_offset(poll.next_offset);
+    builder.set_age_ms(poll.age_ms);
+    let mut records = builder.init_records(poll.records.len() as u32);
+    for (i, line) in poll.records.iter().enumerate() {
+        let mut record = records.reborrow().get(i as u32);
+        record.set_key(line.key.as_str());
+        record.set_value(line.value.as_deref().unwrap_or_default());
+    }
+}
+
+fn read_poll(reader: load_capnp::poll::Reader<'_>) -> Result<report::Poll, DecodeError> {
+    let mut records = Vec::new();
+    for line in reader.get_records()? {
+        let key = line.get_key()?.to_str().unwrap_or_default().to_string();
+        let value = Some(line.get_value()?.to_vec()).filter(|value| !value.is_empty());
+        records.push(report::Record { key, value });
+    }
+    Ok(report::Poll {
+        topic: match reader.get_topic().map_err(DecodeError::from)? {
+            load_capnp::Topic::Config => report::Topic::Config,
+            load_capnp::Topic::Targets => report::Topic::Targets,
+            load_capnp::Topic::Routers => report::Topic::Routers,
+        },
+        from: reader.get_from(),
+        next_offset: reader.get_next_offset(),
+        age_ms: reader.get_age_ms(),
+        records,
+    })
+}
+
 fn read_report(
     reader: load_capnp::load_report::Reader<'_>,
 ) -> Result<report::LoadReport, DecodeError> {
@@ -106,6 +150,7 @@
         request_count: line.get_request_count(),
         retry_count: line.get_repeat_count(),
     });
+    let polls = reader.get_polls()?.iter().map(read_poll).collect::<Result<_, _>>()?;
     let cached_parts = reader.get_kept()?.iter();
     let cached_parts = cached_parts
         .map(|line| report::CachedPart { target: line.get_target(), part: line.get_part() });
@@ -119,9 +164,11 @@
         cached_parts: cached_parts.collect(),
         is_full: reader.get_is_full(),
         forward_in_zone: reader.get_to_zone(),
-        offsets: report::Offsets {
-            config: reader.get_config_offset(),
-            targets: reader.get_targets_offset(),
-        },
+        offsets: [
+            reader.get_config_offset(),
+            reader.get_targets_offset(),
+            reader.get_routers_offset(),
+        ],
+        polls,
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -8,8 +8,8 @@
   "listen": { "callers_addr": "127.0.0.1:1", "readiness_addr": "127.0.0.1:2",
               "operators_addr": "127.0.0.1:3", "peers_addr": "127.0.0.1:4" },
   "store": { "addr": "127.0.0.1:5" },
-  "bounds": { "drain_ms": 2000, "config_apply_ms": 2000, "grace_ms": 8000, "retry_ratio": 0.2,
-              "retry_window_ms": 10000, "extra_retries": 54 }
+  "bounds": { "drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 8, "retry_ratio": 0.2,
+              "retry_window_s": 10, "extra_retries": 54 }
 }"#;
 
 fn mistakes(from: &str, to: &str) -> String {
@@ -36,7 +36,7 @@
     a_missing_bound: "\"drain_ms\": 2000, " => "", "line 6: bounds: \"drain_ms\" is a required property";
     a_text_for_a_number: "\"extra_retries\": 54" => "\"extra_retries\": \"many\"",
         "line 7: bounds.extra_retries: ";
-    a_bound_below_its_minimum: "\"grace_ms\": 8000" => "\"grace_ms\": 5", "line 6: bounds.grace_ms: ";
+    a_bound_below_its_minimum: "\"grace_s\": 8" => "\"grace_s\": 0.005", "line 6: bounds.grace_s: ";
     a_repeated_key: "\"zone\": \"a\"" => "\"zone\": \"a\", \"zone\": \"b\"", "line 2: router.zone: ";
     a_truncated_text: "\"extra_retries\": 54 }\n}" => "\"extra_retries\": 54", "line 6: Unterminated object";
 }
@@ -44,10 +44,87 @@
 #[test]
 fn valid_settings_have_no_mistake() {
     let settings = edge::parse(VALID).unwrap();
-    assert_eq!(settings.bounds.share_window_ms, 4000);
+    assert!((settings.bounds.share_window_s - 4.0).abs() < f64::EPSILON);
     assert_eq!(settings.log.max_lines_per_s, 200);
 }
 
+/// The template of the deployment, with the platform's usual value for each of its fields.
+const TEMPLATE: &str = include_str!("../../deploy/router.jsonc");
+const FIELDS: [(&str, &str); 18] = [
+    ("node_name|json", "\"edge-1\""),
+    ("region|json", "\"here\""),
+    ("zone|json", "\"a\""),
+    ("listen.front|json", "\"10.1.0.8:8520\""),
+    ("listen.ready_addr|json", "\"10.1.0.8:8524\""),
+    ("ip", "10.1.0.8"),
+    ("internal_ports.0", "7600"),
+    ("platform.address|json", "\"10.200.1.7:8527\""),
+    ("heartbeat_ms|json", "1200"),
+    ("limits.max_fds|json", "4100"),
+    ("limits.memory_mb|json", "160"),
+    ("bounds.drain_ms|json", "4000"),
+    ("bounds.config_apply_ms|json", "4000"),
+    ("bounds.grace_s|json", "8"),
+    ("bounds.retry_budget_ratio|json", "0.2"),
+    ("bounds.budget_window_s|json", "10"),
+    ("bounds.budget_extra_retries|json", "630"),
+    ("bounds.quota_window_s|json", "4"),
+];
+
+fn rendered(changed: &str, value: &str) -> Result<edge::EdgeSettings, String> {
+    assert!(FIELDS.iter().any(|(field, _)| *field == changed), "{changed}");
+    let render = |text: String, (field, usual): &(&str, &str)| {
+        let value = if *field == changed { value } else { usual };
+        text.replace(&format!("{{{{{field}}}}}"), value)
+    };
+    let text = FIELDS.iter().fold(TEMPLATE.to_string(), render);
+    assert!(!text.contains("{{"), "{text}");
+    let join = |mistakes: Vec<_>| mistakes.iter().map(ToString::to_string).collect::<String>();
+    edge::parse(&text).map_err(join)
+}
+
+/// Defines tests: a value of a field of the template, and what a setting is then.
+macro_rules! rendered {
+    ($($case:ident: $field:literal = $value:literal, $settings:ident => $setting:expr, $expected:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let $settings = rendered(concat!($field, "|json"), $value).unwrap();
+            let (found, expected): (f64, f64) = ($setting, $expected);
+            assert!((found - expected).abs() < 1e-9, "{found}");
+        }
+    )*};
+}
+
+rendered! {
+    a_fraction_of_extra_retries: "bounds.budget_extra_retries" = "33.157894736842104",
+        s => s.bounds.extra_retries, 33.157_894_736_842_104;
+    no_extra_retries: "bounds.budget_extra_retries" = "0", s => s.bounds.extra_retries, 0.0;
+    many_extra_retries: "bounds.budget_extra_retries" = "5e10", s => s.bounds.extra_retries, 5e10;
+    a_fraction_of_a_drain_time: "bounds.drain_ms" = "1999.5",
+        s => edge::duration_ms(s.bounds.drain_ms).as_secs_f64(), 1.9995;
+    a_long_drain_time: "bounds.drain_ms" = "1000000",
+        s => edge::duration_ms(s.bounds.drain_ms).as_secs_f64(), 1e3;
+    a_fraction_of_an_apply_time: "bounds.config_apply_ms" = "2000.25",
+        s => edge::duration_ms(s.bounds.config_apply_ms).as_secs_f64(), 2.000_25;
+    a_fraction_of_a_grace_period: "bounds.grace_s" = "8.5",
+        s => edge::duration_s(s.bounds.grace_s).as_secs_f64(), 8.5;
+    a_fraction_of_a_retry_window: "bounds.budget_window_s" = "2.5",
+        s => edge::duration_s(s.bounds.retry_window_s).as_secs_f64(), 2.5;
+    a_retry_ratio_of_zero: "bounds.retry_budget_ratio" = "0", s => s.bounds.retry_ratio, 0.0;
+    a_whole_retry_ratio: "bounds.retry_budget_ratio" = "1", s => s.bounds.retry_ratio, 1.0;
+    a_fraction_of_a_share_window: "bounds.quota_window_s" = "4.5",
+        s => edge::duration_s(s.bounds.share_window_s).as_secs_f64(), 4.5;
+    a_fraction_of_a_heartbeat: "heartbeat_ms" = "1200.5", s => s.store.heartbeat_ms, 1200.5;
+    a_fraction_of_the_memory: "limits.memory_mb" = "160.5", s => s.callers.memory_mb, 160.5;
+    a_fraction_of_files: "limits.max_fds" = "4100.5", s => s.callers.max_files, 4100.5;
+}
+
+#[test]
+fn windows_of_zero_are_rejected_with_their_line() {
+    let mistake = rendered("bounds.budget_window_s|json", "0").unwrap_err();
+    assert!(mistake.contains("line 17: bounds.retry_window_s"), "{mistake}");
+}
+
 fn example_report() -> report::LoadReport {
     report::LoadReport {
         sender: "r1".into(),
@@ -62,7 +139,17 @@
         services: vec![report::ServiceUse { service: 6, request_count: 100, retry_count: 2 }],
         cached_parts: vec![report::CachedPart { target: 1 << 60, part: 77 }],
         is_full: true,
-        offsets: report::Offsets { config: 12, targets: 340 },
+        offsets: [12, 340, 7],
+        polls: vec![report::Poll {
+            topic: report::Topic::Targets,
+            from: 338,
+            next_offset: 340,
+            age_ms: 20,
+            records: vec![
+                report::Record { key: "i-1".to_string(), value: Some(b"{}".to_vec()) },
+                report::Record { key: "i-2".to_string(), value: None },
+            ],
+        }],
         forward_in_zone: true,
     }
 }
