--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -44,4 +44,5 @@
 pub mod routing;
 pub mod share;
 pub mod slots;
+pub mod spreading;
 pub mod table;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -13,6 +13,7 @@
 use crate::prompt::Prompt;
 use crate::registry::Target;
 use crate::report::Hash;
+use crate::spreading::{self, Filling, ServiceLoad};
 
 /// Parameters of the choice; costs are in milliseconds of a target's time.
 #[derive(Clone, Copy, Debug)]
@@ -162,35 +163,40 @@
     weights.idle_miss_factor + (weights.busy_miss_factor - weights.idle_miss_factor) * busy_part
 }
 
-/// Chooses the target of a request without a prompt: the one with the lowest part of its slots in
-/// use; `None` without candidates.
+/// Chooses the target of a request without a prompt; `None` without candidates. `draw` is uniformly
+/// distributed from 0 to 1; see [`spreading`] for how it selects among targets.
 pub fn choose_without_prompt(
     candidates: &[Candidate<'_>],
     view: &LoadView,
     zone: &str,
+    service: &ServiceLoad,
     weights: &Weights,
+    draw: f64,
 ) -> Option<Choice> {
-    let costs = candidates.iter().enumerate().map(|(candidate_index, candidate)| {
-        let load = view.load(candidate.hash);
-        let other_zone = f64::from(u8::from(&*candidate.target.zone != zone));
-        let used = load.running_count / candidate.slots.max(1.0);
-        // Prefers the local zone unless a target there has a third more of its slots in use.
-        let cost = used + other_zone / 3.0;
-        let has_slot = load.running_count < candidate.slots;
-        let wait_ms = load.running_count * weights.running_ms;
-        let choice = Choice {
-            candidate_index,
-            wait_ms,
-            read_ms: 0.0,
-            unread_tokens: 0,
-            missed_tokens: 0,
-            load,
-            has_slot,
-            mean_wait_ms: 0.0,
-        };
-        (cost, choice)
+    /// Charge for a target in another zone, as a part of its slots, if reports are fresh.
+    const OTHER_ZONE_PART: f64 = 1.0 / 3.0;
+    let running_part = service.running_part();
+    let fillings = candidates.iter().map(|candidate| {
+        let own = view.own_load(candidate.hash).running_count;
+        let reported = view.load(candidate.hash).running_count - own;
+        let is_remote = f64::from(u8::from(&*candidate.target.zone != zone));
+        let remote = is_remote * OTHER_ZONE_PART * candidate.slots;
+        Filling { slots: candidate.slots, running_count: own + (reported + remote) * running_part }
     });
-    costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+    let fillings = fillings.collect::<SmallVec<[Filling; 32]>>();
+    let candidate_index = spreading::draw(&fillings, service.unreported_count(), draw)?;
+    let (candidate, filling) = (&candidates[candidate_index], &fillings[candidate_index]);
+    let load = view.load(candidate.hash);
+    Some(Choice {
+        candidate_index,
+        wait_ms: load.running_count * weights.running_ms,
+        read_ms: 0.0,
+        unread_tokens: 0,
+        missed_tokens: 0,
+        load,
+        has_slot: filling.running_count < candidate.slots,
+        mean_wait_ms: 0.0,
+    })
 }
 
 /// Rendezvous hash of a target and a part, from 0 to 1; the same on all routers.
--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -84,6 +84,15 @@
         retries + 1.0 <= allowed
     }
 
+    /// Requests per second for a service by all routers, without retries.
+    pub fn requests_per_s(&mut self, service: Hash, now: Instant) -> f64 {
+        let own = self.own_counts(now).get(&service).map_or(0, |count| count.requests);
+        let lines = self.peers.values().flat_map(|(_, lines)| lines);
+        let lines = lines.filter(|line| line.service == service);
+        let others = lines.map(|line| f64::from(line.request_count)).sum::<f64>();
+        (f64::from(own) + others) / self.window.as_secs_f64()
+    }
+
     fn current_bucket(&mut self, now: Instant) -> &mut HashMap<Hash, Count> {
         let span = self.window / BUCKET_COUNT;
         if self.buckets.back().is_none_or(|last| now.duration_since(last.started_at) >= span) {
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -97,6 +97,7 @@
     attempt_deadline: Instant,
 ) -> Outcome {
     let (target, hash) = (&in_flight.placement.target, in_flight.placement.hash);
+    let sent_at = Instant::now();
     let outcome = match time::timeout_at(
         attempt_deadline,
         send_request(traffic, request, target, hash, last_event_id),
@@ -107,6 +108,12 @@
         Err(_) => Outcome::Unknown("attempt timed out".to_string()),
     };
     record_health(traffic, target, hash, &outcome);
+    if let Outcome::Buffered(response) = &outcome
+        && response.status.is_success()
+        && in_flight.placement.choice.unread_tokens == 0
+    {
+        traffic.context.state().record_service_time(&target.service, sent_at.elapsed());
+    }
     outcome
 }
 
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -12,8 +12,9 @@
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::{Shares, TeamShare};
-use gentianhinge_core::{admission, health, placement};
+use gentianhinge_core::{admission, health, placement, polling, spreading};
 use gentianhinge_wire::edge;
+use rand::Rng;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -117,6 +118,7 @@
     policy: admission::Policy,
     shares_computed_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
+    service_times: HashMap<Name, Duration>,
     service_backlogs: HashMap<Name, (Instant, admission::ServiceBacklog)>,
     indexed_revision: u64,
     are_targets_loaded: bool,
@@ -137,6 +139,7 @@
             policy: admission::Policy::default(),
             shares_computed_at: None,
             by_service: HashMap::new(),
+            service_times: HashMap::new(),
             service_backlogs: HashMap::new(),
             indexed_revision: 0,
             are_targets_loaded: false,
@@ -160,9 +163,6 @@
         self.retries.set_bounds(bounds.retry_ratio, bounds.extra_retries);
     }
 
-    /// Whether a configuration and the targets have been read.
-    pub fn can_serve(&self) -> bool {
-        self.table.is_some() && self.are_targets_loaded
     /// What this router knows of a topic of the store.
     pub fn topic_view(&mut self, topic: report::Topic) -> &mut polling::View {
         match topic {
@@ -177,6 +177,9 @@
         self.topic_views.map(|view| view.next_offset.unwrap_or(0))
     }
 
+    /// Whether a configuration and the targets have been read.
+    pub fn can_serve(&self) -> bool {
+        self.table.is_some() && self.are_targets_loaded
     }
 
     /// Records that the registry holds a complete listing.
@@ -206,6 +209,7 @@
 
     fn choose(&mut self, spec: &RequestSpec, zone: &str, now: Instant) -> Option<Placement> {
         self.refresh_target_index();
+        let service_load = self.service_load(&spec.service, now);
         let all = self.by_service.get(&spec.service)?;
         let untried = all.iter().filter(|(_, hash)| !spec.tried.contains(hash));
         let (mut candidates, mut ejected, mut unreachable) =
@@ -230,7 +234,14 @@
         let weights = &self.weights;
         let choice = match &spec.prompt {
             Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
-            None => placement::choose_without_prompt(&candidates, &self.load, zone, weights),
+            None => placement::choose_without_prompt(
+                &candidates,
+                &self.load,
+                zone,
+                &service_load,
+                weights,
+                rand::rng().random(),
+            ),
         }?;
         let chosen = candidates.get(choice.candidate_index)?;
         let (hash, id) = (chosen.hash, chosen.target.id.clone());
@@ -238,6 +249,22 @@
         Some(Placement { target, hash, choice })
     }
 
+    fn service_load(&mut self, service: &Name, now: Instant) -> spreading::ServiceLoad {
+        spreading::ServiceLoad {
+            arrivals_per_s: self.retries.requests_per_s(report::hash(service, 0), now),
+            service_time: self.service_times.get(service).copied().unwrap_or_default(),
+            report_age: self.load.mean_report_age(now),
+        }
+    }
+
+    /// Records how long a target took for a request without a prompt.
+    pub fn record_service_time(&mut self, service: &Name, time: Duration) {
+        /// Weight of a request in the moving average.
+        const WEIGHT: f64 = 0.1;
+        let mean = self.service_times.entry(service.clone()).or_insert(time);
+        *mean = mean.mul_f64(1.0 - WEIGHT) + time.mul_f64(WEIGHT);
+    }
+
     /// Backlog of the targets of a service, at most [`BACKLOG_CACHE_TIME`] old.
     fn service_backlog(
         &mut self,
