Fewer calls to the store at the start and for configurations

Change: a topic's history is read instead of a listing while it is short and complete; at the start all registered routers count as live; a relayed poll holds 20 KB; a router waits a fifth of the bound for records that it knows to be missing.

--- a/core/src/polling.rs
+++ b/core/src/polling.rs
@@ -48,7 +48,11 @@
 
 /// Delay from a hint that records are missing to the poll for them, as a part of the bound. Most
 /// missing records arrive with the next relayed poll.
-const BEHIND_PART: f64 = 0.1;
+const BEHIND_PART: f64 = 0.2;
+
+/// Time after its start within which a router takes all registered routers for live: the routers
+/// of a fleet may start at the same time, and then haven't heard of each other yet.
+pub const DISCOVERY_TIME: Duration = Duration::from_secs(4);
 
 /// Position of a router in the rendezvous order of a topic among itself and `others`; 0 is the
 /// first.
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -1,6 +1,6 @@
 //! A router's view of the fleet, and the placement decisions based on it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -112,6 +112,8 @@
     pub retries: RetryBudget,
     /// Health of targets.
     pub health: health::Health,
+    /// Names of the routers that are registered in the store, including this one.
+    pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
     topic_views: [polling::View; report::Topic::ALL.len()],
     weights: placement::Weights,
@@ -135,6 +137,7 @@
             retries: retry_budget(bounds),
             health: health::Health::default(),
             topic_views: Default::default(),
+            registered_routers: BTreeSet::new(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
             shares_computed_at: None,
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -188,6 +188,20 @@
     context.log.state_change(json!({ "event": "target", "target": id, "outcome": outcome }));
 }
 
+fn apply_router(context: &Context, peers: &load_reports::Peers, entry: &Entry) {
+    let peer = peers::decode(entry);
+    let name = Name::from(entry.key.as_str());
+    let mut state = context.state();
+    match &peer {
+        Some(_) => state.registered_routers.insert(name),
+        None => state.registered_routers.remove(&name),
+    };
+    drop(state);
+    if entry.key != *context.name {
+        peers.set(&entry.key, peer);
+    }
+}
+
 /// Registers this router in the store and keeps the other routers in sync, until the shutdown,
 /// which removes the registration.
 pub async fn routers(mut reader: TopicReader, own_peer: peers::Peer, peers: load_reports::Peers) {
@@ -207,8 +221,8 @@
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         };
         let (Batch::Snapshot(read) | Batch::Updates(read)) = batch;
-        for entry in read.entries.iter().filter(|entry| entry.key != name) {
-            peers.set(&entry.key, peers::decode(entry));
+        for entry in &read.entries {
+            apply_router(&context, &peers, entry);
         }
         reader.pause(ROUTERS_PAUSE);
     }
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -1,7 +1,7 @@
 //! Follows one topic of the store: polls it, or hears of the polls of the router that polls for
 //! all. [`polling`] decides when this router polls.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use gentianhinge_core::report::{self, Topic};
 use gentianhinge_platform::store::{Entries, Entry, Store, StoreError};
 use gentianhinge_platform::{config, peers, registry};
+use gentianhinge_wire::load;
 use rand::Rng;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -29,8 +30,9 @@
 /// Time without a report after which a router loses its position in the order.
 const RANK_WINDOW: Duration = Duration::from_secs(15);
 
-/// Maximum size of the records that are relayed with a poll, so that they fit one datagram.
-const MAX_RELAYED_BYTES: usize = 5000;
+/// Maximum size of the records that are relayed with a poll, so that they fit one datagram: room
+/// for a configuration of some hundred teams.
+const MAX_RELAYED_BYTES: usize = load::MAX_DATAGRAM_BYTES / 2;
 
 /// Time for which a record is relayed again with further polls, as a part of the bound. The
 /// repetition makes up for lost datagrams.
@@ -89,6 +91,7 @@
     /// Position in the order of routers, and when it was computed.
     rank: (usize, Option<Instant>),
     needs_listing: bool,
+    started_at: Instant,
     /// Earliest time of the next poll: after failures, and after batches that have a pause.
     not_before: Instant,
     backoff: Duration,
@@ -118,6 +121,7 @@
             outbox,
             rank: (0, None),
             needs_listing: true,
+            started_at: Instant::now(),
             not_before: Instant::now(),
             backoff: polling::MIN_BACKOFF,
             failing_since: None,
@@ -168,8 +172,14 @@
     fn rank(&mut self, now: Instant) -> usize {
         if self.rank.1.is_none_or(|at| now >= at + RANK_INTERVAL) {
             let state = self.context.state();
-            let others = state.load.routers_heard(RANK_WINDOW, now);
-            self.rank = (polling::rank(&self.context.name, others, self.topic), Some(now));
+            let heard = state.load.routers_heard(RANK_WINDOW, now);
+            let is_discovering = now < self.started_at + polling::DISCOVERY_TIME;
+            // At the start of a fleet, no router has heard all others yet.
+            let registered = state.registered_routers.iter().filter(|_| is_discovering);
+            let others = heard.chain(registered.map(|name| &**name)).collect::<BTreeSet<_>>();
+            let rank = polling::rank(&self.context.name, others.into_iter(), self.topic);
+            let is_unlisted = is_discovering && state.registered_routers.is_empty();
+            self.rank = (if is_unlisted { rank.max(1) } else { rank }, Some(now));
         }
         self.rank.0
     }
@@ -213,7 +223,13 @@
 
     /// Reads the newest record of each key.
     async fn list(&mut self, now: Instant) -> Option<Batch> {
-        match self.store.newest(self.topic_name()).await {
+        let name = self.topic_name();
+        let listing = match self.topic {
+            // Only the newest configuration counts, and old ones are long.
+            Topic::Config => self.store.newest(name).await,
+            Topic::Targets | Topic::Routers => self.store.newest_by_history(name).await,
+        };
+        match listing {
             Ok(listing) => {
                 self.needs_listing = false;
                 self.record_success();
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -9,7 +9,7 @@
 use crate::generated::load_capnp;
 
 /// Maximum size of a received datagram.
-pub const MAX_DATAGRAM_BYTES: usize = 8192;
+pub const MAX_DATAGRAM_BYTES: usize = 40_000;
 
 /// Traversal limit for decoding a datagram, in words of 8 bytes.
 const TRAVERSAL_LIMIT_WORDS: usize = 8192;
