Each router keeps to its share of the retry budget

Seven targets rejected requests in the same second, and 295 routers whose reports are 2.5 s apart all saw the whole budget unused. Change: a router takes no more than its share, half by its requests and half evenly; the shares add up to the budget. routers_that_have_not_heard_of_each_other_stay_within_the_retry_budget fails without.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -2,6 +2,10 @@
 //!
 //! When targets fail many requests at once, retrying all of them would double the load just when
 //! capacity is lowest. The budget limits retries to a ratio of requests over a sliding window.
+//!
+//! Load pattern: hundreds of routers see a target fail in the same second, and the last reports of
+//! the others still show an unused budget. Each router therefore has a share of it, half by its
+//! requests and half evenly.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -36,6 +40,7 @@
     ratio: f64,
     extra_retries: f64,
     window: Duration,
+    router_count: f64,
     buckets: VecDeque<Bucket>,
     peers: HashMap<Name, (Instant, Vec<report::ServiceUse>)>,
 }
@@ -45,7 +50,7 @@
     /// service. Both may be fractions; a retry is allowed only if a whole one is left.
     pub fn new(ratio: f64, extra_retries: f64, window: Duration) -> RetryBudget {
         let (buckets, peers) = (VecDeque::new(), HashMap::new());
-        RetryBudget { ratio, extra_retries, window, buckets, peers }
+        RetryBudget { ratio, extra_retries, window, router_count: 1.0, buckets, peers }
     }
 
     /// Replaces the bounds; counts stay.
@@ -79,9 +84,18 @@
             requests += f64::from(line.request_count);
             retries += f64::from(line.retry_count);
         }
-        // Each router can use up the remaining room before the others receive its report.
-        let allowed = (self.ratio * requests + self.extra_retries) * USABLE_RATIO;
-        retries + 1.0 <= allowed
+        let allowed = self.ratio * requests + self.extra_retries;
+        let own_requests = f64::from(own.requests);
+        let share_of_requests = if requests > 0.0 { own_requests / requests } else { 0.0 };
+        let share = (share_of_requests + 1.0 / self.router_count) / 2.0;
+        // Each router can use up the remaining room before the others receive its report, so none
+        // takes more than its share: the shares of all routers add up to the budget.
+        retries + 1.0 <= allowed * USABLE_RATIO && f64::from(own.retries) + 1.0 <= allowed * share
+    }
+
+    /// Sets the number of routers that share the budget, including this one.
+    pub fn set_router_count(&mut self, router_count: usize) {
+        self.router_count = router_count.max(1) as f64;
     }
 
     /// Requests per second for a service by all routers, without retries.
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -326,6 +326,25 @@
         let taken = (0..100).filter(|_| budget.try_take(1, now)).count();
         assert!((1..=20).contains(&taken), "{taken}");
     },
+    routers_that_have_not_heard_of_each_other_stay_within_the_retry_budget: {
+        // 295 routers see the same failure before any of their reports with retries arrives.
+        let now = Instant::now();
+        let requests_of = |router: u32| if router == 0 { 1_500 } else { 10 };
+        let mut taken = 0;
+        let total = (0..295).map(requests_of).sum::<u32>();
+        for router in 0..295 {
+            let mut budget = RetryBudget::new(0.2, 630.0, Duration::from_secs(10));
+            budget.set_router_count(295);
+            (0..requests_of(router)).for_each(|_| budget.count_request(1, now));
+            let others = total - requests_of(router);
+            let reported = ServiceUse { service: 1, request_count: others, retry_count: 0 };
+            budget.apply_report(&"others".into(), vec![reported], now);
+            taken += (0..3_000).filter(|_| budget.try_take(1, now)).count();
+        }
+        let allowed = 0.2 * f64::from(total) + 630.0;
+        assert!(taken as f64 <= allowed, "{taken} of {allowed}");
+        assert!(taken as f64 >= allowed * 0.6, "{taken} of {allowed}");
+    },
     retries_that_left_the_window_no_longer_count: {
         let now = Instant::now();
         let mut budget = RetryBudget::new(0.0, 4.0, Duration::from_secs(10));
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -161,6 +161,7 @@
         self.shares.recompute(capacity, now);
     }
 
+        self.retries.set_router_count(self.load.router_count(now));
     /// Applies changed bounds of the retry budget; the windows keep their lengths.
     pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
         self.retries.set_bounds(bounds.retry_ratio, bounds.extra_retries);
