Requests that come back go behind new ones

Change: the usual time limits of a route's callers are learned from teams whose requests are all sent; what a caller states less than that, it has waited (core::patience), and its latency target ends earlier.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod load;
 pub mod membership;
 pub mod message;
+pub mod patience;
 pub mod pause;
 pub mod placement;
 pub mod polling;
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Whether almost all requests of a team were sent, as of the last [`Shares::recompute`].
+    pub fn is_served_in_full(&self, team: Hash) -> bool {
+        const SERVED_PART: f64 = 0.95;
+        let usage = self.totals.get(&team).copied().unwrap_or_default();
+        usage.begun_tokens > 0.0 && usage.begun_tokens >= usage.asked_tokens * SERVED_PART
+    }
+
     /// Age of the oldest report that is still counted; 0 if there is none.
     pub fn oldest_age(&self, now: Instant) -> Duration {
         let ages = self.peers.values().map(|(received_at, _)| now.duration_since(*received_at));
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -89,12 +89,17 @@
     let caller_deadline = arrived_at + caller_head.time_left.unwrap_or(route.timeout);
     let deadline = caller_deadline.min(arrived_at + route.timeout);
     let urgency = urgency_step(&table, &route, &service);
+    let team_hash = team.as_ref().map_or(0, |team| team.hash);
+    let waited_before = caller_head.time_left.map_or(Duration::ZERO, |limit| {
+        traffic.context.state().waited_before(&route.name, team_hash, limit)
+    });
+    let due_in = route.latency_target.saturating_sub(waited_before);
     let spec = RequestSpec {
         request_id: caller_head.request_id.as_str().into(),
         prompt: caller_head.prompt.clone().filter(|_| route.has_prompt),
-        team: team.as_ref().map_or(0, |team| team.hash),
+        team: team_hash,
         arrived_at,
-        due_at: arrived_at + route.latency_target,
+        due_at: arrived_at + due_in,
         deadline,
         urgency_step: urgency,
         tried: smallvec::SmallVec::new(),
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -12,7 +12,7 @@
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::{Shares, TeamShare};
-use gentianhinge_core::{admission, health, placement, polling, spreading};
+use gentianhinge_core::{admission, health, patience, placement, polling, spreading};
 use gentianhinge_wire::edge;
 use rand::Rng;
 use smallvec::SmallVec;
@@ -121,6 +121,7 @@
     shares_computed_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
     service_times: HashMap<Name, Duration>,
+    patience: HashMap<Name, patience::Patience>,
     service_backlogs: HashMap<Name, (Instant, admission::ServiceBacklog)>,
     indexed_revision: u64,
     are_targets_loaded: bool,
@@ -136,13 +137,14 @@
             shares: Shares::new(edge::duration_s(bounds.share_window_s)),
             retries: retry_budget(bounds),
             health: health::Health::default(),
-            topic_views: Default::default(),
             registered_routers: BTreeSet::new(),
+            topic_views: Default::default(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
             shares_computed_at: None,
             by_service: HashMap::new(),
             service_times: HashMap::new(),
+            patience: HashMap::new(),
             service_backlogs: HashMap::new(),
             indexed_revision: 0,
             are_targets_loaded: false,
@@ -159,9 +161,9 @@
         self.shares_computed_at = Some(now);
         let capacity = self.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
         self.shares.recompute(capacity, now);
+        self.retries.set_router_count(self.load.router_count(now));
     }
 
-        self.retries.set_router_count(self.load.router_count(now));
     /// Applies changed bounds of the retry budget; the windows keep their lengths.
     pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
         self.retries.set_bounds(bounds.retry_ratio, bounds.extra_retries);
@@ -261,6 +263,17 @@
         }
     }
 
+    /// Time that the caller of a request has waited at least since its first try; `limit` is the
+    /// time for which it still waits.
+    pub fn waited_before(&mut self, route: &Name, team: Hash, limit: Duration) -> Duration {
+        let is_first_try = self.shares.is_served_in_full(team);
+        let patience = self.patience.entry(route.clone()).or_default();
+        if is_first_try {
+            patience.sample(limit);
+        }
+        patience.waited(limit)
+    }
+
     /// Records how long a target took for a request without a prompt.
     pub fn record_service_time(&mut self, service: &Name, time: Duration) {
         /// Weight of a request in the moving average.
