--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -168,10 +168,9 @@
         usage.begun_tokens > 0.0 && usage.begun_tokens >= usage.asked_tokens * SERVED_PART
     }
 
-    /// Age of the oldest report that is still counted; 0 if there is none.
-    pub fn oldest_age(&self, now: Instant) -> Duration {
-        let ages = self.peers.values().map(|(received_at, _)| now.duration_since(*received_at));
-        ages.max().unwrap_or_default()
+    /// Ages of the reports of other routers that are still counted.
+    pub fn ages(&self, now: Instant) -> impl Iterator<Item = Duration> {
+        self.peers.values().map(move |(received_at, _)| now.duration_since(*received_at))
     }
 
     /// Fair share in tokens per window; infinite while all demands fit.
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -93,6 +93,7 @@
     let waited_before = caller_head.time_left.map_or(Duration::ZERO, |limit| {
         traffic.context.state().waited_before(&route.name, team_hash, limit)
     });
+    record.set_waited_before(waited_before);
     let due_in = route.latency_target.saturating_sub(waited_before);
     let spec = RequestSpec {
         request_id: caller_head.request_id.as_str().into(),
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -22,6 +22,8 @@
     pub store_failures: metrics::Counter,
     /// Store records that can't be decoded.
     pub unreadable_records: metrics::Counter,
+    /// Ages of the sums of teams and services that other routers reported, in seconds.
+    pub sums_age: metrics::Histogram,
     /// Bytes of load reports sent to other routers.
     pub report_sent_bytes: metrics::Counter,
     /// Load reports that couldn't be sent, received or decoded.
@@ -58,6 +60,7 @@
             store_calls: telemetry.counter("gentianhinge_store_calls_total"),
             store_failures: telemetry.counter("gentianhinge_store_failures_total"),
             unreadable_records: telemetry.counter("gentianhinge_unreadable_records_total"),
+            sums_age: telemetry.histogram("gentianhinge_sums_age_seconds", &[]),
             report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
             histograms_by_team: Mutex::default(),
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use gentianhinge_core::ids::Name;
 use serde_json::{Value, json};
@@ -29,6 +30,7 @@
     status: u16,
     is_served: bool,
     detail: String,
+    waited_before_ms: u64,
 }
 
 impl RequestRecord {
@@ -53,9 +55,15 @@
             status: 0,
             is_served: false,
             detail: String::new(),
+            waited_before_ms: 0,
         }
     }
 
+    /// Sets the time that the caller has waited since its first try, as far as it is recognized.
+    pub fn set_waited_before(&mut self, waited: Duration) {
+        self.waited_before_ms = waited.as_millis() as u64;
+    }
+
     /// Sets route and team, and the version of the configuration that determined them.
     pub fn set_route(&mut self, route: &Name, team: Option<&Name>, config_version: u64) {
         self.route = Some(route.clone());
@@ -161,6 +169,9 @@
                 line["mean_backlog_ms"] = (refused.mean_backlog_ms as u64).into();
                 line["crowded_out"] = refused.is_crowded_out.into();
             }
+            if self.waited_before_ms > 0 {
+                line["waited_before_ms"] = self.waited_before_ms.into();
+            }
             if !self.detail.is_empty() {
                 line["detail"] = self.detail.as_str().into();
             }
--- a/daemon/src/edge/team_counts.rs
+++ b/daemon/src/edge/team_counts.rs
@@ -84,6 +84,9 @@
 pub async fn log_counts(context: Arc<Context>) {
     loop {
         time::sleep(LOG_INTERVAL).await;
+        for age in context.state().shares.ages(Instant::now()) {
+            context.metrics.sums_age.record(age.as_secs_f64());
+        }
         let teams = std::mem::take(&mut *context.team_counts.teams());
         if !teams.is_empty() {
             context.log.state_change(log_line(&context, &teams));
@@ -94,6 +97,7 @@
 fn log_line(context: &Context, teams: &BTreeMap<Name, Counts>) -> Value {
     let now = Instant::now();
     let state = context.state();
+    let oldest_age = state.shares.ages(now).max().unwrap_or_default();
     let entries = teams.iter().map(|(team, counts)| {
         let team_share = state.shares.team_share(report::hash(team, 0));
         let fields = json!({
@@ -107,7 +111,7 @@
     let entries = entries.collect::<serde_json::Map<_, _>>();
     json!({
         "event": "shares", "level": state.shares.fair_share_tokens().min(f64::from(u32::MAX)) as u64,
-        "oldest_sums_ms": state.shares.oldest_age(now).as_millis() as u64,
+        "oldest_sums_ms": oldest_age.as_millis() as u64,
         "routers": state.load.router_count(now), "teams": entries,
     })
 }
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -192,6 +192,13 @@
             _ => return self.list(now).await,
         };
         let is_behind = view.is_behind();
+        if rank > 0 {
+            let age_ms = view.age(now).map(|age| age.as_millis() as u64);
+            self.context.log.state_change(json!({
+                "event": "poll", "topic": self.topic_name(), "rank": rank, "offset": from,
+                "age_ms": age_ms, "cause": if is_behind { "records missing" } else { "view too old" },
+            }));
+        }
         // After a failure the store should respond at once, so that its recovery is noticed.
         let needs_answer = is_behind || self.failing_since.is_some();
         let wait = if needs_answer { Duration::ZERO } else { self.policy.long_poll(rank) };
