Polls of other routers are checked before they are applied

Found in reading the change: a poll whose records don't match its offsets could bring records in, records read in two turns were relayed with a gap, and a read that was cut short was relayed as the end of its topic. edge_polls: a_poll_with_too_many_records_is_not_applied fails on the code before.

--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -216,7 +216,7 @@
                 // An empty response comes after the wait, and so says that there is no record then.
                 let at = if read.entries.is_empty() { now + wait } else { now };
                 self.confirm(&read, at.min(Instant::now()));
-                if !is_behind {
+                if !is_behind && read.next_offset >= read.end_offset {
                     self.relay(&read, at);
                 }
                 Some(Batch::Updates(read)).filter(|_| self.has_news(from))
@@ -272,8 +272,13 @@
 
     /// Sends the result of a poll to the other routers, with the records of the last polls.
     fn relay(&mut self, read: &Entries, at: Instant) {
-        let kept_since = Instant::now() - self.policy.bound.mul_f64(RELAY_TIME_PART);
-        self.relayed.retain(|(read_at, _)| *read_at >= kept_since);
+        let keep_time = self.policy.bound.mul_f64(RELAY_TIME_PART);
+        self.relayed.retain(|(read_at, _)| read_at.elapsed() <= keep_time);
+        let begins_at = read.entries.first().map_or(read.next_offset, |entry| entry.offset);
+        if self.relayed.back().is_some_and(|(_, last)| last.offset + 1 != begins_at) {
+            // Other routers have relayed the records in between.
+            self.relayed.clear();
+        }
         self.relayed.extend(read.entries.iter().map(|entry| (Instant::now(), entry.clone())));
         let record_len =
             |entry: &Entry| entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16;
@@ -306,7 +311,7 @@
             view.hear(poll.next_offset, now);
             return None;
         }
-        let at = now - Duration::from_millis(poll.age_ms.into());
+        let at = ended_at(&poll, now)?;
         self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
         drop(state);
         self.end_failure("another router reads the store");
@@ -316,7 +321,8 @@
             key: record.key,
             value: record.value.map(Bytes::from),
         });
-        let entries = entries.filter(|entry| entry.offset >= from).collect::<Vec<_>>();
+        let entries = entries.filter(|entry| (from..next_offset).contains(&entry.offset));
+        let entries = entries.collect::<Vec<_>>();
         let is_news = !entries.is_empty() || self.has_recovered;
         is_news.then_some(Batch::Updates(Entries { entries, next_offset, end_offset: next_offset }))
     }
@@ -370,11 +376,17 @@
         if poll.next_offset > from {
             return poll;
         }
-        let at = Instant::now() - Duration::from_millis(poll.age_ms.into());
-        context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
+        if let Some(at) = ended_at(&poll, Instant::now()) {
+            context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
+        }
     }
 }
 
+/// Time at which the topic ended where a poll says; `None` if that lies before the clock's start.
+fn ended_at(poll: &report::Poll, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(poll.age_ms.into()))
+}
+
 fn record(entry: &Entry) -> report::Record {
     let value = entry.value.as_ref().map(|value| value.to_vec());
     report::Record { key: entry.key.clone(), value }
--- /dev/null
+++ b/daemon/tests/edge_polls.rs
@@ -0,0 +1,118 @@
+//! A router that hears of other routers' polls of the store.
+
+use std::io;
+use std::net;
+use std::sync::{Arc, Mutex, atomic};
+use std::time::Duration;
+
+use gentianhinge_core::report::{Poll, Record, Topic};
+use gentianhinge_platform::store;
+use gentianhinge_wire::edge;
+use gentianhinged::edge::topic_reader::{self, Batch, PollSenders, TopicReader};
+use gentianhinged::edge::{self as router, decisions, operators, state, team_counts};
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+
+mod edge_kit;
+mod support;
+
+const BOUND: Duration = Duration::from_secs(2);
+
+fn context() -> Arc<router::Context> {
+    let bounds = edge::EdgeBounds {
+        config_apply_ms: 2_000.0,
+        drain_ms: 2_000.0,
+        extra_retries: 50.0,
+        grace_s: 8.0,
+        retry_ratio: 0.2,
+        retry_window_s: 10.0,
+        share_window_s: 4.0,
+    };
+    Arc::new(router::Context {
+        name: "r1".into(),
+        zone: "z1".into(),
+        incarnation: 1,
+        state: Mutex::new(state::RouterState::new(&bounds)),
+        log: decisions::Log::start_on("r1".into(), 100, io::sink()).unwrap(),
+        metrics: operators::Metrics::new(),
+        team_counts: team_counts::TeamCounts::default(),
+        phase: watch::Sender::new(router::Phase::Serving),
+        open_requests: atomic::AtomicUsize::new(0),
+        is_overloaded: atomic::AtomicBool::new(false),
+        lag_ms: atomic::AtomicU64::new(0),
+    })
+}
+
+/// A reader of the targets that has read the store's only record, and hears others' polls.
+async fn reader() -> (edge_kit::Store, TopicReader, PollSenders, mpsc::Receiver<Poll>) {
+    let (store, addr) = edge_kit::Store::start().await;
+    let target_addr: net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    store.put_target("t0", target_addr, "ready");
+    let client = store::Store::new(addr, Duration::from_secs(1));
+    let (senders, [_, polls, _]) = topic_reader::poll_channels();
+    let (outbox, own_polls) = mpsc::channel(topic_reader::POLL_QUEUE_LEN);
+    let mut reader = TopicReader::new(context(), client, Topic::Targets, BOUND, polls, outbox);
+    let batch = reader.next_batch().await;
+    assert!(matches!(batch, Batch::Snapshot(listing) if listing.entries.len() == 1));
+    (store, reader, senders, own_polls)
+}
+
+fn poll(from: u64, next_offset: u64, age_ms: u32, record_count: usize) -> Poll {
+    let record = |i| Record { key: format!("t{i}"), value: Some(b"{}".to_vec()) };
+    let records = (0..record_count).map(record).collect();
+    Poll { topic: Topic::Targets, from, next_offset, age_ms, records }
+}
+
+/// Offsets of the records that the reader returns within half of the bound, in which it doesn't poll
+/// itself.
+async fn heard(polls: Vec<Poll>) -> Vec<u64> {
+    let (store, mut reader, senders, _own_polls) = reader().await;
+    // Only relayed polls can bring records.
+    store.set_down(true);
+    polls.into_iter().for_each(|poll| senders.send(poll));
+    let mut offsets = Vec::new();
+    while let Ok(batch) = time::timeout(BOUND / 4, reader.next_batch()).await {
+        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch;
+        offsets.extend(read.entries.iter().map(|entry| entry.offset));
+    }
+    offsets
+}
+
+/// Defines tests: polls of other routers and the offsets of the records that are applied. The
+/// router itself has read up to offset 1.
+macro_rules! heard {
+    ($($name:ident: [$($poll:expr),*] => [$($offset:literal),*];)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let expected: Vec<u64> = vec![$($offset),*];
+            assert_eq!(heard(vec![$($poll),*]).await, expected);
+        }
+    )*};
+}
+
+heard! {
+    records_of_a_relayed_poll_are_applied: [poll(1, 3, 20, 2)] => [1, 2];
+    records_that_are_known_are_skipped: [poll(0, 3, 20, 3), poll(1, 3, 20, 2)] => [1, 2];
+    a_poll_that_begins_behind_the_view_is_not_applied: [poll(2, 4, 20, 2)] => [];
+    a_poll_without_its_records_is_not_applied: [poll(1, 4, 20, 0)] => [];
+    a_poll_with_too_many_records_is_not_applied: [poll(1, 1, 20, 3)] => [];
+    a_poll_whose_offsets_run_backwards_is_not_applied: [poll(9, 2, 20, 1)] => [];
+    a_poll_at_the_highest_offset_is_not_applied: [poll(u64::MAX, u64::MAX, 20, 1)] => [];
+    a_poll_older_than_the_clock_does_not_end_the_reader:
+        [poll(1, 2, u32::MAX, 1), poll(1, 3, 20, 2)] => [1, 2];
+}
+
+#[tokio::test]
+async fn a_router_alone_relays_its_polls_with_the_records() {
+    let (store, mut reader, _senders, mut own_polls) = reader().await;
+    reader.context.state().registered_routers.insert("r1".into());
+    let target_addr: net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    store.put_target("t1", target_addr, "draining");
+    let batch = reader.next_batch().await;
+    assert!(matches!(batch, Batch::Updates(read) if read.entries.len() == 1));
+    let mut relayed = own_polls.recv().await.unwrap();
+    while relayed.records.is_empty() {
+        relayed = own_polls.recv().await.unwrap();
+    }
+    assert_eq!((relayed.from, relayed.next_offset, relayed.records.len()), (1, 2, 1));
+}
