--- /dev/null
+++ b/daemon/tests/edge_context/mod.rs
@@ -0,0 +1,40 @@
+//! The state of a router without its threads.
+
+#![allow(dead_code)]
+
+use std::io::Write;
+use std::sync::{Arc, Mutex, atomic};
+
+use gentianhinge_wire::edge;
+use gentianhinged::edge::{self as router, decisions, operators, state, team_counts};
+use tokio::sync::watch;
+
+/// Bounds of a small deployment.
+pub fn bounds() -> edge::EdgeBounds {
+    edge::EdgeBounds {
+        config_apply_ms: 2_000.0,
+        drain_ms: 2_000.0,
+        extra_retries: 50.0,
+        grace_s: 8.0,
+        retry_ratio: 0.2,
+        retry_window_s: 10.0,
+        share_window_s: 4.0,
+    }
+}
+
+/// The router `r1` in zone `z1`, whose log goes to `output`.
+pub fn context(output: impl Write + Send + 'static) -> Arc<router::Context> {
+    Arc::new(router::Context {
+        name: "r1".into(),
+        zone: "z1".into(),
+        incarnation: 1,
+        state: Mutex::new(state::RouterState::new(&bounds())),
+        log: decisions::Log::start_on("r1".into(), 100, output).unwrap(),
+        metrics: operators::Metrics::new(),
+        team_counts: team_counts::TeamCounts::default(),
+        phase: watch::Sender::new(router::Phase::Serving),
+        open_requests: atomic::AtomicUsize::new(0),
+        is_overloaded: atomic::AtomicBool::new(false),
+        lag_ms: atomic::AtomicU64::new(0),
+    })
+}
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use gentianhinge_platform::peers;
-use gentianhinge_wire::edge;
 use gentianhinged::edge::lag::{self, LagMonitor};
 use gentianhinged::edge::load_reports::{Parts, Peers, Schedule};
 use gentianhinged::edge::state::RouterState;
 use tokio::time::{self, Instant};
 
+mod edge_context;
+
 macro_rules! cases {
     ($($name:ident: $body:block,)*) => {
         $(#[tokio::test(start_paused = true)] async fn $name() $body)*
@@ -58,18 +59,6 @@
     (sums, full, bytes)
 }
 
-fn bounds() -> edge::EdgeBounds {
-    edge::EdgeBounds {
-        config_apply_ms: 2_000.0,
-        drain_ms: 2_000.0,
-        extra_retries: 50.0,
-        grace_s: 8.0,
-        retry_ratio: 0.2,
-        retry_window_s: 10.0,
-        share_window_s: 4.0,
-    }
-}
-
 /// Simulates a thread that serves a stream's events and refuses 1,200 new connections a second for
 /// 8 s, and returns the longest delay of an event. Each event and each refusal takes 1 ms, in order
 /// of arrival. The thread accepts either one connection at a time with the pause for its lag, or
@@ -166,7 +155,7 @@
     },
     shares_are_recomputed_without_the_control_thread: {
         let (team, now) = (7, Instant::now());
-        let mut state = RouterState::new(&bounds());
+        let mut state = RouterState::new(&edge_context::bounds());
         state.shares.count_request(team, 4_000, now);
         state.shares.count_sent(team, 4_000, now);
         state.shares.count_request(8, 9_000, now);
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -6,10 +6,11 @@
 use gentianhinge_core::placement::Choice;
 use gentianhinge_core::prompt::{Part, Prompt};
 use gentianhinge_core::registry::Target;
-use gentianhinge_wire::edge;
 use gentianhinged::edge::state::{Decision, Placement, RequestSpec, RouterState};
 use tokio::time::Instant;
 
+mod edge_context;
+
 /// Prompt tokens that take 380 ms to prefill, at 40 tokens per ms.
 const PROMPT_TOKENS: u32 = 15_200;
 
@@ -52,15 +53,7 @@
 /// A router whose only target has 380 ms of prompts to prefill. Its requests had their first event
 /// this much later than expected.
 fn state_after(extra_ms: u64, now: Instant) -> RouterState {
-    let mut state = RouterState::new(&edge::EdgeBounds {
-        config_apply_ms: 2_000.0,
-        drain_ms: 2_000.0,
-        extra_retries: 50.0,
-        grace_s: 8.0,
-        retry_ratio: 0.2,
-        retry_window_s: 10.0,
-        share_window_s: 4.0,
-    });
+    let mut state = RouterState::new(&edge_context::bounds());
     let target = target();
     let hash = target.hash();
     state.registry.apply("m1", 0, Some(target.clone()), now);
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -2,47 +2,20 @@
 
 use std::io;
 use std::net;
-use std::sync::{Arc, Mutex, atomic};
 use std::time::Duration;
 
 use gentianhinge_core::report::{Poll, Record, Topic};
 use gentianhinge_platform::store;
-use gentianhinge_wire::edge;
 use gentianhinged::edge::topic_reader::{self, Batch, PollSenders, TopicReader};
-use gentianhinged::edge::{self as router, decisions, operators, state, team_counts};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time;
 
+mod edge_context;
 mod edge_kit;
 mod support;
 
 const BOUND: Duration = Duration::from_secs(2);
 
-fn context() -> Arc<router::Context> {
-    let bounds = edge::EdgeBounds {
-        config_apply_ms: 2_000.0,
-        drain_ms: 2_000.0,
-        extra_retries: 50.0,
-        grace_s: 8.0,
-        retry_ratio: 0.2,
-        retry_window_s: 10.0,
-        share_window_s: 4.0,
-    };
-    Arc::new(router::Context {
-        name: "r1".into(),
-        zone: "z1".into(),
-        incarnation: 1,
-        state: Mutex::new(state::RouterState::new(&bounds)),
-        log: decisions::Log::start_on("r1".into(), 100, io::sink()).unwrap(),
-        metrics: operators::Metrics::new(),
-        team_counts: team_counts::TeamCounts::default(),
-        phase: watch::Sender::new(router::Phase::Serving),
-        open_requests: atomic::AtomicUsize::new(0),
-        is_overloaded: atomic::AtomicBool::new(false),
-        lag_ms: atomic::AtomicU64::new(0),
-    })
-}
-
 /// A reader of the targets that has read the store's only record, and hears others' polls.
 async fn reader() -> (edge_kit::Store, TopicReader, PollSenders, mpsc::Receiver<Poll>) {
     let (store, addr) = edge_kit::Store::start().await;
@@ -51,7 +24,14 @@
     let client = store::Store::new(addr, Duration::from_secs(1));
     let (senders, [_, polls, _]) = topic_reader::poll_channels();
     let (outbox, own_polls) = mpsc::channel(topic_reader::POLL_QUEUE_LEN);
-    let mut reader = TopicReader::new(context(), client, Topic::Targets, BOUND, polls, outbox);
+    let mut reader = TopicReader::new(
+        edge_context::context(io::sink()),
+        client,
+        Topic::Targets,
+        BOUND,
+        polls,
+        outbox,
+    );
     let batch = reader.next_batch().await;
     assert!(matches!(batch, Batch::Snapshot(listing) if listing.entries.len() == 1));
     (store, reader, senders, own_polls)
--- a/daemon/tests/edge_shares.rs
+++ b/daemon/tests/edge_shares.rs
@@ -1,15 +1,15 @@
 //! The log lines with the counts of each team.
 
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex, atomic};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use gentianhinge_wire::edge;
-use gentianhinged::edge::{self as router, decisions, operators, state, team_counts};
+use gentianhinged::edge::team_counts;
 use serde_json::Value;
-use tokio::sync::watch;
 use tokio::time;
 
+mod edge_context;
+
 #[derive(Clone, Default)]
 struct Output(Arc<Mutex<Vec<u8>>>);
 
@@ -24,35 +24,10 @@
     }
 }
 
-fn context(output: Output) -> Arc<router::Context> {
-    let bounds = edge::EdgeBounds {
-        config_apply_ms: 2_000.0,
-        drain_ms: 2_000.0,
-        extra_retries: 50.0,
-        grace_s: 8.0,
-        retry_ratio: 0.2,
-        retry_window_s: 10.0,
-        share_window_s: 4.0,
-    };
-    Arc::new(router::Context {
-        name: "r1".into(),
-        zone: "z1".into(),
-        incarnation: 1,
-        state: Mutex::new(state::RouterState::new(&bounds)),
-        log: decisions::Log::start_on("r1".into(), 100, output).unwrap(),
-        metrics: operators::Metrics::new(),
-        team_counts: team_counts::TeamCounts::default(),
-        phase: watch::Sender::new(router::Phase::Serving),
-        open_requests: atomic::AtomicUsize::new(0),
-        is_overloaded: atomic::AtomicBool::new(false),
-        lag_ms: atomic::AtomicU64::new(0),
-    })
-}
-
 #[tokio::test(start_paused = true)]
 async fn requested_and_served_tokens_are_logged_once_a_second() {
     let output = Output::default();
-    let context = context(output.clone());
+    let context = edge_context::context(output.clone());
     let team = "clubs".into();
     context.team_counts.count_arrival(&team, 300);
     context.team_counts.count_arrival(&team, 500);
