A relay task that ends early cuts its stream, and sums of reports don't get negative

Unread tokens got negative when a target was gone and back: lines with unread tokens of no running request were dropped from the sums while the line itself stayed.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -194,7 +194,7 @@
 impl WaitingRequest {
     /// Whether the first event is expected by `due_at`.
     pub fn can_be_on_time(&self, best: &BestTarget, now: Instant) -> bool {
-        let expected = now + Duration::from_secs_f64((best.wait_ms + best.read_ms) / 1e3);
+        let expected = now + Duration::from_secs_f64((best.wait_ms + best.read_ms).max(0.0) / 1e3);
         expected <= self.due_at
     }
 
@@ -236,6 +236,6 @@
         return Verdict::Wait;
     }
     let backlog_ms = best.map_or(0.0, |best| best.wait_ms);
-    let retry_after = Duration::from_secs_f64(backlog_ms / 1e3).max(MIN_RETRY_AFTER);
+    let retry_after = Duration::from_secs_f64(backlog_ms.max(0.0) / 1e3).max(MIN_RETRY_AFTER);
     Verdict::Refuse { retry_after }
 }
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -62,8 +62,8 @@
         let own = self.own.get(&target).copied().unwrap_or_default();
         let peers = self.peer_totals.get(&target).copied().unwrap_or_default();
         Load {
-            unread_tokens: own.unread_tokens + peers.unread_tokens,
-            running_count: own.running_count + peers.running_count,
+            unread_tokens: own.unread_tokens + peers.unread_tokens.max(0.0),
+            running_count: own.running_count + peers.running_count.max(0.0),
         }
     }
 
@@ -184,7 +184,9 @@
                 subtract_line(&mut self.peer_totals, line);
             }
         }
-        self.peer_totals.retain(|_, load| load.running_count > 0.0);
+        // A line may have unread tokens of a request that no longer counts as running: dropping its
+        // target would make the sum negative once the line changes.
+        self.peer_totals.retain(|_, load| load.running_count > 0.0 || load.unread_tokens > 0.0);
     }
 
     /// Number of routers with a report within [`PEER_TIMEOUT`], including this one.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -116,6 +116,19 @@
         }
         assert_ne!(choose(&targets, &view, &prompt(1, 99), now), first);
     },
+    sums_of_reports_do_not_get_negative: {
+        // A target that is gone and back leaves lines with unread tokens of no running request.
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        let hash = targets[0].hash();
+        let line = |unread_tokens, running_count| {
+            vec![TargetLoad { target: hash, unread_tokens, running_count }]
+        };
+        view.apply_report(&report(1, line(5_000, 0), false), now);
+        view.expire(now);
+        view.apply_report(&report(2, line(0, 1), false), now);
+        let load = view.load(hash);
+        assert!(load.unread_tokens >= 0.0 && load.running_count >= 0.0, "{load:?}");
+    },
     small_prompts_stay_in_their_zone: {
         let now = Instant::now();
         let targets = [target("far", "b"), target("near", "a")];
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -210,7 +210,7 @@
 /// Timeout for the first event of a stream.
 pub fn first_event_time(request: &Request, in_flight: &InFlight) -> Duration {
     let choice = &in_flight.placement.choice;
-    let reading = Duration::from_secs_f64((choice.wait_ms + choice.read_ms) / 1e3);
+    let reading = Duration::from_secs_f64((choice.wait_ms + choice.read_ms).max(0.0) / 1e3);
     request.route.latency_target.mul_f64(FIRST_EVENT_TARGET_FACTOR)
         + reading.mul_f64(PROMPT_TIME_FACTOR)
 }
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
+use futures_util::stream;
 use gentianhinge_core::health;
 use gentianhinge_core::routing::Answer;
 use gentianhinge_platform::answer;
@@ -49,6 +49,29 @@
     pub record: RequestRecord,
 }
 
+/// What the relay passes to the caller's connection.
+#[derive(Debug)]
+pub enum Chunk {
+    /// Complete events.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+}
+
+/// Body of a response that ends with [`Chunk::End`]. Without it, for example after a panic of the
+/// sender, the body ends with an error, so that the caller can tell that it is incomplete.
+pub fn body(receiver: mpsc::Receiver<Chunk>) -> Body {
+    let frames = stream::unfold(Some(receiver), async |receiver| {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Chunk::Events(events)) => Some((Ok(Frame::data(events)), Some(receiver))),
+            Some(Chunk::End) => None,
+            None => Some((Err(BodyError::Truncated), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Why forwarding from a target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -69,13 +92,7 @@
         in_flight: InFlight,
     ) -> http::Response<Body> {
         let (chunks, receiver) = mpsc::channel(CHANNEL_CHUNKS);
-        let body = stream::unfold(receiver, async |mut receiver| {
-            let chunk = receiver.recv().await?;
-            Some((chunk, receiver))
-        });
-        let body =
-            StreamBody::new(body.map(|chunk: Result<Bytes, BodyError>| chunk.map(Frame::data)));
-        let mut response = http::Response::new(body.boxed_unsync());
+        let mut response = http::Response::new(body(receiver));
         *response.status_mut() = first_stream.head.status;
         *response.headers_mut() = answer::head_for_caller(&first_stream.head.headers);
         task::spawn_local(self.run(first_stream, in_flight, chunks));
@@ -86,7 +103,7 @@
         mut self,
         first_stream: Box<EventStream>,
         in_flight: InFlight,
-        chunks: mpsc::Sender<Result<Bytes, BodyError>>,
+        chunks: mpsc::Sender<Chunk>,
     ) {
         let mut splitter = EventSplitter::new(self.last_event_id);
         let mut attempt = Some((first_stream, in_flight));
@@ -96,6 +113,8 @@
                 StreamEnd::Complete => {
                     self.record.set_attempt_result("complete");
                     self.record.set_outcome("served", status, true);
+                    // The caller may have left meanwhile.
+                    let _ = chunks.send(Chunk::End).await;
                     return;
                 }
                 StreamEnd::CallerLeft => {
@@ -110,8 +129,8 @@
             }
         }
         self.record.set_outcome("stream-cut", 200, false);
-        // The error closes the connection before the end of the body.
-        let _ = chunks.send(Err(BodyError::Truncated)).await;
+        // Without the end, the connection is closed before the end of the body.
+        drop(chunks);
     }
 
     async fn forward(
@@ -119,7 +138,7 @@
         mut stream: Box<EventStream>,
         mut in_flight: InFlight,
         splitter: &mut EventSplitter,
-        chunks: &mpsc::Sender<Result<Bytes, BodyError>>,
+        chunks: &mpsc::Sender<Chunk>,
     ) -> StreamEnd {
         let route = self.request.route.clone();
         let stream_timeouts = StreamTimeouts {
@@ -170,7 +189,7 @@
                 self.record_health(&in_flight, true);
                 self.record.set_first_event();
             }
-            if chunks.send(Ok(events)).await.is_err() {
+            if chunks.send(Chunk::Events(events)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
         }
@@ -192,7 +211,7 @@
     async fn resume(
         &mut self,
         splitter: &mut EventSplitter,
-        chunks: &mpsc::Sender<Result<Bytes, BodyError>>,
+        chunks: &mpsc::Sender<Chunk>,
     ) -> Option<(Box<EventStream>, InFlight)> {
         if self.request.route.answer != (Answer::Events { is_resumable: true }) {
             return None;
