A router that was cut off reads at once what it hears to be missing

Change: with records known to be missing, the delay is at most that of the first router. edge_polls: a_router_that_was_cut_off_reads_what_it_hears_to_be_missing fails without.

--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -154,6 +154,10 @@
             let view = *self.context.state().topic_view(self.topic);
             let due_at =
                 if self.needs_listing { now } else { view.next_poll(&self.policy, rank, now) };
+            if view.is_behind() {
+                // Others read the store: a long backoff would outlast the end of this router's outage.
+                self.not_before = self.not_before.min(now + self.policy.max_backoff(0));
+            }
             let due_at = due_at.max(self.not_before);
             let batch = if due_at <= now {
                 self.poll(&view, rank, now).await
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time::Duration;
 
-use gentianhinge_core::report::{Poll, Record, Topic};
+use gentianhinge_core::report::{LoadReport, Poll, Record, Topic};
 use gentianhinge_platform::store;
 use gentianhinged::edge::topic_reader::{self, Batch, PollSenders, TopicReader};
 use tokio::sync::mpsc;
@@ -43,6 +43,22 @@
     Poll { topic: Topic::Targets, from, next_offset, age_ms, records }
 }
 
+fn empty_report() -> LoadReport {
+    LoadReport {
+        sender: "".into(),
+        incarnation: 1,
+        seq: 1,
+        targets: vec![],
+        teams: vec![],
+        services: vec![],
+        cached_parts: vec![],
+        is_full: false,
+        offsets: [0; 3],
+        polls: vec![],
+        forward_in_zone: false,
+    }
+}
+
 /// Offsets of the records that the reader returns within half of the bound, in which it doesn't poll
 /// itself.
 async fn heard(polls: Vec<Poll>) -> Vec<u64> {
@@ -82,6 +98,26 @@
         [poll(1, 2, u32::MAX, 1), poll(1, 3, 20, 2)] => [1, 2];
 }
 
+#[tokio::test]
+async fn a_router_that_was_cut_off_reads_what_it_hears_to_be_missing() {
+    let (store, mut reader, senders, _own_polls) = reader().await;
+    for i in 0..60 {
+        // With so many other routers, this one backs off long.
+        let report = LoadReport { sender: format!("r-{i}").into(), ..empty_report() };
+        reader.context.state().apply_report(report, time::Instant::now());
+    }
+    store.set_down(true);
+    let down_time = Duration::from_secs(5);
+    assert!(time::timeout(down_time, reader.next_batch()).await.is_err());
+    store.set_down(false);
+    let target_addr: net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    store.put_target("t1", target_addr, "draining");
+    store.put_target("t2", target_addr, "ready");
+    senders.send(poll(2, 3, 20, 1));
+    let batch = time::timeout(BOUND / 2, reader.next_batch()).await;
+    assert!(matches!(batch, Ok(Batch::Updates(read)) if read.entries.len() == 2));
+}
+
 #[tokio::test]
 async fn a_router_alone_relays_its_polls_with_the_records() {
     let (store, mut reader, _senders, mut own_polls) = reader().await;
