A failing test of FAIR: a team that calls few routers beside one that calls all

The users saw a team get 3.3 of the 9.0 million tokens that it asked for in six seconds, while the best served one got 13.4 million.

A simulated fleet of 24 routers with the real decisions: three teams at two routers each ask for twice an even share, one at all routers for several times the capacity.

--- a/core/tests/team_shares.rs
+++ b/core/tests/team_shares.rs
@@ -212,6 +212,24 @@
     if second < 6 { 16.0 } else { 40.0 }
 }
 
+/// A team that calls all routers and asks for several times the capacity, three that each call two
+/// routers and ask for twice an even share, and ten small ones.
+fn one_flood_three_medium_ten_small() -> Vec<Team> {
+    let mut teams =
+        vec![Team { request_tokens: 8_000, requests_per_s: 200.0, routers: 0..ROUTERS }];
+    teams.extend((0..3).map(|i| Team {
+        request_tokens: 8_000,
+        requests_per_s: 30.0,
+        routers: 2 * i..2 * i + 2,
+    }));
+    teams.extend((0..10).map(|i| Team {
+        request_tokens: 5_000,
+        requests_per_s: 2.0,
+        routers: i + 6..i + 7,
+    }));
+    teams
+}
+
 macro_rules! cases {
     ($($name:ident: $body:expr,)*) => { $(
         #[test]
@@ -229,4 +247,13 @@
         let (ratio, margin) = worst_margin(&workload, 8);
         assert!(ratio >= 1.0, "{margin}");
     },
+    a_team_that_calls_few_routers_gets_its_share_beside_one_that_calls_all: {
+        let workload = Workload {
+            teams: one_flood_three_medium_ten_small(),
+            read_tokens_per_ms: |_| 40.0,
+            configured_tokens_per_s: 480_000.0,
+        };
+        let (ratio, margin) = worst_margin(&workload, 20);
+        assert!(ratio >= 1.0, "{margin}");
+    },
 }
