Routers pace their part of a large team's share; its bursts leave the window little by little

Cause: all routers followed the same late sums over a window that forgets a burst all at once, so they held the large team back together and let it go together.

Why this works: a router's part of a team's demand changes slowly, and its own sends it knows at once, so the routers' rates add up to the share without any of them knowing the others'.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -66,7 +66,7 @@
             over_share_wait_factor: 0.5,
             precedence_min_shortfall: 0.2,
             precedence_full_shortfall: 0.6,
-            precedence_factor: 4.0,
+            precedence_factor: 6.0,
         }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod load;
 pub mod membership;
 pub mod message;
+pub mod pacing;
 pub mod patience;
 pub mod pause;
 pub mod placement;
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -7,6 +7,10 @@
 //! Targets may produce less than the configured capacity, as with empty caches or after targets
 //! were lost. Then every team is below its share of that capacity, so a team's shortfall is
 //! measured against an even share of what was actually served.
+//!
+//! What was counted weighs less as it ages, so that a burst leaves the window little by little:
+//! otherwise all routers see it leave at the same time, and send the next one together. Each router
+//! also paces teams that ask for more than their share, see [`pacing`](crate::pacing).
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -14,11 +18,18 @@
 use tokio::time::Instant;
 
 use crate::ids::Name;
+use crate::pacing::Pace;
 use crate::report::{self, Hash};
 
 /// Buckets of the sliding window.
 const BUCKET_COUNT: u32 = 8;
 
+/// Part of the window within which what was counted keeps its full weight.
+const FULL_WEIGHT_PART: f64 = 0.1;
+
+/// Time over which a router's sends count when the pace of a team begins.
+const PACE_START_TIME: Duration = Duration::from_secs(1);
+
 /// Tokens of one team within the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -33,6 +44,10 @@
         self.asked_tokens += other.asked_tokens;
         self.begun_tokens += other.begun_tokens;
     }
+
+    fn scaled(self, factor: f64) -> Usage {
+        Usage { asked_tokens: self.asked_tokens * factor, begun_tokens: self.begun_tokens * factor }
+    }
 }
 
 #[derive(Debug)]
@@ -50,16 +65,18 @@
     fair_share_tokens: f64,
     served_share_tokens: f64,
     totals: HashMap<Hash, Usage>,
+    /// Paces of the teams that ask for more than their share.
+    paces: HashMap<Hash, Pace>,
 }
 
 /// How much a team has used of its share.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TeamShare {
     /// Tokens sent to targets, as a ratio to the fair share of the configured capacity; above 1 the
-    /// team is over its share.
+    /// team is over its share, or this router is ahead of its part of it.
     pub ratio: f64,
     /// Fraction of the tokens due to the team that weren't sent, 0 to 1. Due is what the team asked
-    /// for, up to an even share of what was served.
+    /// for, up to an even share of what was served. 0 while this router is ahead of its part.
     pub shortfall: f64,
 }
 
@@ -75,6 +92,7 @@
             fair_share_tokens,
             served_share_tokens,
             totals: HashMap::new(),
+            paces: HashMap::new(),
         }
     }
 
@@ -82,12 +100,18 @@
     pub fn count_request(&mut self, team: Hash, tokens: u32, now: Instant) {
         self.current_bucket(now).entry(team).or_default().asked_tokens += f64::from(tokens);
         self.totals.entry(team).or_default().asked_tokens += f64::from(tokens);
+        if let Some(pace) = self.paces.get_mut(&team) {
+            pace.advance(now);
+        }
     }
 
     /// Counts a request that was sent to a target.
     pub fn count_sent(&mut self, team: Hash, tokens: u32, now: Instant) {
         self.current_bucket(now).entry(team).or_default().begun_tokens += f64::from(tokens);
         self.totals.entry(team).or_default().begun_tokens += f64::from(tokens);
+        if let Some(pace) = self.paces.get_mut(&team) {
+            pace.count_sent(f64::from(tokens), now);
+        }
     }
 
     fn current_bucket(&mut self, now: Instant) -> &mut HashMap<Hash, Usage> {
@@ -119,8 +143,12 @@
         let window = self.window;
         self.buckets.retain(|bucket| now.duration_since(bucket.started_at) < window);
         let mut sums = HashMap::<Hash, Usage>::new();
-        for (team, usage) in self.buckets.iter().flat_map(|bucket| &bucket.teams) {
-            sums.entry(*team).or_default().add(*usage);
+        for bucket in &self.buckets {
+            let age = now.duration_since(bucket.started_at);
+            let weight = age_weight(age.as_secs_f64() / window.as_secs_f64());
+            for (team, usage) in &bucket.teams {
+                sums.entry(*team).or_default().add(usage.scaled(weight));
+            }
         }
         sums
     }
@@ -129,7 +157,8 @@
     /// lower bound on the capacity of all targets, so that a dip in throughput doesn't lower
     /// shares.
     pub fn recompute(&mut self, capacity_tokens_per_s: f64, now: Instant) {
-        let mut totals = self.own_usage(now);
+        let own = self.own_usage(now);
+        let mut totals = own.clone();
         let window = self.window;
         self.peers.retain(|_, (received_at, _)| now.duration_since(*received_at) < window);
         for line in self.peers.values().flat_map(|(_, teams)| teams) {
@@ -146,6 +175,21 @@
         self.served_share_tokens = water_level(asked.clone(), served);
         self.fair_share_tokens = water_level(asked, capacity);
         self.totals = totals;
+        self.update_paces(&own, now);
+    }
+
+    /// Divides the share of each team that asks for more among the routers, by what it asks of them.
+    fn update_paces(&mut self, own: &HashMap<Hash, Usage>, now: Instant) {
+        let share_tokens = self.fair_share_tokens;
+        let asked = |team: &Hash| self.totals.get(team).map_or(0.0, |usage| usage.asked_tokens);
+        let is_over = |team: &Hash| asked(team) > share_tokens;
+        self.paces.retain(|team, _| own.contains_key(team) && is_over(team));
+        for (team, usage) in own.iter().filter(|(team, _)| is_over(team)) {
+            let own_part = usage.asked_tokens / asked(team);
+            let started = || Pace::new(sent_recently(&self.buckets, *team, now), now);
+            let pace = self.paces.entry(*team).or_insert_with(started);
+            pace.set_share(share_tokens * own_part / self.window.as_secs_f64(), now);
+        }
     }
 
     /// How much a team has used of its share, as of the last [`Shares::recompute`] and this
@@ -154,9 +198,11 @@
         let usage = self.totals.get(&team).copied().unwrap_or_default();
         let due_tokens = usage.asked_tokens.min(self.served_share_tokens);
         let ratio_to = |whole: f64| if whole > 0.0 { usage.begun_tokens / whole } else { 0.0 };
-        let is_short = usage.begun_tokens < due_tokens;
+        let pace = self.paces.get(&team);
+        let is_ahead = pace.is_some_and(Pace::is_ahead);
+        let is_short = usage.begun_tokens < due_tokens && !is_ahead;
         TeamShare {
-            ratio: ratio_to(self.fair_share_tokens),
+            ratio: ratio_to(self.fair_share_tokens).max(pace.map_or(0.0, Pace::min_ratio)),
             shortfall: if is_short { 1.0 - ratio_to(due_tokens) } else { 0.0 },
         }
     }
@@ -179,6 +225,21 @@
     }
 }
 
+/// Weight of what was counted at an age, given as a part of the window. The mean over the window is 1,
+/// so that an even rate has the same sum as without weights.
+fn age_weight(age_part: f64) -> f64 {
+    let max_weight = 2.0 / (1.0 + FULL_WEIGHT_PART);
+    let fading_part = 1.0 - FULL_WEIGHT_PART;
+    max_weight * ((1.0 - age_part) / fading_part).clamp(0.0, 1.0)
+}
+
+/// Tokens of a team that this router sent within [`PACE_START_TIME`].
+fn sent_recently(buckets: &VecDeque<Bucket>, team: Hash, now: Instant) -> f64 {
+    let is_recent = |bucket: &&Bucket| now.duration_since(bucket.started_at) <= PACE_START_TIME;
+    let usages = buckets.iter().filter(is_recent).filter_map(|bucket| bucket.teams.get(&team));
+    usages.map(|usage| usage.begun_tokens).sum()
+}
+
 /// Max-min fair level: the one at which the demands, each capped at it, add up to the capacity.
 ///
 /// Infinite if all demands fit.
