Requests with a prompt part under which targets crash are quarantined

Cause: a router held a crash against the target only. It sent the request to the next target within milliseconds, and neither it nor other routers remembered what the request had done.

Three such crashes have a set of parts in common; requests with all of them are refused, so sound ones with some of them still run and clear these parts. Ruled out: marking all parts of a crashed request, and counting answers that hadn't begun.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod placement;
 pub mod polling;
 pub mod prompt;
+pub mod quarantine;
 pub mod registry;
 pub mod report;
 pub mod retry_budget;
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -71,6 +71,23 @@
     pub polls: Vec<Poll>,
     /// Whether the receiver forwards the report to the other routers of its zone.
     pub forward_in_zone: bool,
+    /// Some of the crashes that the sender knows of.
+    pub crashes: Vec<Crash>,
+    /// Parts of reported crashes that the sender has seen answered.
+    pub cleared_parts: Vec<u64>,
+}
+
+/// A request whose answer a target had begun when the target ended; see [`crate::quarantine`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Hash of the name of the team that sent the request; 0 without a team.
+    pub team: Hash,
+    /// Time since the target ended, in milliseconds.
+    pub age_ms: u32,
+    /// Shared parts of the prompt.
+    pub parts: Vec<u64>,
 }
 
 /// A topic of the store that routers follow.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -66,6 +66,8 @@
         offsets: Default::default(),
         polls: Vec::new(),
         forward_in_zone: false,
+        crashes: Vec::new(),
+        cleared_parts: Vec::new(),
     }
 }
 
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -162,6 +162,8 @@
         offsets: Default::default(),
         polls: vec![],
         forward_in_zone: false,
+        crashes: Vec::new(),
+        cleared_parts: Vec::new(),
     };
     for (at, router) in routers.iter_mut().enumerate() {
         if at != from {
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -21,7 +21,7 @@
 use super::reply::{self, Body, Reason};
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
-use super::state::RequestSpec;
+use super::state::{Refused, RequestSpec};
 use super::{Context, Phase};
 
 /// `Retry-After` of a request that arrives before a configuration has been read.
@@ -107,6 +107,10 @@
         is_retry: false,
         service,
     };
+    // Such a request is no demand of the team.
+    if traffic.context.state().is_quarantined(&spec, arrived_at) {
+        return Err((Reason::Quarantined, None));
+    }
     record.set_tokens(spec.charged_tokens(), spec.due_at);
     count_arrival(&traffic.context, &spec);
     let team = team.map(|team| team.name.clone());
@@ -184,10 +188,10 @@
                 Ok(Admission::Send(in_flight)) => in_flight,
                 Ok(Admission::Refuse(refused)) => {
                     self.record.set_refusal(&refused);
-                    let has_no_target = refused.has_no_target;
-                    let reason = if has_no_target { Reason::NoTarget } else { Reason::Overload };
-                    let reason = last_reason.filter(|_| is_retry).unwrap_or(reason);
-                    return self.refuse(reason, Some(add_jitter(refused.retry_after)));
+                    let reason = last_reason.filter(|_| is_retry);
+                    let reason = reason.unwrap_or(refusal_reason(&refused));
+                    let retry_after = Some(add_jitter(refused.retry_after));
+                    return self.refuse(reason, retry_after.filter(|_| !refused.is_quarantined));
                 }
                 Err(_) => return self.refuse(last_reason.unwrap_or(Reason::TooLate), None),
             };
@@ -312,6 +316,16 @@
     }
 }
 
+fn refusal_reason(refused: &Refused) -> Reason {
+    if refused.is_quarantined {
+        Reason::Quarantined
+    } else if refused.has_no_target {
+        Reason::NoTarget
+    } else {
+        Reason::Overload
+    }
+}
+
 /// Adds jitter, so that callers refused at the same time don't return at the same time.
 fn add_jitter(retry_after: Duration) -> Duration {
     use rand::Rng;
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -153,6 +153,12 @@
         let due_at = schedule.next_at();
         let poll = tokio::select! {
             Some(poll) = polls.recv() => Some(poll),
+            () = context.crash_seen.notified() => {
+                let (mut report, _) = compose(&context, seq, NO_PARTS);
+                report.crashes = context.state().reported_crashes(Instant::now());
+                deliver_to_all(&context, &socket, &peers, &mut report).await;
+                continue;
+            }
             () = time::sleep_until(due_at) => None,
         };
         if let Some(poll) = poll {
@@ -185,8 +191,7 @@
     seq: u64,
     poll: report::Poll,
 ) {
-    let no_parts = Parts { has_changes: false, has_sums: false, is_full: false };
-    let (mut report, _) = compose(context, seq, no_parts);
+    let (mut report, _) = compose(context, seq, NO_PARTS);
     report.polls.push(poll);
     deliver_to_all(context, socket, peers, &mut report).await;
 }
@@ -234,6 +239,9 @@
     pub is_full: bool,
 }
 
+/// Parts of a report that is sent out of schedule.
+const NO_PARTS: Parts = Parts { has_changes: false, has_sums: false, is_full: false };
+
 /// Schedule of reports and their parts. Each part has a byte budget of its own, so that no part
 /// delays another.
 #[derive(Debug)]
@@ -305,6 +313,8 @@
         offsets: state.offsets(),
         polls: Vec::new(),
         forward_in_zone: false,
+        crashes: if parts.has_sums { state.reported_crashes(now) } else { Vec::new() },
+        cleared_parts: state.quarantine.take_cleared(),
     };
     (report, state.load.router_count(now))
 }
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -13,7 +13,8 @@
 //!   [`topic_reader`] reads the store's topics, or hears from the router that reads them.
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
-//! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on.
+//! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on; [`crash`]
+//!   notices targets that end as they begin to answer.
 //! - [`handle`] processes a request from arrival to response.
 //! - [`request_record`] logs the outcome of a request, [`team_counts`] the totals of each team.
 //! - [`serve`] accepts callers' connections.
@@ -35,11 +36,12 @@
 use serde_json::json;
 use tokio::runtime;
 use tokio::signal::unix;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time;
 
 pub mod attempt;
 pub mod buffered;
+pub mod crash;
 pub mod decisions;
 pub mod events;
 pub mod handle;
@@ -133,6 +135,8 @@
     pub is_overloaded: atomic::AtomicBool,
     /// Mean timer lag of the traffic thread, in ms.
     pub lag_ms: atomic::AtomicU64,
+    /// Notified when a target has ended as it began to answer, so that other routers are told.
+    pub crash_seen: Notify,
 }
 
 impl Context {
@@ -201,6 +205,7 @@
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
         lag_ms: atomic::AtomicU64::new(0),
+        crash_seen: Notify::new(),
     });
     context.log.state_change(json!({
         "event": "start", "zone": &*context.zone,
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -107,6 +107,7 @@
             backlog_ms: 0.0,
             mean_backlog_ms: 0.0,
             is_crowded_out: true,
+            is_quarantined: false,
         })
     }
 
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::{self, Instant};
 
 use super::attempt::{self, EventStream, Outcome, Request};
+use super::crash;
 use super::events::{EventSplitter, StreamTimeouts};
 use super::queue::{Admission, InFlight};
 use super::reply::{Body, BodyError};
@@ -80,8 +81,13 @@
     CallerLeft,
     /// The deadline of the request has passed.
     Timeout,
-    /// The stream failed or timed out; the text says how.
-    Broken(String),
+    /// The stream failed or timed out.
+    Broken {
+        /// Description of the error.
+        cause: String,
+        /// Whether the response had begun without any event.
+        is_at_start: bool,
+    },
 }
 
 impl Relay {
@@ -107,10 +113,11 @@
     ) {
         let mut splitter = EventSplitter::new(self.last_event_id);
         let mut attempt = Some((first_stream, in_flight));
-        while let Some((stream, in_flight)) = attempt.take() {
+        while let Some((stream, mut in_flight)) = attempt.take() {
             let status = stream.head.status.as_u16();
-            match self.forward(stream, in_flight, &mut splitter, &chunks).await {
+            match self.forward(stream, &mut in_flight, &mut splitter, &chunks).await {
                 StreamEnd::Complete => {
+                    crash::record_answer(&self.traffic, &self.spec);
                     self.record.set_attempt_result("complete");
                     self.record.set_outcome("served", status, true);
                     // The caller may have left meanwhile.
@@ -122,9 +129,18 @@
                     return;
                 }
                 StreamEnd::Timeout => self.record.set_attempt_result("time limit"),
-                StreamEnd::Broken(cause) => {
+                StreamEnd::Broken { cause, is_at_start } => {
                     self.record.set_attempt_result(&cause);
-                    attempt = self.resume(&mut splitter, &chunks).await;
+                    let may_resume = !is_at_start
+                        || crash::may_retry(&self.traffic, &self.spec, &in_flight).await;
+                    // Its load must not count at the choice of the next target.
+                    drop(in_flight);
+                    if may_resume {
+                        attempt = self.resume(&mut splitter, &chunks).await;
+                    } else {
+                        self.record
+                            .set_detail("the target ended as it began to answer".to_string());
+                    }
                 }
             }
         }
@@ -136,16 +152,20 @@
     async fn forward(
         &mut self,
         mut stream: Box<EventStream>,
-        mut in_flight: InFlight,
+        in_flight: &mut InFlight,
         splitter: &mut EventSplitter,
         chunks: &mpsc::Sender<Chunk>,
     ) -> StreamEnd {
         let route = self.request.route.clone();
         let stream_timeouts = StreamTimeouts {
-            first_event: attempt::first_event_time(&self.request, &in_flight),
+            first_event: attempt::first_event_time(&self.request, in_flight),
             between_events: (route.event_gap_target * EVENT_GAP_FACTOR).max(MIN_EVENT_TIMEOUT),
         };
         let mut has_begun = false;
+        let broken = |cause: &str, has_begun: bool| StreamEnd::Broken {
+            cause: cause.to_string(),
+            is_at_start: !has_begun,
+        };
         let mut last_at = Instant::now();
         loop {
             let deadline = stream_timeouts.deadline(last_at, has_begun).min(self.request.deadline);
@@ -156,12 +176,12 @@
             };
             let bytes = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(err))) => return StreamEnd::Broken(err.to_string()),
+                Ok(Some(Err(err))) => return broken(&err.to_string(), has_begun),
                 Ok(None) if splitter.has_partial_event() => {
-                    return StreamEnd::Broken("stream ended within an event".to_string());
+                    return broken("stream ended within an event", has_begun);
                 }
                 Ok(None) => {
-                    self.record_health(&in_flight, true);
+                    self.record_health(in_flight, true);
                     if !stream.answer_head.is_closing {
                         stream
                             .lease
@@ -171,13 +191,13 @@
                 }
                 Err(_) if Instant::now() >= self.request.deadline => return StreamEnd::Timeout,
                 Err(_) => {
-                    self.record_health(&in_flight, false);
-                    return StreamEnd::Broken("silence".to_string());
+                    self.record_health(in_flight, false);
+                    return broken("silence", has_begun);
                 }
             };
             let events = splitter.push(&bytes);
             if splitter.has_gap || splitter.is_event_too_long() {
-                return StreamEnd::Broken("an event is missing or too long".to_string());
+                return broken("an event is missing or too long", has_begun);
             }
             if events.is_empty() {
                 continue;
@@ -186,7 +206,7 @@
             if !has_begun {
                 has_begun = true;
                 in_flight.first_event();
-                self.record_health(&in_flight, true);
+                self.record_health(in_flight, true);
                 self.record.set_first_event();
             }
             if chunks.send(Chunk::Events(events)).await.is_err() {
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -40,6 +40,8 @@
     NoTarget,
     /// The targets are too busy to serve the request in time.
     Overload,
+    /// Targets crash under a part of the prompt.
+    Quarantined,
     /// The request couldn't be sent to the chosen targets.
     NotSent,
     /// The chosen targets stated that they didn't run the request.
@@ -63,6 +65,7 @@
             Reason::NoConfig
             | Reason::NoTarget
             | Reason::Overload
+            | Reason::Quarantined
             | Reason::NotSent
             | Reason::NotRun
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,6 +84,7 @@
             Reason::BodyBroken => "body-broken",
             Reason::NoTarget => "no-target",
             Reason::Overload => "overload",
+            Reason::Quarantined => "quarantined",
             Reason::NotSent => "not-sent",
             Reason::NotRun => "not-run",
             Reason::TooLate => "too-late",
@@ -102,6 +106,7 @@
         "no-target" => "not run: the service had no usable target",
         "overload" => "not run: every target was too busy to serve it in time",
         "not-sent" => "not run: the chosen targets couldn't be reached",
+        "quarantined" => "not run: targets crash under a part of its prompt",
         "not-run" => "not run: the chosen targets stated that they did not run it",
         "too-late" => "not run: its deadline passed before a target was free",
         "unknown-outcome" => {
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -7,6 +7,7 @@
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
 use gentianhinge_core::prompt::Prompt;
+use gentianhinge_core::quarantine::{self, Quarantine};
 use gentianhinge_core::registry::{Registry, Target};
 use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::retry_budget::RetryBudget;
@@ -53,6 +54,11 @@
 }
 
 impl RequestSpec {
+    /// Ids of the shared parts of the prompt.
+    pub fn shared_parts(&self) -> SmallVec<[u64; 4]> {
+        self.prompt.as_ref().map(quarantine::shared_parts).unwrap_or_default()
+    }
+
     /// Tokens charged to the team.
     pub fn charged_tokens(&self) -> u32 {
         self.prompt.as_ref().map_or(0, Prompt::charged_tokens)
@@ -86,6 +92,8 @@
     pub mean_backlog_ms: f64,
     /// Whether the queue was full and this request was last in its order.
     pub is_crowded_out: bool,
+    /// Whether the prompt has parts under which targets crash.
+    pub is_quarantined: bool,
 }
 
 /// Decision on a request that leaves the queue.
@@ -112,6 +120,8 @@
     pub retries: RetryBudget,
     /// Health of targets.
     pub health: health::Health,
+    /// Prompt parts under which targets crash.
+    pub quarantine: Quarantine,
     /// Names of the routers that are registered in the store, including this one.
     pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
@@ -139,6 +149,7 @@
             shares: Shares::new(edge::duration_s(bounds.share_window_s)),
             retries: retry_budget(bounds),
             health: health::Health::default(),
+            quarantine: Quarantine::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
             weights: placement::Weights::default(),
@@ -352,6 +363,17 @@
     /// request keeps waiting.
     pub fn decide(&mut self, spec: &RequestSpec, zone: &str, now: Instant) -> Option<Decision> {
         let waiting = self.waiting_request(spec);
+        if self.is_quarantined(spec, now) {
+            return Some(Decision::Refuse(Refused {
+                retry_after: Duration::ZERO,
+                has_no_target: false,
+                team_share: waiting.team_share,
+                backlog_ms: 0.0,
+                mean_backlog_ms: 0.0,
+                is_crowded_out: false,
+                is_quarantined: true,
+            }));
+        }
         let policy = if spec.is_retry { admission::Policy::for_retries() } else { self.policy };
         let (placement, best) = self.best_target(spec, &waiting, &policy, zone, now);
         match admission::decide(&policy, &waiting, best.as_ref(), now) {
@@ -368,10 +390,30 @@
                 backlog_ms: best.map_or(0.0, |best| best.wait_ms),
                 mean_backlog_ms: best.map_or(0.0, |best| best.mean_wait_ms),
                 is_crowded_out: false,
+                is_quarantined: false,
             })),
         }
     }
 
+    /// Some of the crashes that this router knows of, the latest one among them, for its report.
+    #[allow(clippy::cast_possible_truncation)] // Crashes are kept for some minutes.
+    pub fn reported_crashes(&mut self, now: Instant) -> Vec<report::Crash> {
+        let crashes = self.quarantine.report_crashes(now).into_iter();
+        let lines = crashes.map(|crash| report::Crash {
+            target: crash.target,
+            team: crash.team,
+            age_ms: now.duration_since(crash.at).as_millis() as u32,
+            parts: crash.parts.to_vec(),
+        });
+        lines.collect()
+    }
+
+    /// Whether the prompt has parts under which targets crash.
+    pub fn is_quarantined(&self, spec: &RequestSpec, now: Instant) -> bool {
+        self.quarantine.crash_count() > 0
+            && self.quarantine.is_quarantined(spec.team, &spec.shared_parts(), now)
+    }
+
     fn record_dispatch(&mut self, spec: &RequestSpec, placement: &Placement, now: Instant) {
         let no_prompt = Prompt::default();
         let prompt = spec.prompt.as_ref().unwrap_or(&no_prompt);
@@ -412,9 +454,22 @@
         if !report.services.is_empty() {
             self.retries.apply_report(&report.sender, report.services, now);
         }
+        let crashes = report.crashes.into_iter().filter_map(|line| crash(line, now));
+        self.quarantine.apply_report(crashes.collect(), &report.cleared_parts, now);
     }
 }
 
+/// A reported crash; `None` if it was before the clock's start.
+fn crash(line: report::Crash, now: Instant) -> Option<quarantine::Crash> {
+    let at = now.checked_sub(Duration::from_millis(line.age_ms.into()))?;
+    Some(quarantine::Crash {
+        target: line.target,
+        team: line.team,
+        at,
+        parts: line.parts.into_iter().collect(),
+    })
+}
+
 fn candidate((target, hash): &(Arc<Target>, Hash)) -> placement::Candidate<'_> {
     placement::Candidate { target, hash: *hash, slots: f64::from(target.slots) }
 }
--- a/daemon/tests/edge_context/mod.rs
+++ b/daemon/tests/edge_context/mod.rs
@@ -36,5 +36,6 @@
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
         lag_ms: atomic::AtomicU64::new(0),
+        crash_seen: tokio::sync::Notify::new(),
     })
 }
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -56,6 +56,8 @@
         offsets: [0; 3],
         polls: vec![],
         forward_in_zone: false,
+        crashes: Vec::new(),
+        cleared_parts: Vec::new(),
     }
 }
 
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -16,6 +16,8 @@
   toZone @10 :Bool;                 # the receiver forwards the report to the other routers of its zone
   routersOffset @11 :UInt64;        # offset after the last router record read
   polls @12 :List(Poll);
+  crashes @13 :List(Crash);
+  clearedParts @14 :List(UInt64);   # parts of reported crashes that the sender has seen answered
 }
 
 struct TargetLoad {
@@ -55,6 +57,13 @@
   value @1 :Data;                   # empty if the record removes the key
 }
 
+struct Crash {
+  target @0 :UInt64;                # hash of the incarnation of a target that ended as it began to answer
+  team @1 :UInt64;                  # hash of the name of the team that sent the request
+  ageMs @2 :UInt32;                 # time since the target ended
+  parts @3 :List(UInt64);           # shared prompt parts of the request
+}
+
 struct KeptPart {
   target @0 :UInt64;                # hash of the target's incarnation
   part @1 :UInt64;                  # identity of a shared prompt part that the target has read
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -2,7 +2,7 @@
 //!
 //! Names are sent as 64-bit hashes, so that a report of 20 targets and 16 teams fits one datagram.
 
-use gentianhinge_core::report;
+use gentianhinge_core::{quarantine, report};
 use quick_error::quick_error;
 
 use crate::decode::{self, DecodeError};
@@ -86,6 +86,16 @@
     for (i, poll) in report.polls.iter().enumerate() {
         write_poll(polls.reborrow().get(i as u32), poll);
     }
+    let mut crashes = builder.reborrow().init_crashes(report.crashes.len() as u32);
+    for (i, line) in report.crashes.iter().enumerate() {
+        let mut crash = crashes.reborrow().get(i as u32);
+        crash.set_target(line.target);
+        crash.set_team(line.team);
+        crash.set_age_ms(line.age_ms);
+        // The length of a list in a message is bounded by that of the slice.
+        let _ = crash.set_parts(line.parts.as_slice());
+    }
+    let _ = builder.reborrow().set_cleared_parts(report.cleared_parts.as_slice());
     let mut cached_parts = builder.init_kept(report.cached_parts.len() as u32);
     for (i, line) in report.cached_parts.iter().enumerate() {
         let mut part = cached_parts.reborrow().get(i as u32);
@@ -151,6 +161,17 @@
         retry_count: line.get_repeat_count(),
     });
     let polls = reader.get_polls()?.iter().map(read_poll).collect::<Result<_, _>>()?;
+    let crashes = reader.get_crashes()?.iter().map(|line| {
+        let parts = line.get_parts()?.iter().take(quarantine::MAX_PARTS).collect();
+        Ok::<_, DecodeError>(report::Crash {
+            target: line.get_target(),
+            team: line.get_team(),
+            age_ms: line.get_age_ms(),
+            parts,
+        })
+    });
+    let crashes = crashes.collect::<Result<_, _>>()?;
+    let cleared_parts = reader.get_cleared_parts()?.iter().collect();
     let cached_parts = reader.get_kept()?.iter();
     let cached_parts = cached_parts
         .map(|line| report::CachedPart { target: line.get_target(), part: line.get_part() });
@@ -170,5 +191,7 @@
             reader.get_routers_offset(),
         ],
         polls,
+        crashes,
+        cleared_parts,
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -151,6 +151,8 @@
             ],
         }],
         forward_in_zone: true,
+        crashes: vec![report::Crash { target: 5, team: 6, age_ms: 70, parts: vec![8, 9] }],
+        cleared_parts: vec![8],
     }
 }
 
