A stream that ends with its connection before any event is incomplete

A target's answer may have neither length nor chunks and end with its connection. One that ended before the first event reached the caller as complete, as only partial events counted as broken. Of a stream that is resumed behind the caller's last event, an empty rest is still complete.

--- a/daemon/src/edge/events.rs
+++ b/daemon/src/edge/events.rs
@@ -37,6 +37,11 @@
         if self.check_ids(&events) { events } else { Bytes::new() }
     }
 
+    /// Whether the caller has received any event of the stream, also of earlier targets.
+    pub fn has_events(&self) -> bool {
+        self.last_id.is_some()
+    }
+
     /// Whether the bytes so far end in the middle of an event.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -180,6 +180,9 @@
                 Ok(None) if splitter.has_partial_event() => {
                     return broken("stream ended within an event", has_begun);
                 }
+                Ok(None) if stream.answer_head.ends_with_connection && !splitter.has_events() => {
+                    return broken("stream ended without an event", has_begun);
+                }
                 Ok(None) => {
                     self.record_health(in_flight, true);
                     if !stream.answer_head.is_closing {
--- a/daemon/tests/edge_deadly.rs
+++ b/daemon/tests/edge_deadly.rs
@@ -31,6 +31,8 @@
     CloseWithinEvent,
     /// By closing the connection before the first event.
     CloseWithoutEvent,
+    /// By closing the connection after the number of bytes that the request names in `x-cut`.
+    CloseAt,
 }
 
 /// Starts a target that ends, with all its connections, when it begins to answer a deadly request.
@@ -93,6 +95,7 @@
             Ending::Close => {}
             Ending::CloseWithinEvent => events += "id: 13\ndata: ev",
             Ending::CloseWithoutEvent => events.clear(),
+            Ending::CloseAt => events.truncate(header("x-cut").unwrap().parse().unwrap()),
         }
         stream.write_all(events.as_bytes()).await.ok();
         if !is_chunked {
@@ -194,4 +197,19 @@
             edge_kit::call(&routers[0], edge_kit::request("/note/", "a1", &headers)).await;
         assert!(!response.is_complete);
     },
+    a_stream_cut_at_any_byte_is_complete_only_after_a_whole_event: {
+        let (_store, routers, _) = fleet(&["r1"], 2, Ending::CloseAt).await;
+        let whole = edge_kit::full_stream();
+        for cut in 0..whole.len() {
+            let (id, cut_text) = (format!("a{cut}"), cut.to_string());
+            let headers = [("x-cut", cut_text.as_str())];
+            let request = edge_kit::request("/note/", &id, &headers);
+            let response = edge_kit::call(&routers[0], request).await;
+            let is_whole_event = cut > 0 && whole[..cut].ends_with("\n\n");
+            assert_eq!(response.is_complete, is_whole_event, "cut at {cut}");
+            // What is passed on is whole events, and only what the target sent.
+            assert!(whole[..cut].starts_with(&response.body), "cut at {cut}");
+            assert!(response.body.is_empty() || response.body.ends_with("\n\n"), "cut at {cut}");
+        }
+    },
 }
