--- a/core/src/pacing.rs
+++ b/core/src/pacing.rs
@@ -30,10 +30,9 @@
 }
 
 impl Pace {
-    /// Creates the pace of a team of which the router has sent `sent_tokens` within the last second.
-    /// Its rate is 0 until it is set.
-    pub fn new(sent_tokens: f64, now: Instant) -> Pace {
-        Pace { tokens_per_s: 0.0, lead_tokens: sent_tokens, updated_at: now }
+    /// Creates a pace with a rate of 0, which is neither ahead nor behind.
+    pub fn new(now: Instant) -> Pace {
+        Pace { tokens_per_s: 0.0, lead_tokens: 0.0, updated_at: now }
     }
 
     /// Sets this router's part of the team's share, in tokens per second.
@@ -47,6 +46,7 @@
     pub fn count_sent(&mut self, tokens: f64, now: Instant) {
         self.advance(now);
         self.lead_tokens += tokens;
+        self.limit_lead();
     }
 
     /// Lets time pass until `now`.
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -27,9 +27,6 @@
 /// Part of the window within which what was counted keeps its full weight.
 const FULL_WEIGHT_PART: f64 = 0.1;
 
-/// Time over which a router's sends count when the pace of a team begins.
-const PACE_START_TIME: Duration = Duration::from_secs(1);
-
 /// Tokens of one team within the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -186,8 +183,7 @@
         self.paces.retain(|team, _| own.contains_key(team) && is_over(team));
         for (team, usage) in own.iter().filter(|(team, _)| is_over(team)) {
             let own_part = usage.asked_tokens / asked(team);
-            let started = || Pace::new(sent_recently(&self.buckets, *team, now), now);
-            let pace = self.paces.entry(*team).or_insert_with(started);
+            let pace = self.paces.entry(*team).or_insert_with(|| Pace::new(now));
             pace.set_share(share_tokens * own_part / self.window.as_secs_f64(), now);
         }
     }
@@ -233,13 +229,6 @@
     max_weight * ((1.0 - age_part) / fading_part).clamp(0.0, 1.0)
 }
 
-/// Tokens of a team that this router sent within [`PACE_START_TIME`].
-fn sent_recently(buckets: &VecDeque<Bucket>, team: Hash, now: Instant) -> f64 {
-    let is_recent = |bucket: &&Bucket| now.duration_since(bucket.started_at) <= PACE_START_TIME;
-    let usages = buckets.iter().filter(is_recent).filter_map(|bucket| bucket.teams.get(&team));
-    usages.map(|usage| usage.begun_tokens).sum()
-}
-
 /// Max-min fair level: the one at which the demands, each capped at it, add up to the capacity.
 ///
 /// Infinite if all demands fit.
