--- a/core/tests/team_shares.rs
+++ b/core/tests/team_shares.rs
@@ -290,4 +290,28 @@
         let (ratio, margin) = worst_margin(&workload, 20);
         assert!(ratio >= 1.0, "{margin}");
     },
+    a_team_with_less_than_a_request_in_seconds_at_each_router_leaves_the_others_their_share: {
+        let mut teams = one_flood_three_medium_ten_small();
+        teams[0].request_tokens = 40_000;
+        teams[0].requests_per_s = 40.0;
+        let workload = Workload {
+            teams,
+            read_tokens_per_ms: |_| 40.0,
+            configured_tokens_per_s: 480_000.0,
+        };
+        let (ratio, margin) = worst_margin(&workload, 20);
+        assert!(ratio >= 1.0, "{margin}");
+    },
+    several_teams_that_call_all_routers_leave_the_others_their_share: {
+        let mut teams = one_flood_three_medium_ten_small();
+        let flood = Team { requests_per_s: 40.0, ..teams[0].clone() };
+        teams.extend(vec![flood; 6]);
+        let workload = Workload {
+            teams,
+            read_tokens_per_ms: |_| 40.0,
+            configured_tokens_per_s: 480_000.0,
+        };
+        let (ratio, margin) = worst_margin(&workload, 20);
+        assert!(ratio >= 1.0, "{margin}");
+    },
 }
