Weights of shares are multiples of 1/64, so that sums don't depend on their order

It wasn't the load: since counts are weighted by age, their sums were rounded, and the sum over a hash map depends on its order.

--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -27,6 +27,9 @@
 /// Part of the window within which what was counted keeps its full weight.
 const FULL_WEIGHT_PART: f64 = 0.1;
 
+/// Steps of a weight between 0 and 1; a power of two.
+const WEIGHT_STEPS: f64 = 64.0;
+
 /// Tokens of one team within the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -226,7 +229,9 @@
 fn age_weight(age_part: f64) -> f64 {
     let max_weight = 2.0 / (1.0 + FULL_WEIGHT_PART);
     let fading_part = 1.0 - FULL_WEIGHT_PART;
-    max_weight * ((1.0 - age_part) / fading_part).clamp(0.0, 1.0)
+    let weight = max_weight * ((1.0 - age_part) / fading_part).clamp(0.0, 1.0);
+    // Sums of tokens are then exact, whatever their order.
+    (weight * WEIGHT_STEPS).round() / WEIGHT_STEPS
 }
 
 /// Max-min fair level: the one at which the demands, each capped at it, add up to the capacity.
