--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -49,3 +49,4 @@
 pub mod slots;
 pub mod spreading;
 pub mod table;
+pub mod target_limit;
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -143,6 +143,7 @@
     if answer_head.is_mismatched {
         return Outcome::Unknown("response carries the id of another request".to_string());
     }
+    record_statement(traffic, target, hash, response.status(), &answer_head);
     let is_success = response.status().is_success();
     if answer_head.is_encoded || (is_success && !answer_head.is_signed) {
         return Outcome::Unknown("response is encoded or lacks the target's stamp".to_string());
@@ -173,6 +174,32 @@
     }
 }
 
+/// Records what a target states about itself in a response, if the response is the target's.
+fn record_statement(
+    traffic: &Rc<Traffic>,
+    target: &Target,
+    hash: Hash,
+    status: http::StatusCode,
+    answer_head: &answer::AnswerHead,
+) {
+    let is_targets = answer_head.is_signed || answer_head.is_not_run;
+    if !is_targets || status == http::StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let now = Instant::now();
+    let mut state = traffic.context.state();
+    let limit_per_s = answer_head.statement.limit_per_s;
+    let change = state.target_limits.record_answer(hash, limit_per_s);
+    let sent_count = state.target_limits.sent_count(hash, now);
+    drop(state);
+    if let Some(change) = change {
+        traffic.context.log.state_change(json!({
+            "event": "target-limit", "target": &*target.id, "limit_per_s": change.limit_per_s,
+            "before_per_s": change.before_per_s, "sent": sent_count,
+        }));
+    }
+}
+
 fn build_request(
     request: &Request,
     target: &Target,
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -13,6 +13,7 @@
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::{Shares, TeamShare};
+use gentianhinge_core::target_limit::TargetLimits;
 use gentianhinge_core::{admission, health, patience, placement, polling, spreading};
 use gentianhinge_wire::edge;
 use rand::Rng;
@@ -122,6 +123,8 @@
     pub health: health::Health,
     /// Prompt parts under which targets crash.
     pub quarantine: Quarantine,
+    /// Limits that targets state.
+    pub target_limits: TargetLimits,
     /// Names of the routers that are registered in the store, including this one.
     pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
@@ -150,6 +153,7 @@
             retries: retry_budget(bounds),
             health: health::Health::default(),
             quarantine: Quarantine::default(),
+            target_limits: TargetLimits::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
             weights: placement::Weights::default(),
@@ -207,10 +211,11 @@
         self.are_targets_loaded = true;
     }
 
-    /// Drops load and health of an incarnation of a target.
+    /// Drops load, health and limit of an incarnation of a target.
     pub fn forget(&mut self, hash: Hash) {
         self.load.forget(hash);
         self.health.forget(hash);
+        self.target_limits.forget(hash);
     }
 
     /// Rebuilds the index of targets by service if the registry has changed.
@@ -419,6 +424,7 @@
         let prompt = spec.prompt.as_ref().unwrap_or(&no_prompt);
         self.load.begin_request(placement.hash, placement.choice.unread_tokens, prompt, now);
         self.health.record_sent(placement.hash, now);
+        self.target_limits.record_send(placement.hash, now);
         if !spec.is_retry {
             self.shares.count_sent(spec.team, spec.charged_tokens(), now);
         }
