--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -208,6 +208,8 @@
     pub id: String,
     behavior: Arc<Mutex<Behavior>>,
     requests: Arc<Mutex<Vec<HeaderMap>>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    statements: Arc<Mutex<Vec<(&'static str, String)>>>,
     open_streams: Arc<Mutex<i64>>,
 }
 
@@ -218,6 +220,8 @@
             id: id.to_string(),
             behavior: Arc::new(Mutex::new(behavior)),
             requests: Arc::default(),
+            arrivals: Arc::default(),
+            statements: Arc::default(),
             open_streams: Arc::default(),
         };
         let app = axum::Router::new().fallback(serve_request).with_state(target.clone());
@@ -232,6 +236,22 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Times at which the requests were received.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
+    /// Replaces the headers that the target adds to each response from now on.
+    pub fn state(&self, headers: &[(&'static str, &str)]) {
+        let headers = headers.iter().map(|(name, value)| (*name, value.to_string()));
+        *self.statements.lock().unwrap() = headers.collect();
+    }
+
+    /// Replaces the behavior of the target.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        *self.behavior.lock().unwrap() = behavior;
+    }
+
     /// Number of streams being sent.
     pub fn open_streams(&self) -> i64 {
         *self.open_streams.lock().unwrap()
@@ -252,6 +272,7 @@
     uri: axum::http::Uri,
 ) -> Response {
     target.requests.lock().unwrap().push(headers.clone());
+    target.arrivals.lock().unwrap().push(Instant::now());
     let id = headers["attempt-id"].clone();
     if headers["expect-instance"] != target.id.as_str() {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
@@ -276,6 +297,9 @@
     };
     let response_id = if behavior == Behavior::OtherId { "another".parse().unwrap() } else { id };
     response.headers_mut().insert("attempt-id", response_id);
+    for (name, value) in target.statements.lock().unwrap().iter() {
+        response.headers_mut().append(*name, value.parse().unwrap());
+    }
     if behavior != Behavior::Unsigned {
         response.headers_mut().insert("server-stamp", "stamp".parse().unwrap());
     }
