--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -98,6 +98,8 @@
     failing_since: Option<Instant>,
     /// Whether the last batch was the first one after an outage.
     pub has_recovered: bool,
+    /// Era that the store stated last.
+    era: Option<u64>,
     /// Records that are relayed, in the order of their offsets, and when they were read.
     relayed: VecDeque<(Instant, Entry)>,
 }
@@ -126,6 +128,7 @@
             backoff: polling::MIN_BACKOFF,
             failing_since: None,
             has_recovered: false,
+            era: None,
             relayed: VecDeque::new(),
         }
     }
@@ -214,6 +217,7 @@
                 return self.accept(news);
             }
         };
+        self.log_era();
         match result {
             Ok(read) => {
                 self.record_success();
@@ -240,8 +244,13 @@
             Topic::Config => self.store.newest(name).await,
             Topic::Targets | Topic::Routers => self.store.newest_by_history(name).await,
         };
+        self.log_era();
         match listing {
             Ok(listing) => {
+                self.context.log.state_change(json!({
+                    "event": "listing", "topic": self.topic_name(), "end": listing.next_offset,
+                    "era": self.era,
+                }));
                 self.needs_listing = false;
                 self.record_success();
                 self.confirm(&listing, now);
@@ -256,6 +265,18 @@
         }
     }
 
+    /// Logs that the store states another era than before.
+    fn log_era(&mut self) {
+        let before = std::mem::replace(&mut self.era, self.store.era());
+        if before.is_some() && before != self.era {
+            let offset = self.context.state().topic_view(self.topic).next_offset;
+            self.context.log.state_change(json!({
+                "event": "store-era", "topic": self.topic_name(), "era": self.era, "before": before,
+                "offset": offset,
+            }));
+        }
+    }
+
     /// Whether the view has passed the offset `from`, or the caller has to act on an outage.
     fn has_news(&self, from: u64) -> bool {
         let next_offset = self.context.state().topic_view(self.topic).next_offset;
