--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -36,8 +36,12 @@
     topics: Arc<Mutex<HashMap<String, Records>>>,
     is_down: Arc<Mutex<bool>>,
     is_silent: Arc<Mutex<bool>>,
+    era: Arc<Mutex<u64>>,
 }
 
+/// Copy of a store's topics.
+pub type Backup = HashMap<String, Records>;
+
 impl Store {
     /// Starts a store on a free port and returns its address.
     pub async fn start() -> (Store, net::SocketAddr) {
@@ -46,6 +50,7 @@
             .route("/log-newest", axum::routing::get(log_newest))
             .route("/log-read", axum::routing::get(log_read))
             .route("/log-append", axum::routing::post(log_append))
+            .layer(axum::middleware::map_response_with_state(store.clone(), state_era))
             .with_state(store.clone());
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
@@ -53,6 +58,29 @@
         (store, addr)
     }
 
+    /// Copies all topics.
+    pub fn backup(&self) -> Backup {
+        self.topics.lock().unwrap().clone()
+    }
+
+    /// Replaces all topics by a copy, which begins a new era.
+    pub fn restore(&self, backup: Backup) {
+        let mut topics = self.topics.lock().unwrap();
+        *topics = backup;
+        *self.era.lock().unwrap() += 1;
+    }
+
+    /// Number of records of a topic.
+    pub fn len(&self, topic: &str) -> usize {
+        self.topics.lock().unwrap().get(topic).map_or(0, Vec::len)
+    }
+
+    /// Whether a topic has a record with this key.
+    pub fn has_key(&self, topic: &str, key: &str) -> bool {
+        let topics = self.topics.lock().unwrap();
+        topics.get(topic).is_some_and(|records| records.iter().any(|(name, _)| name == key))
+    }
+
     /// Appends a record; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: impl Into<Vec<u8>>) {
         let mut topics = self.topics.lock().unwrap();
@@ -107,6 +135,12 @@
     }
 }
 
+async fn state_era(State(store): State<Store>, mut response: Response) -> Response {
+    let era = *store.era.lock().unwrap() + 1;
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 async fn log_newest(
     State(store): State<Store>,
     Query(query): Query<HashMap<String, String>>,
@@ -145,6 +179,9 @@
         }
         let records =
             store.topics.lock().unwrap().get(&query["topic"]).cloned().unwrap_or_default();
+        if from > records.len() {
+            return StatusCode::GONE.into_response();
+        }
         if records.len() > from || Instant::now() >= ends_at {
             let mut body = (records.len() as u64).to_be_bytes().to_vec();
             body.extend_from_slice(&0_u64.to_be_bytes());
