Offsets of the store are compared within its era only

Readers, relayed polls, the registry and reports took the larger of two offsets, so what the store wrote at offsets that it gave out again was never read.

A position is now an era and an offset. Each answer's era is read, refusals too; a later one makes the topic be listed anew, in the order of routers that polls have, and the listing is relayed; an answer of an earlier era that arrives late is dropped. The store's own answer wins over what other routers say of its era. A router whose record is lost writes it again.

--- a/core/src/polling.rs
+++ b/core/src/polling.rs
@@ -8,6 +8,10 @@
 //! there was no new record. A router whose view isn't confirmed in time polls itself, the earlier
 //! the further up it is in the order, and relays the result. So the loss of the first router, or of
 //! its path to the store, needs neither detection nor an election.
+//!
+//! The store may come back from an old copy and give offsets out again. It numbers the times between
+//! as eras, and an offset is only comparable with others of its era. A router that hears of a later
+//! era lists the topic anew, in the same order of routers, and relays the listing.
 
 use std::time::Duration;
 
@@ -50,6 +54,10 @@
 /// missing records arrive with the next relayed poll.
 const BEHIND_PART: f64 = 0.2;
 
+/// Delay from the begin of an era to the listing of the second router, as a part of the bound. It
+/// leaves time for the first router's listing and for relaying it.
+const LISTING_PART: f64 = 0.1;
+
 /// Time after its start within which a router takes all registered routers for live: the routers
 /// of a fleet may start at the same time, and then haven't heard of each other yet.
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(4);
@@ -85,6 +93,15 @@
         self.bound.mul_f64(MAX_AGE_PART + steps * RANK_PART)
     }
 
+    /// Delay from the begin of an era to the listing of a router at this position.
+    pub fn listing_delay(&self, rank: usize) -> Duration {
+        if rank == 0 {
+            return Duration::ZERO;
+        }
+        let steps = (rank - 1).min(LAST_RANK) as f64;
+        self.bound.mul_f64(LISTING_PART + steps * RANK_PART)
+    }
+
     /// Maximum delay after failed calls at this position.
     pub fn max_backoff(&self, rank: usize) -> Duration {
         let part = (rank as f64 / BACKOFF_RANKS).min(1.0) * LAST_BACKOFF_PART;
@@ -92,11 +109,37 @@
     }
 }
 
+/// Place in a topic; a later era comes after all offsets of an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Era of the store that gave the offset.
+    pub era: u64,
+    /// Offset within the era.
+    pub offset: u64,
+}
+
+/// What an answer of the store says about its era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraChange {
+    /// The era is that of the view.
+    None,
+    /// The store has begun another era, so the topic has to be listed.
+    New,
+    /// The answer was given in an earlier era and has arrived late.
+    Stale,
+}
+
 /// What a router knows of a topic.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct View {
+    /// Era of the store in which `next_offset` was given.
+    pub era: u64,
     /// Offset after the last record that was applied; `None` before the first listing.
     pub next_offset: Option<u64>,
+    /// When the router learned of the era.
+    era_since: Option<Instant>,
+    /// Whether the topic hasn't been listed in this era yet.
+    must_list: bool,
     /// Time up to which the view is known to hold all records.
     confirmed_at: Option<Instant>,
     /// When a report first showed that records are missing.
@@ -104,6 +147,46 @@
 }
 
 impl View {
+    /// Takes into account that another router has heard of an era.
+    pub fn hear_era(&mut self, era: u64, now: Instant) {
+        if era > self.era {
+            self.begin_era(era, now);
+        }
+    }
+
+    /// Takes into account the era of an answer of the store to a call made at `asked_at`. An answer
+    /// to a call made in the present era is right about it, whatever others have heard.
+    pub fn read_era(&mut self, era: u64, asked_at: Instant, now: Instant) -> EraChange {
+        if era == self.era {
+            return EraChange::None;
+        }
+        if era < self.era && self.era_since.is_none_or(|since| asked_at <= since) {
+            return EraChange::Stale;
+        }
+        self.begin_era(era, now);
+        EraChange::New
+    }
+
+    fn begin_era(&mut self, era: u64, now: Instant) {
+        (self.era, self.era_since, self.behind_since) = (era, Some(now), None);
+        self.must_list = self.next_offset.is_some();
+    }
+
+    /// Whether the topic has to be listed, because its offsets are of an earlier era.
+    pub fn must_list(&self) -> bool {
+        self.must_list
+    }
+
+    /// Sets the view to a listing that ends at `next_offset`, read at `at`; returns whether it ends
+    /// an outage of the store or is the first of an era.
+    pub fn confirm_listing(&mut self, policy: &Policy, next_offset: u64, at: Instant) -> bool {
+        let is_first = std::mem::take(&mut self.must_list);
+        if is_first {
+            self.next_offset = Some(next_offset);
+        }
+        self.confirm(policy, next_offset, at) || is_first
+    }
+
     /// Whether records up to `next_offset`, read when the topic ended there at `at`, end an outage
     /// of the store; confirms the view.
     pub fn confirm(&mut self, policy: &Policy, next_offset: u64, at: Instant) -> bool {
@@ -125,7 +208,7 @@
 
     /// Whether records are known to be missing.
     pub fn is_behind(&self) -> bool {
-        self.behind_since.is_some()
+        self.behind_since.is_some() || self.must_list
     }
 
     /// Age of the view; `None` if it was never confirmed.
@@ -138,6 +221,9 @@
         let Some(confirmed_at) = self.confirmed_at.filter(|_| self.next_offset.is_some()) else {
             return now;
         };
+        if let Some(since) = self.era_since.filter(|_| self.must_list) {
+            return since + policy.listing_delay(rank);
+        }
         let by_age = confirmed_at + policy.max_age(rank);
         let by_offset = self.behind_since.map(|since| since + policy.bound.mul_f64(BEHIND_PART));
         by_offset.map_or(by_age, |at| at.min(by_age))
--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -10,6 +10,12 @@
 //! Records of live targets expire during a registry outage and are written again shortly after it.
 //! Removals that are read within [`REMOVAL_GRACE`] of the outage's end are therefore delayed until
 //! the grace period ends, and dropped if the target reappears.
+//!
+//! # Restores
+//!
+//! The registry may come back from an old copy, which begins a new era of its offsets. Targets that
+//! have gone since the copy reappear in its listing; they stay gone until a record shows a later
+//! heartbeat. Removals are delayed as after an outage.
 
 use std::collections::BTreeMap;
 use std::net;
@@ -19,11 +25,15 @@
 use tokio::time::Instant;
 
 use crate::ids::Name;
+use crate::polling::Position;
 use crate::report;
 
 /// Time after an outage within which live targets register again.
 pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum number of removed targets that are remembered.
+const MAX_REMOVED: usize = 1000;
+
 /// A target as described by its registry record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -41,6 +51,8 @@
     pub slots: u32,
     /// Whether the target is shutting down and accepts no new work.
     pub is_leaving: bool,
+    /// Number of the target's heartbeat at which the record was written; 0 if unknown.
+    pub heartbeat: u64,
 }
 
 impl Target {
@@ -67,8 +79,10 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     targets: BTreeMap<Name, Arc<Target>>,
-    /// Offset after the last record that was applied.
-    next_offset: u64,
+    /// Position after the last record that was applied.
+    next: Position,
+    /// Removed targets, which an old copy of the registry may bring back.
+    removed: BTreeMap<Name, Arc<Target>>,
     delayed_removals: BTreeMap<Name, Instant>,
     grace_until: Option<Instant>,
     revision: u64,
@@ -90,9 +104,9 @@
         self.revision
     }
 
-    /// Offset after the last record that was applied.
-    pub fn next_offset(&self) -> u64 {
-        self.next_offset
+    /// Position after the last record that was applied.
+    pub fn next(&self) -> Position {
+        self.next
     }
 
     /// Starts the grace period for removals after an outage of the registry.
@@ -102,18 +116,18 @@
 
     /// Applies one record; `target` is `None` if the record is a removal or can't be decoded.
     ///
-    /// A record before [`next_offset`](Registry::next_offset) is stale and ignored.
+    /// A record before [`next`](Registry::next) is stale and ignored.
     pub fn apply(
         &mut self,
         key: &str,
-        offset: u64,
+        at: Position,
         target: Option<Target>,
         now: Instant,
     ) -> Change {
-        if offset < self.next_offset {
+        if at < self.next {
             return Change::None;
         }
-        self.next_offset = offset + 1;
+        self.next = Position { offset: at.offset + 1, ..at };
         match target {
             Some(target) => self.put(target),
             None => self.remove(key, now),
@@ -123,17 +137,18 @@
     /// Replaces the targets by a full listing of the registry.
     ///
     /// Returns the targets that changed, or `None` if the listing ends before
-    /// [`next_offset`](Registry::next_offset) and was ignored as stale.
+    /// [`next`](Registry::next) and was ignored as stale.
     pub fn replace(
         &mut self,
-        listing: Vec<Target>,
-        end_offset: u64,
+        mut listing: Vec<Target>,
+        end: Position,
         now: Instant,
     ) -> Option<Vec<(Name, Change)>> {
-        if end_offset < self.next_offset {
+        if end < self.next {
             return None;
         }
-        self.next_offset = end_offset;
+        listing.retain(|target| !self.is_from_copy(target));
+        self.next = end;
         let absent = self.targets.keys().filter(|id| !listing.iter().any(|t| t.id == **id));
         let absent = absent.cloned().collect::<Vec<_>>();
         let mut changes = Vec::new();
@@ -160,15 +175,32 @@
         let due = self.delayed_removals.iter().filter(|(_, at)| **at <= now);
         let due = due.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         for id in &due {
-            self.delayed_removals.remove(id);
-            self.targets.remove(id);
-            self.revision += 1;
+            self.drop_target(id);
         }
         due
     }
 
+    /// Whether a listed target is one that was removed before, as an old copy has it.
+    fn is_from_copy(&self, target: &Target) -> bool {
+        self.removed.get(&target.id).is_some_and(|removed| {
+            target.started_ms <= removed.started_ms && target.heartbeat <= removed.heartbeat
+        })
+    }
+
+    fn drop_target(&mut self, id: &Name) {
+        self.delayed_removals.remove(id);
+        self.revision += 1;
+        if let Some(target) = self.targets.remove(id) {
+            if self.removed.len() >= MAX_REMOVED {
+                self.removed.pop_first();
+            }
+            self.removed.insert(id.clone(), target);
+        }
+    }
+
     fn put(&mut self, mut target: Target) -> Change {
         self.delayed_removals.remove(&target.id);
+        self.removed.remove(&target.id);
         let Some(known) = self.targets.get(&target.id) else {
             return self.insert(target);
         };
@@ -179,7 +211,9 @@
             return self.insert(target);
         }
         target.is_leaving |= known.is_leaving;
-        if target == **known {
+        if target == (Target { heartbeat: target.heartbeat, ..Target::clone(known) }) {
+            // Only the heartbeat has changed, which concerns no decision.
+            self.targets.insert(target.id.clone(), Arc::new(target));
             return Change::None;
         }
         let starts_leaving = target.is_leaving && !known.is_leaving;
@@ -202,9 +236,7 @@
             self.delayed_removals.entry(id).or_insert(until);
             return Change::None;
         }
-        self.delayed_removals.remove(&id);
-        self.targets.remove(&id);
-        self.revision += 1;
+        self.drop_target(&id);
         Change::Removed
     }
 }
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -65,7 +65,9 @@
     /// Whether targets that aren't listed have no load by the sender; otherwise theirs is
     /// unchanged.
     pub is_full: bool,
-    /// Offsets up to which the router has read the store.
+    /// Latest era of the store that the router knows of.
+    pub store_era: u64,
+    /// Offsets up to which the router has read the store in this era.
     pub offsets: Offsets,
     /// Polls of the store by the sender, for routers that don't poll themselves.
     pub polls: Vec<Poll>,
@@ -146,6 +148,10 @@
 pub struct Poll {
     /// The topic.
     pub topic: Topic,
+    /// Era of the store.
+    pub era: u64,
+    /// Whether the records are the newest ones of all keys, instead of those from `from` on.
+    pub is_listing: bool,
     /// Offset of the first record.
     pub from: u64,
     /// Offset at which the topic ended.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -20,6 +20,7 @@
         zone: zone.into(),
         slots: 64,
         is_leaving: false,
+        heartbeat: 0,
     }
 }
 
@@ -63,6 +64,7 @@
         services: vec![],
         cached_parts: vec![],
         is_full,
+        store_era: 0,
         offsets: Default::default(),
         polls: Vec::new(),
         forward_in_zone: false,
--- a/core/tests/polling.rs
+++ b/core/tests/polling.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentianhinge_core::polling::{self, Policy, View};
+use gentianhinge_core::polling::{self, EraChange, Policy, View};
 use gentianhinge_core::report::Topic;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -10,6 +10,8 @@
 
 const BOUND: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(5);
+/// Interval of the reports that a router hears of others.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Time of a call to the store, and of a relayed poll.
 const CALL_TIME: Duration = Duration::from_millis(15);
 
@@ -18,8 +20,8 @@
 struct Router {
     name: String,
     view: View,
-    /// When the poll in progress ends, and when it began.
-    poll: Option<(Instant, Instant)>,
+    /// When the call in progress began and ends, the view at its begin, and whether it lists.
+    poll: Option<(Instant, Instant, View, bool)>,
     not_before: Option<Instant>,
     failed_count: u32,
     is_running: bool,
@@ -34,9 +36,11 @@
     /// Positions of the routers in the order, by index.
     ranks: Vec<usize>,
     policy: Policy,
+    era: u64,
     end_offset: u64,
     appended_at: Option<Instant>,
     call_count: usize,
+    listing_count: usize,
     loss: f64,
     random: SmallRng,
 }
@@ -70,9 +74,11 @@
             routers,
             ranks,
             policy,
+            era: 0,
             end_offset: 0,
             appended_at: None,
             call_count: 0,
+            listing_count: 0,
             loss: 0.0,
             random,
         }
@@ -94,6 +100,7 @@
         let until = self.now + time;
         while self.now < until {
             self.now += STEP;
+            self.report_eras();
             for at in 0..self.routers.len() {
                 if self.routers[at].is_running {
                     self.step(at, self.ranks[at]);
@@ -102,6 +109,18 @@
         }
     }
 
+    /// Each router hears a report of another one now and then.
+    fn report_eras(&mut self) {
+        for at in 0..self.routers.len() {
+            let other = &self.routers[(at + 1) % self.routers.len()];
+            let era = other.view.era;
+            let is_sent = other.is_running && other.hears_others && self.routers[at].hears_others;
+            if is_sent && self.random.random_bool(STEP.div_duration_f64(REPORT_INTERVAL)) {
+                self.routers[at].view.hear_era(era, self.now);
+            }
+        }
+    }
+
     fn step(&mut self, at: usize, rank: usize) {
         let (now, policy) = (self.now, self.policy);
         let router = &mut self.routers[at];
@@ -112,11 +131,14 @@
                     self.call_count += 1;
                     let needs_answer = router.failed_count > 0 || router.view.is_behind();
                     let wait = if needs_answer { Duration::ZERO } else { policy.long_poll(rank) };
-                    router.poll = Some((now, now + wait + CALL_TIME));
+                    let is_listing = router.view.must_list();
+                    self.listing_count += usize::from(is_listing);
+                    router.poll = Some((now, now + wait + CALL_TIME, router.view, is_listing));
                 }
             }
-            Some((began_at, ends_at)) => {
-                let has_news = router.view.next_offset < Some(self.end_offset);
+            Some((began_at, ends_at, view, is_listing)) => {
+                let has_news =
+                    router.view.next_offset < Some(self.end_offset) && view.era == self.era;
                 if !router.reaches_store && now >= began_at + CALL_TIME {
                     router.poll = None;
                     let backoff = polling::MIN_BACKOFF * 2_u32.pow(router.failed_count.min(8));
@@ -125,15 +147,23 @@
                 } else if router.reaches_store && (now >= ends_at || has_news) {
                     router.poll = None;
                     router.failed_count = 0;
+                    let change = router.view.read_era(self.era, began_at, now);
+                    let is_of_era = change == EraChange::None && router.view.era == view.era;
                     let end_offset = self.end_offset;
-                    router.view.confirm(&policy, end_offset, now);
-                    self.relay(at, end_offset);
+                    if is_listing && is_of_era {
+                        router.view.confirm_listing(&policy, end_offset, now);
+                        self.relay(at, true);
+                    } else if is_of_era && !router.view.must_list() {
+                        router.view.confirm(&policy, end_offset, now);
+                        self.relay(at, false);
+                    }
                 }
             }
         }
     }
 
-    fn relay(&mut self, from: usize, end_offset: u64) {
+    fn relay(&mut self, from: usize, is_listing: bool) {
+        let (era, end_offset) = (self.era, self.end_offset);
         if !self.routers[from].hears_others {
             return;
         }
@@ -141,11 +171,36 @@
             let is_lost = self.random.random_bool(self.loss);
             let router = &mut self.routers[at];
             if at != from && router.is_running && router.hears_others && !is_lost {
-                router.view.confirm(&self.policy, end_offset, self.now);
+                router.view.hear_era(era, self.now);
+                if is_listing && router.view.must_list() {
+                    router.view.confirm_listing(&self.policy, end_offset, self.now);
+                } else if !router.view.must_list() {
+                    router.view.confirm(&self.policy, end_offset, self.now);
+                }
             }
         }
     }
 
+    /// The store comes back from a copy that ends at `end_offset`, and a record is appended.
+    fn restore(&mut self, end_offset: u64) {
+        (self.era, self.end_offset) = (self.era + 1, end_offset);
+        self.append();
+    }
+
+    /// Longest time until all routers that run have read the topic to its end in the present era.
+    fn known_after_restore(&mut self) -> Duration {
+        let began_at = self.now;
+        let position = (self.era, Some(self.end_offset));
+        let knows = |router: &Router| {
+            !router.view.must_list() && (router.view.era, router.view.next_offset) == position
+        };
+        while !self.routers.iter().filter(|router| router.is_running).all(knows) {
+            assert!(self.now - began_at < BOUND * 10, "some routers never read the new era");
+            self.run(STEP);
+        }
+        self.now - began_at
+    }
+
     /// Longest time from the last append until a router that runs and reaches the store knows it;
     /// `None` while one doesn't.
     fn known_after(&mut self) -> Option<Duration> {
@@ -293,3 +348,83 @@
     view.hear(10, now);
     assert!(view.next_poll(&policy, 5, now) < by_age);
 }
+
+/// A fleet that has read some records.
+fn fleet_with_records(router_count: usize) -> Fleet {
+    let mut fleet = Fleet::new(router_count);
+    fleet.run(Duration::from_secs(5));
+    (0..9).for_each(|_| fleet.append());
+    fleet.run(Duration::from_secs(2));
+    fleet
+}
+
+/// Defines tests: what is lost in a fleet of 300 routers while the store comes back from a copy, at
+/// whose end it writes as many records as were lost.
+macro_rules! read_again_after_a_restore {
+    ($($name:ident: $fail:expr, at most $listings:literal listings;)*) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            for lost_count in [1, 3, 8] {
+                let mut fleet = fleet_with_records(300);
+                let fail: fn(&mut Fleet) = $fail;
+                fail(&mut fleet);
+                fleet.restore(9 - lost_count);
+                (1..lost_count).for_each(|_| fleet.append());
+                assert_eq!(fleet.end_offset, 9);
+                let known_after = fleet.known_after_restore();
+                assert!(known_after < BOUND, "{lost_count} lost: {known_after:?}");
+                fleet.run(Duration::from_secs(10));
+                assert!(fleet.listing_count <= $listings, "{} listings", fleet.listing_count);
+            }
+        }
+    )*};
+}
+
+read_again_after_a_restore! {
+    all_routers_learn_of_a_restore_by_one_listing: |_| {}, at most 1 listings;
+    a_restore_is_noticed_without_the_first_router: |fleet| {
+        let first = fleet.order()[0];
+        fleet.routers[first].is_running = false;
+    }, at most 3 listings;
+    a_restore_is_noticed_despite_lost_relays: |fleet| fleet.loss = 0.2, at most 80 listings;
+    a_second_restore_is_noticed: |fleet| {
+        fleet.restore(2);
+        fleet.run(Duration::from_millis(300));
+    }, at most 4 listings;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_of_an_earlier_era_that_arrives_late_is_stale() {
+    let policy = Policy { bound: BOUND };
+    let now = Instant::now();
+    let mut view = View::default();
+    view.read_era(1, now, now);
+    view.confirm_listing(&policy, 5, now);
+    let later = now + Duration::from_secs(1);
+    view.hear_era(2, later);
+    assert!(view.must_list());
+    assert_eq!(view.read_era(1, now, later + STEP), EraChange::Stale);
+    assert_eq!((view.era, view.must_list()), (2, true));
+    view.confirm_listing(&policy, 3, later);
+    assert_eq!((view.next_offset, view.must_list()), (Some(3), false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_store_is_right_about_its_era_whatever_others_say() {
+    let now = Instant::now();
+    let mut view = View::default();
+    view.read_era(2, now, now);
+    view.confirm_listing(&Policy { bound: BOUND }, 5, now);
+    view.hear_era(900, now + STEP);
+    assert_eq!(view.read_era(2, now + STEP * 2, now + STEP * 3), EraChange::New);
+    assert_eq!((view.era, view.must_list()), (2, true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_offset_of_another_era_does_not_bring_a_poll_forward_before_the_first_listing() {
+    let now = Instant::now();
+    let mut view = View::default();
+    view.hear_era(3, now);
+    assert!(!view.must_list());
+    assert_eq!(view.next_poll(&Policy { bound: BOUND }, 7, now), now);
+}
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -64,6 +64,7 @@
         zone: format!("z{}", i % 5).into(),
         slots: SLOTS as u32,
         is_leaving: false,
+        heartbeat: 0,
     };
     (0..count).map(target).collect()
 }
@@ -159,6 +160,7 @@
         services: vec![],
         cached_parts: vec![],
         is_full: true,
+        store_era: 0,
         offsets: Default::default(),
         polls: vec![],
         forward_in_zone: false,
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -337,6 +337,7 @@
             Vec::new()
         },
         is_full: parts.is_full,
+        store_era: state.store_era(),
         offsets: state.offsets(),
         polls: Vec::new(),
         forward_in_zone: false,
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -208,9 +208,26 @@
         }
     }
 
-    /// Offsets up to which this router has read the store.
+    /// Latest era of the store that this router knows of.
+    pub fn store_era(&self) -> u64 {
+        self.topic_views.iter().map(|view| view.era).max().unwrap_or_default()
+    }
+
+    /// Offsets up to which this router has read the store in this era; 0 for topics that it hasn't
+    /// read in this era.
     pub fn offsets(&self) -> report::Offsets {
-        self.topic_views.map(|view| view.next_offset.unwrap_or(0))
+        let era = self.store_era();
+        self.topic_views.map(|view| {
+            let is_read = view.era == era && !view.must_list();
+            view.next_offset.filter(|_| is_read).unwrap_or(0)
+        })
+    }
+
+    /// Takes into account that the store has another era, as another topic or router shows.
+    pub fn hear_era(&mut self, era: u64, now: Instant) {
+        for view in &mut self.topic_views {
+            view.hear_era(era, now);
+        }
     }
 
     /// Whether a configuration and the targets have been read.
@@ -513,8 +530,11 @@
         if !self.load.apply_report(&report, now) {
             return Vec::new();
         }
+        self.hear_era(report.store_era, now);
         for (view, offset) in self.topic_views.iter_mut().zip(report.offsets) {
-            view.hear(offset, now);
+            if report.store_era == view.era && !view.must_list() {
+                view.hear(offset, now);
+            }
         }
         if !report.teams.is_empty() {
             self.shares.apply_report(&report.sender, report.teams, now);
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -113,7 +113,8 @@
         record_unreadable(context, unreadable, entry, target.is_none());
         let mut state = context.state();
         let before = state.registry.get(&entry.key).cloned();
-        let change = state.registry.apply(&entry.key, entry.offset, target, now);
+        let at = polling::Position { era: read.era, offset: entry.offset };
+        let change = state.registry.apply(&entry.key, at, target, now);
         drop(state);
         record_change(context, &entry.key, change, before.as_deref());
     }
@@ -133,7 +134,8 @@
     let targets = targets.collect();
     let mut state = context.state();
     let targets_before = state.registry.targets().cloned().collect::<Vec<_>>();
-    let Some(changes) = state.registry.replace(targets, listing.next_offset, now) else {
+    let end = polling::Position { era: listing.era, offset: listing.next_offset };
+    let Some(changes) = state.registry.replace(targets, end, now) else {
         drop(state);
         context.log.state_change(json!({
             "event": "targets", "outcome": "stale listing ignored", "end": listing.next_offset,
@@ -202,17 +204,23 @@
     }
 }
 
-/// Registers this router in the store and keeps the other routers in sync, until the shutdown,
-/// which removes the registration.
-pub async fn routers(mut reader: TopicReader, own_peer: peers::Peer, peers: load_reports::Peers) {
-    let context = reader.context.clone();
-    let name = context.name.to_string();
+/// Writes this router's record until the store accepts it.
+async fn register(reader: &mut TopicReader, own_peer: &peers::Peer) {
+    let name = reader.context.name.to_string();
     let mut backoff = polling::MIN_BACKOFF;
-    while let Err(err) = reader.store.put(peers::TOPIC, &name, &peers::encode(&own_peer)).await {
+    while let Err(err) = reader.store.put(peers::TOPIC, &name, &peers::encode(own_peer)).await {
         reader.handle_failure(&err, 0);
         time::sleep(backoff).await;
         backoff = (backoff * 2).min(ROUTERS_PAUSE);
     }
+}
+
+/// Registers this router in the store and keeps the other routers in sync, until the shutdown,
+/// which removes the registration.
+pub async fn routers(mut reader: TopicReader, own_peer: peers::Peer, peers: load_reports::Peers) {
+    let context = reader.context.clone();
+    let name = context.name.to_string();
+    register(&mut reader, &own_peer).await;
     reader.pause(ROUTERS_PAUSE);
     let mut phase = context.phase.subscribe();
     loop {
@@ -220,10 +228,15 @@
             batch = reader.next_batch() => batch,
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         };
+        let is_listing = matches!(batch, Batch::Snapshot(_));
         let (Batch::Snapshot(read) | Batch::Updates(read)) = batch;
         for entry in &read.entries {
             apply_router(&context, &peers, entry);
         }
+        if is_listing && read.entries.iter().all(|entry| entry.key != name) {
+            // The store has lost the registration.
+            register(&mut reader, &own_peer).await;
+        }
         reader.pause(ROUTERS_PAUSE);
     }
     reader.store.disconnect();
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -98,8 +98,6 @@
     failing_since: Option<Instant>,
     /// Whether the last batch was the first one after an outage.
     pub has_recovered: bool,
-    /// Era that the store stated last.
-    era: Option<u64>,
     /// Records that are relayed, in the order of their offsets, and when they were read.
     relayed: VecDeque<(Instant, Entry)>,
 }
@@ -128,7 +126,6 @@
             backoff: polling::MIN_BACKOFF,
             failing_since: None,
             has_recovered: false,
-            era: None,
             relayed: VecDeque::new(),
         }
     }
@@ -154,7 +151,7 @@
         loop {
             let now = Instant::now();
             let rank = self.rank(now);
-            let view = *self.context.state().topic_view(self.topic);
+            let view = self.view();
             let due_at =
                 if self.needs_listing { now } else { view.next_poll(&self.policy, rank, now) };
             if view.is_behind() {
@@ -195,8 +192,8 @@
     async fn poll(&mut self, view: &polling::View, rank: usize, now: Instant) -> Option<Batch> {
         self.context.metrics.store_calls.increment(1);
         let from = match view.next_offset {
-            Some(from) if !self.needs_listing => from,
-            _ => return self.list(now).await,
+            Some(from) if !self.needs_listing && !view.must_list() => from,
+            _ => return self.list(view, rank, now).await,
         };
         let is_behind = view.is_behind();
         if rank > 0 {
@@ -211,13 +208,15 @@
         let wait = if needs_answer { Duration::ZERO } else { self.policy.long_poll(rank) };
         let result = tokio::select! {
             result = self.store.read(self.topic_name(), from, wait) => result,
-            news = next_news(&mut self.polls, &self.context, &self.policy, from) => {
+            news = next_news(&mut self.polls, &self.context, &self.policy, view) => {
                 // Another router has read further, so this poll may have failed silently.
                 self.store.disconnect();
                 return self.accept(news);
             }
         };
-        self.log_era();
+        if !self.is_of_era(view, now) {
+            return None;
+        }
         match result {
             Ok(read) => {
                 self.record_success();
@@ -237,24 +236,28 @@
     }
 
     /// Reads the newest record of each key.
-    async fn list(&mut self, now: Instant) -> Option<Batch> {
+    async fn list(&mut self, view: &polling::View, rank: usize, now: Instant) -> Option<Batch> {
         let name = self.topic_name();
         let listing = match self.topic {
             // Only the newest configuration counts, and old ones are long.
             Topic::Config => self.store.newest(name).await,
             Topic::Targets | Topic::Routers => self.store.newest_by_history(name).await,
         };
-        self.log_era();
+        let change = self.read_era(now);
         match listing {
+            Ok(_) if change == polling::EraChange::Stale => None,
             Ok(listing) => {
                 self.context.log.state_change(json!({
                     "event": "listing", "topic": self.topic_name(), "end": listing.next_offset,
-                    "era": self.era,
+                    "era": listing.era, "offset": view.next_offset, "rank": rank,
                 }));
                 self.needs_listing = false;
                 self.record_success();
-                self.confirm(&listing, now);
                 self.relayed.clear();
+                if self.view().must_list() {
+                    self.relay_listing(&listing, now);
+                }
+                self.has_recovered |= self.confirm_listing(listing.next_offset, now);
                 Some(Batch::Snapshot(listing))
             }
             Err(err) => {
@@ -265,16 +268,40 @@
         }
     }
 
-    /// Logs that the store states another era than before.
-    fn log_era(&mut self) {
-        let before = std::mem::replace(&mut self.era, self.store.era());
-        if before.is_some() && before != self.era {
-            let offset = self.context.state().topic_view(self.topic).next_offset;
+    fn view(&self) -> polling::View {
+        *self.context.state().topic_view(self.topic)
+    }
+
+    /// Takes the era of the store's last answer into account, to a call made at `asked_at`.
+    fn read_era(&self, asked_at: Instant) -> polling::EraChange {
+        let Some(era) = self.store.era() else { return polling::EraChange::None };
+        let now = Instant::now();
+        let mut state = self.context.state();
+        let before = *state.topic_view(self.topic);
+        let change = state.topic_view(self.topic).read_era(era, asked_at, now);
+        if change == polling::EraChange::New {
+            state.hear_era(era, now);
+        }
+        drop(state);
+        if change != polling::EraChange::None && before.next_offset.is_some() {
             self.context.log.state_change(json!({
-                "event": "store-era", "topic": self.topic_name(), "era": self.era, "before": before,
-                "offset": offset,
+                "event": "store-era", "topic": self.topic_name(), "era": era, "before": before.era,
+                "offset": before.next_offset, "outcome": format!("{change:?}").to_lowercase(),
             }));
         }
+        change
+    }
+
+    /// Whether the answer to a call that was made at `asked_at` with a certain view still fits it.
+    fn is_of_era(&self, view: &polling::View, asked_at: Instant) -> bool {
+        let change = self.read_era(asked_at);
+        let now = self.view();
+        change == polling::EraChange::None && now.era == view.era && !now.must_list()
+    }
+
+    fn confirm_listing(&self, next_offset: u64, at: Instant) -> bool {
+        let mut state = self.context.state();
+        state.topic_view(self.topic).confirm_listing(&self.policy, next_offset, at)
     }
 
     /// Whether the view has passed the offset `from`, or the caller has to act on an outage.
@@ -305,8 +332,6 @@
             self.relayed.clear();
         }
         self.relayed.extend(read.entries.iter().map(|entry| (Instant::now(), entry.clone())));
-        let record_len =
-            |entry: &Entry| entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16;
         let mut len = self.relayed.iter().map(|(_, entry)| record_len(entry)).sum::<usize>();
         while len > MAX_RELAYED_BYTES {
             let Some((_, entry)) = self.relayed.pop_front() else { break };
@@ -314,11 +339,34 @@
         }
         let poll = report::Poll {
             topic: self.topic,
+            era: read.era,
+            is_listing: false,
             from: self.relayed.front().map_or(read.next_offset, |(_, entry)| entry.offset),
             next_offset: read.next_offset,
             age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
             records: self.relayed.iter().map(|(_, entry)| record(entry)).collect(),
         };
+        self.send(poll);
+    }
+
+    /// Sends the first listing of an era to the other routers, unless it is too long; then each of
+    /// them lists the topic itself.
+    fn relay_listing(&self, listing: &Entries, at: Instant) {
+        if listing.entries.iter().map(record_len).sum::<usize>() > MAX_RELAYED_BYTES {
+            return;
+        }
+        self.send(report::Poll {
+            topic: self.topic,
+            era: listing.era,
+            is_listing: true,
+            from: listing.next_offset,
+            next_offset: listing.next_offset,
+            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            records: listing.entries.iter().map(record).collect(),
+        });
+    }
+
+    fn send(&self, poll: report::Poll) {
         if self.outbox.try_send(poll).is_err() {
             tracing::debug!("a poll isn't relayed: the queue is full");
         }
@@ -328,8 +376,16 @@
     fn accept(&mut self, poll: report::Poll) -> Option<Batch> {
         let now = Instant::now();
         let mut state = self.context.state();
+        state.hear_era(poll.era, now);
         let view = state.topic_view(self.topic);
         let from = view.next_offset?;
+        if poll.era != view.era || poll.is_listing != view.must_list() {
+            return None;
+        }
+        if poll.is_listing {
+            drop(state);
+            return self.accept_listing(poll, now);
+        }
         let is_complete =
             poll.next_offset - poll.from.min(poll.next_offset) == poll.records.len() as u64;
         if poll.next_offset > from && (poll.from > from || !is_complete) {
@@ -349,7 +405,30 @@
         let entries = entries.filter(|entry| (from..next_offset).contains(&entry.offset));
         let entries = entries.collect::<Vec<_>>();
         let is_news = !entries.is_empty() || self.has_recovered;
-        is_news.then_some(Batch::Updates(Entries { entries, next_offset, end_offset: next_offset }))
+        let end_offset = next_offset;
+        is_news.then_some(Batch::Updates(Entries {
+            entries,
+            next_offset,
+            era: poll.era,
+            end_offset,
+        }))
+    }
+
+    /// Takes over the first listing of an era from another router.
+    fn accept_listing(&mut self, poll: report::Poll, now: Instant) -> Option<Batch> {
+        let at = ended_at(&poll, now)?;
+        let next_offset = poll.next_offset;
+        self.has_recovered = self.confirm_listing(next_offset, at);
+        self.needs_listing = false;
+        self.relayed.clear();
+        self.end_failure("another router reads the store");
+        let entries = poll.records.into_iter().map(|record| Entry {
+            offset: next_offset,
+            key: record.key,
+            value: record.value.map(Bytes::from),
+        });
+        let (entries, end_offset) = (entries.collect(), next_offset);
+        Some(Batch::Snapshot(Entries { entries, next_offset, era: poll.era, end_offset }))
     }
 
     /// Records a successful call.
@@ -388,19 +467,21 @@
     }
 }
 
-/// Waits for a poll of another router that has read further than `from`; others only confirm the
-/// view.
+/// Waits for a poll of another router that has read further than `view`; others only confirm it.
 async fn next_news(
     polls: &mut mpsc::Receiver<report::Poll>,
     context: &Context,
     policy: &polling::Policy,
-    from: u64,
+    view: &polling::View,
 ) -> report::Poll {
     loop {
         let Some(poll) = polls.recv().await else { return std::future::pending().await };
-        if poll.next_offset > from {
+        if (poll.era, Some(poll.next_offset)) > (view.era, view.next_offset) {
             return poll;
         }
+        if poll.era < view.era || poll.is_listing {
+            continue;
+        }
         if let Some(at) = ended_at(&poll, Instant::now()) {
             context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
         }
@@ -412,6 +493,11 @@
     now.checked_sub(Duration::from_millis(poll.age_ms.into()))
 }
 
+/// Length of a record in a relayed poll.
+fn record_len(entry: &Entry) -> usize {
+    entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16
+}
+
 fn record(entry: &Entry) -> report::Record {
     let value = entry.value.as_ref().map(|value| value.to_vec());
     report::Record { key: entry.key.clone(), value }
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::placement::Choice;
+use gentianhinge_core::polling::Position;
 use gentianhinge_core::prompt::{Part, Prompt};
 use gentianhinge_core::registry::Target;
 use gentianhinged::edge::state::{Decision, Placement, RequestSpec, RouterState};
@@ -23,6 +24,7 @@
         zone: "a".into(),
         slots: 16,
         is_leaving: false,
+        heartbeat: 0,
     }
 }
 
@@ -57,7 +59,7 @@
     let mut state = RouterState::new(&edge_context::bounds(), 1);
     let target = target();
     let hash = target.hash();
-    state.registry.apply("m1", 0, Some(target.clone()), now);
+    state.registry.apply("m1", Position::default(), Some(target.clone()), now);
     state.load.begin_request(hash, PROMPT_TOKENS, &prompt(7), now);
     let choice = Choice {
         candidate_index: 0,
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -40,7 +40,7 @@
 fn poll(from: u64, next_offset: u64, age_ms: u32, record_count: usize) -> Poll {
     let record = |i| Record { key: format!("t{i}"), value: Some(b"{}".to_vec()) };
     let records = (0..record_count).map(record).collect();
-    Poll { topic: Topic::Targets, from, next_offset, age_ms, records }
+    Poll { topic: Topic::Targets, era: 1, is_listing: false, from, next_offset, age_ms, records }
 }
 
 fn empty_report() -> LoadReport {
@@ -53,6 +53,7 @@
         services: vec![],
         cached_parts: vec![],
         is_full: false,
+        store_era: 0,
         offsets: [0; 3],
         polls: vec![],
         forward_in_zone: false,
@@ -135,3 +136,36 @@
     }
     assert_eq!((relayed.from, relayed.next_offset, relayed.records.len()), (1, 2, 1));
 }
+
+#[tokio::test]
+async fn a_listing_of_a_later_era_is_taken_over() {
+    let (store, mut reader, senders, _own_polls) = reader().await;
+    store.set_down(true);
+    let listing = Poll { era: 2, is_listing: true, ..poll(1, 1, 20, 3) };
+    senders.send(listing);
+    // Offsets of the earlier era mean nothing any more.
+    senders.send(poll(1, 4, 20, 3));
+    senders.send(Poll { era: 2, ..poll(1, 2, 20, 1) });
+    let batch = time::timeout(BOUND / 4, reader.next_batch()).await;
+    assert!(matches!(batch, Ok(Batch::Snapshot(read)) if read.entries.len() == 3 && read.era == 2));
+    assert!(reader.has_recovered);
+    let batch = time::timeout(BOUND / 4, reader.next_batch()).await;
+    assert!(matches!(batch, Ok(Batch::Updates(read)) if read.entries.len() == 1));
+}
+
+#[tokio::test]
+async fn the_first_listing_of_an_era_is_relayed() {
+    let (store, mut reader, _senders, mut own_polls) = reader().await;
+    let backup = store.backup();
+    let target_addr: net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    store.put_target("t1", target_addr, "ready");
+    assert!(matches!(reader.next_batch().await, Batch::Updates(_)));
+    store.restore(backup);
+    let batch = time::timeout(BOUND, reader.next_batch()).await;
+    assert!(matches!(batch, Ok(Batch::Snapshot(read)) if read.entries.len() == 1));
+    let mut relayed = own_polls.recv().await.unwrap();
+    while !relayed.is_listing {
+        relayed = own_polls.recv().await.unwrap();
+    }
+    assert_eq!((relayed.era, relayed.next_offset, relayed.records.len()), (2, 1, 1));
+}
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -19,6 +19,7 @@
   crashes @13 :List(Crash);
   clearedParts @14 :List(UInt64);   # parts of reported crashes that the sender has seen answered
   limits @15 :List(TargetLimit);
+  storeEra @16 :UInt64;             # latest era of the store that the sender knows of
 }
 
 struct TargetLoad {
@@ -45,6 +46,8 @@
   nextOffset @2 :UInt64;            # offset at which the topic ended
   ageMs @3 :UInt32;                 # time since the topic ended there
   records @4 :List(Record);         # all of them, or none if they are too long
+  era @5 :UInt64;                   # era of the store
+  isListing @6 :Bool;               # whether the records are the newest ones of all keys
 }
 
 enum Topic {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -60,6 +60,7 @@
     builder.set_config_offset(config);
     builder.set_targets_offset(targets);
     builder.set_routers_offset(routers);
+    builder.set_store_era(report.store_era);
     builder.set_to_zone(report.forward_in_zone);
     let mut targets = builder.reborrow().init_targets(report.targets.len() as u32);
     for (i, line) in report.targets.iter().enumerate() {
@@ -116,6 +117,8 @@
         report::Topic::Routers => load_capnp::Topic::Routers,
     });
     builder.set_from(poll.from);
+    builder.set_era(poll.era);
+    builder.set_is_listing(poll.is_listing);
     builder.set_next_offset(poll.next_offset);
     builder.set_age_ms(poll.age_ms);
     let mut records = builder.init_records(poll.records.len() as u32);
@@ -159,6 +162,8 @@
             load_capnp::Topic::Targets => report::Topic::Targets,
             load_capnp::Topic::Routers => report::Topic::Routers,
         },
+        era: reader.get_era(),
+        is_listing: reader.get_is_listing(),
         from: reader.get_from(),
         next_offset: reader.get_next_offset(),
         age_ms: reader.get_age_ms(),
@@ -209,6 +214,7 @@
         cached_parts: cached_parts.collect(),
         is_full: reader.get_is_full(),
         forward_in_zone: reader.get_to_zone(),
+        store_era: reader.get_store_era(),
         offsets: [
             reader.get_config_offset(),
             reader.get_targets_offset(),
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -139,9 +139,12 @@
         services: vec![report::ServiceUse { service: 6, request_count: 100, retry_count: 2 }],
         cached_parts: vec![report::CachedPart { target: 1 << 60, part: 77 }],
         is_full: true,
+        store_era: 4,
         offsets: [12, 340, 7],
         polls: vec![report::Poll {
             topic: report::Topic::Targets,
+            era: 4,
+            is_listing: true,
             from: 338,
             next_offset: 340,
             age_ms: 20,
