Openings at limited targets follow what is due to teams

Openings were divided among routers by their number of requests, so a team that floods all routers got most of them; and a request was refused for those that wait, though it would have gone before them.

A router's part is now what is due to the teams that call it, each team's due divided by what it asks of the routers. Only requests that are decided earlier count as ahead, and while all targets have limits the wait for an opening counts as backlog.

The test of a team at one router beside one at all routers fails with parts by requests and passes with these.

--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -65,6 +65,8 @@
     fair_share_tokens: f64,
     served_share_tokens: f64,
     totals: HashMap<Hash, Usage>,
+    /// Tokens due to all teams, and this router's part of them.
+    due_tokens: [f64; 2],
     /// Paces of the teams that ask for more than their share.
     paces: HashMap<Hash, Pace>,
 }
@@ -92,6 +94,7 @@
             fair_share_tokens,
             served_share_tokens,
             totals: HashMap::new(),
+            due_tokens: [0.0; 2],
             paces: HashMap::new(),
         }
     }
@@ -175,9 +178,33 @@
         self.served_share_tokens = water_level(asked.clone(), served);
         self.fair_share_tokens = water_level(asked, capacity);
         self.totals = totals;
+        self.due_tokens = self.sum_due_tokens(&own);
         self.update_paces(&own, now);
     }
 
+    /// Tokens due to all teams, and the part of those that ask this router for them: each team's due
+    /// is divided among the routers by what it asks of them.
+    fn sum_due_tokens(&self, own: &HashMap<Hash, Usage>) -> [f64; 2] {
+        let mut sums = [0.0; 2];
+        for (team, usage) in self.totals.iter().filter(|(_, usage)| usage.asked_tokens > 0.0) {
+            let due_tokens = usage.asked_tokens.min(self.served_share_tokens);
+            let own_tokens = own.get(team).map_or(0.0, |usage| usage.asked_tokens);
+            sums[0] += due_tokens;
+            sums[1] += due_tokens * own_tokens / usage.asked_tokens;
+        }
+        sums
+    }
+
+    /// This router's part of what is due to all teams, as of the last [`Shares::recompute`]; a router
+    /// that hasn't reported yet is taken to have as much as the others at the mean. `None` if no
+    /// team asks for tokens.
+    pub fn due_part(&self, router_count: usize) -> Option<f64> {
+        let [all, own] = self.due_tokens;
+        let known_count = 1.0 + self.peers.len() as f64;
+        let all = all * (router_count as f64 / known_count).max(1.0);
+        (all > 0.0).then(|| own / all)
+    }
+
     /// Divides the share of each team that asks for more among the routers, by what it asks of them.
     fn update_paces(&mut self, own: &HashMap<Hash, Usage>, now: Instant) {
         let share_tokens = self.fair_share_tokens;
--- a/core/tests/target_limits.rs
+++ b/core/tests/target_limits.rs
@@ -6,6 +6,7 @@
 
 use gentianhinge_core::report::{Hash, ServiceUse};
 use gentianhinge_core::retry_budget::RetryBudget;
+use gentianhinge_core::share::Shares;
 use gentianhinge_core::target_limit::{self, TargetLimits, WINDOW};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -126,6 +127,64 @@
     sends
 }
 
+/// Requests of two teams that a target with a limit takes in 20 s after the first 10: one team sends
+/// 20 requests a second to each of 8 routers, the other 20 a second to one of them. `part` is a
+/// router's part of the openings.
+fn requests_of_two_teams(part: impl Fn(&mut Shares, &mut RetryBudget, Instant) -> f64) -> [u32; 2] {
+    const ROUTERS: usize = 8;
+    const TOKENS: u32 = 1_000;
+    const LIMIT_PER_S: f64 = 10.0;
+    let start = Instant::now();
+    let mut limits = (0..ROUTERS).map(|i| TargetLimits::new(i as u64)).collect::<Vec<_>>();
+    let mut shares = (0..ROUTERS).map(|_| Shares::new(WINDOW)).collect::<Vec<_>>();
+    let retries = || RetryBudget::new(0.2, 50.0, Duration::from_secs(10));
+    let mut retries = (0..ROUTERS).map(|_| retries()).collect::<Vec<_>>();
+    let mut parts = [0.0; ROUTERS];
+    let mut taken = [0; 2];
+    limits.iter_mut().for_each(|limits| {
+        limits.record_answer(TARGET, Some(LIMIT_PER_S), start, start);
+    });
+    for step in 0..3_000_u32 {
+        let now = start + STEP * step;
+        for router in 0..ROUTERS {
+            if step % 5 == 0 {
+                let teams = if router == 0 { 0..2 } else { 0..1 };
+                for team in teams {
+                    shares[router].count_request(team, TOKENS, now);
+                    retries[router].count_request(SERVICE, now);
+                }
+            }
+            if !limits[router].may_send(TARGET, parts[router], now) {
+                continue;
+            }
+            let shortfall = |team| shares[router].team_share(team).shortfall;
+            let team = u64::from(router == 0 && shortfall(1) > shortfall(0));
+            shares[router].count_sent(team, TOKENS, now);
+            limits[router].record_send(TARGET, now);
+            taken[team as usize] += u32::from(step >= 1_000);
+        }
+        if step % 10 == 0 {
+            for from in 0..ROUTERS {
+                let name = format!("r{from}").as_str().into();
+                let lines = limits[from].own_report(true, now);
+                let (teams, services) =
+                    (shares[from].own_report(now), retries[from].own_report(now));
+                for to in (0..ROUTERS).filter(|to| *to != from) {
+                    limits[to].apply_report(&name, &lines, now);
+                    shares[to].apply_report(&name, teams.clone(), now);
+                    retries[to].apply_report(&name, services.clone(), now);
+                }
+            }
+            for router in 0..ROUTERS {
+                retries[router].set_router_count(ROUTERS);
+                shares[router].recompute(0.0, now);
+                parts[router] = part(&mut shares[router], &mut retries[router], now);
+            }
+        }
+    }
+    taken
+}
+
 /// Largest number of requests in a window that ends in `from..until`.
 fn most_in_window(sends: &[(Duration, Duration)], from: Duration, until: Duration) -> usize {
     let ends = sends.iter().map(|(at, _)| *at).filter(|at| (from..until).contains(at));
@@ -218,6 +277,15 @@
 }
 
 cases! {
+    under_a_limit_a_team_at_one_router_gets_at_least_half_of_what_one_at_all_routers_gets: {
+        let [all, one] = requests_of_two_teams(|shares, retries, now| {
+            shares.due_part(8).unwrap_or_else(|| retries.demand_part(SERVICE, now))
+        });
+        assert!(one >= all / 2, "{one} of {all}");
+        // Openings by the number of requests fail.
+        let [all, one] = requests_of_two_teams(|_, retries, now| retries.demand_part(SERVICE, now));
+        assert!(one < all / 2, "{one} of {all}");
+    },
     a_target_of_which_no_limit_is_known_gets_all_requests: {
         let sends = simulate(&Pattern { limit_per_s: |_| None, ..Pattern::default() }, 1);
         assert!(sends.iter().all(|(_, waited)| waited.is_zero()));
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -88,7 +88,7 @@
         if self.is_full() && !self.displace_last(&spec) {
             return self.refuse_when_full(spec.team);
         }
-        spec.ahead_count = self.waiting_count(&spec.service);
+        spec.ahead_count = self.count_ahead(&spec);
         // The waiting requests were scanned within the last interval, so this one needn't queue
         // first.
         let decision = self.context.state().decide(&spec, &self.context.zone, Instant::now());
@@ -114,9 +114,18 @@
         })
     }
 
-    fn waiting_count(&self, service: &Name) -> u32 {
+    /// Waiting requests of the same service that are decided before `spec`, for services whose
+    /// targets may have limits; 0 while no target has one.
+    fn count_ahead(&self, spec: &RequestSpec) -> u32 {
+        let state = self.context.state();
+        if state.target_limits.limited_count() == 0 {
+            return 0;
+        }
+        let now = Instant::now();
+        let rank = state.rank(spec, now);
         let waiting = self.waiting.borrow();
-        waiting.iter().map(|entry| u32::from(entry.spec.service == *service)).sum()
+        let same = waiting.iter().filter(|entry| entry.spec.service == spec.service);
+        same.map(|entry| u32::from(state.rank(&entry.spec, now) < rank)).sum()
     }
 
     fn is_full(&self) -> bool {
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -145,7 +145,7 @@
     extra_first_event_ms: HashMap<Name, f64>,
     patience: HashMap<Name, patience::Patience>,
     service_backlogs: HashMap<Name, (Instant, admission::ServiceBacklog)>,
-    /// This router's part of the requests of each service, and when it was computed.
+    /// This router's part of the demand for each service, and when it was computed.
     demand_parts: HashMap<Name, (Instant, f64)>,
     indexed_revision: u64,
     are_targets_loaded: bool,
@@ -307,14 +307,22 @@
         Some(Placement { target, hash, choice, limit })
     }
 
-    /// This router's part of the requests of a service, at most [`SHARES_INTERVAL`] old.
+    /// This router's part of the demand for a service, at most [`SHARES_INTERVAL`] old: of what is
+    /// due to teams if its targets run a model, otherwise of the requests.
     fn demand_part(&mut self, service: &Name, now: Instant) -> f64 {
         if let Some((at, part)) = self.demand_parts.get(service)
             && now < *at + SHARES_INTERVAL
         {
             return *part;
         }
-        let part = self.retries.demand_part(report::hash(service, 0), now);
+        let router_count = self.load.router_count(now);
+        let is_model = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.service(service).is_some_and(|service| service.is_model));
+        let due_part = self.shares.due_part(router_count).filter(|_| is_model);
+        let part =
+            due_part.unwrap_or_else(|| self.retries.demand_part(report::hash(service, 0), now));
         self.demand_parts.insert(service.clone(), (now, part));
         part
     }
@@ -422,8 +430,8 @@
             return (None, Some(busy));
         }
         let placement = self.choose(spec, zone, now);
+        let opens_in = self.mean_opening_time(&spec.service, now) * (1 + spec.ahead_count);
         let Some(chosen) = &placement else {
-            let opens_in = self.mean_opening_time(&spec.service, now) * (1 + spec.ahead_count);
             let best = admission::BestTarget::closed_for(opens_in);
             return (None, Some(best).filter(|_| !opens_in.is_zero()));
         };
@@ -432,7 +440,8 @@
             wait_ms: chosen.choice.wait_ms,
             read_ms: chosen.choice.read_ms + extra_ms,
             has_slot: chosen.choice.has_slot,
-            mean_wait_ms: chosen.choice.mean_wait_ms,
+            // A target with a limit has no backlog, though requests wait for openings.
+            mean_wait_ms: chosen.choice.mean_wait_ms.max(opens_in.as_secs_f64() * 1e3),
             opens_in: Duration::ZERO,
         });
         (placement, best)
