Targets that say that they leave, or want nothing for a time, get nothing new

Callers of a target that said Server-Leaving, or turned requests away with Retry-After, were sent there again: in the tests 12 to 17 of 40 requests reached a target two seconds after it had said that it was leaving, and a held target got requests throughout. The headers were passed on and read by no router.

platform/ decodes the three statements once. core/src/eligibility.rs is the one place that asks health, limits and holds whether a target may receive a request; it takes the choice among ejected targets over from the daemon. A target that says that it leaves is leaving in the registry for its incarnation, whatever its record, a listing or another router says later; routers tell each other at once and with their sums. A hold binds the router that was refused, until its end and up to a tenth longer at random. If no target takes a request in time, it is refused at once with the time until one does.

--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -17,7 +17,7 @@
 //! have gone since the copy reappear in its listing; they stay gone until a record shows a later
 //! heartbeat. Removals are delayed as after an outage.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +31,8 @@
 /// Time after an outage within which live targets register again.
 pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
 
-/// Maximum number of removed targets that are remembered.
+/// Maximum number of removed targets, and of those that said that they are leaving, that are
+/// remembered.
 const MAX_REMOVED: usize = 1000;
 
 /// A target as described by its registry record.
@@ -81,6 +82,8 @@
     targets: BTreeMap<Name, Arc<Target>>,
     /// Position after the last record that was applied.
     next: Position,
+    /// Hashes of incarnations that said themselves that they are leaving.
+    leaving: HashSet<report::Hash>,
     /// Removed targets, which an old copy of the registry may bring back.
     removed: BTreeMap<Name, Arc<Target>>,
     delayed_removals: BTreeMap<Name, Instant>,
@@ -165,6 +168,20 @@
         Some(changes)
     }
 
+    /// Records that an incarnation is leaving, as it says itself, whatever its record states; returns
+    /// the id of the target if it is registered and that is news.
+    pub fn mark_leaving(&mut self, hash: report::Hash) -> Option<Name> {
+        if !self.leaving.contains(&hash) && self.leaving.len() >= MAX_REMOVED {
+            self.leaving.clear();
+        }
+        self.leaving.insert(hash);
+        let known = self.targets.values_mut().find(|target| target.hash() == hash);
+        let known = known.filter(|target| !target.is_leaving)?;
+        *known = Arc::new(Target { is_leaving: true, ..Target::clone(known) });
+        self.revision += 1;
+        Some(known.id.clone())
+    }
+
     /// Time at which the next delayed removal is due.
     pub fn next_removal(&self) -> Option<Instant> {
         self.delayed_removals.values().min().copied()
@@ -201,6 +218,7 @@
     fn put(&mut self, mut target: Target) -> Change {
         self.delayed_removals.remove(&target.id);
         self.removed.remove(&target.id);
+        target.is_leaving |= !self.leaving.is_empty() && self.leaving.contains(&target.hash());
         let Some(known) = self.targets.get(&target.id) else {
             return self.insert(target);
         };
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -79,6 +79,8 @@
     pub cleared_parts: Vec<u64>,
     /// Targets with a limit, and those that had one lately.
     pub limits: Vec<TargetLimit>,
+    /// Hashes of incarnations that said to the sender that they are leaving.
+    pub leaving: Vec<Hash>,
 }
 
 /// What one router knows of a target's limit; see [`crate::target_limit`].
--- /dev/null
+++ b/core/tests/eligibility.rs
@@ -0,0 +1,174 @@
+//! Which targets may receive a request, by their health and by what they state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentianhinge_core::eligibility::{Eligibility, Entry};
+use gentianhinge_core::health::{Failure, Health};
+use gentianhinge_core::holds::Holds;
+use gentianhinge_core::registry::Target;
+use gentianhinge_core::report::Hash;
+use gentianhinge_core::target_limit::TargetLimits;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+/// State of the targets `t0`, `t1` and so on.
+struct Targets {
+    entries: Vec<Entry>,
+    health: Health,
+    limits: TargetLimits,
+    holds: Holds,
+    now: Instant,
+}
+
+fn targets(count: usize) -> Targets {
+    let entry = |i: usize| {
+        let target = Target {
+            id: format!("t{i}").as_str().into(),
+            started_ms: 1,
+            service: "desk".into(),
+            addr: "127.0.0.1:9".parse().unwrap(),
+            zone: "a".into(),
+            slots: 6,
+            is_leaving: false,
+            heartbeat: 0,
+        };
+        let hash = target.hash();
+        (Arc::new(target), hash)
+    };
+    Targets {
+        entries: (0..count).map(entry).collect(),
+        health: Health::default(),
+        limits: TargetLimits::new(1),
+        holds: Holds::default(),
+        now: Instant::now(),
+    }
+}
+
+impl Targets {
+    fn hash(&self, at: usize) -> Hash {
+        self.entries[at].1
+    }
+
+    fn eligibility(&mut self) -> (Eligibility<'_>, &[Entry], Instant) {
+        let Targets { entries, health, limits, holds, now } = self;
+        (Eligibility { health, limits, holds, demand_part: 1.0 }, entries, *now)
+    }
+
+    /// Names of the selected targets.
+    fn selected(&mut self) -> Vec<String> {
+        let (mut eligibility, entries, now) = self.eligibility();
+        let selected = eligibility.select(entries.iter(), now);
+        selected.iter().map(|(target, _)| target.id.to_string()).collect()
+    }
+
+    fn opens_in(&mut self, ahead_count: u32) -> Duration {
+        let (eligibility, entries, now) = self.eligibility();
+        eligibility.opens_in(entries.iter(), ahead_count, now)
+    }
+
+    fn hold(&mut self, at: usize, time: Duration) {
+        self.holds.record(self.entries[at].1, time, 0.0, self.now);
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[test]
+        fn $name() { $body }
+    )* };
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+cases! {
+    targets_without_statements_are_open: {
+        let mut targets = targets(3);
+        assert_eq!(targets.selected(), ["t0", "t1", "t2"]);
+        assert_eq!(targets.opens_in(0), Duration::ZERO);
+    },
+    a_held_target_is_closed_until_its_end: {
+        let mut targets = targets(2);
+        targets.hold(0, SECOND);
+        assert_eq!(targets.selected(), ["t1"]);
+        assert_eq!(targets.opens_in(0), Duration::ZERO);
+        targets.now += SECOND;
+        assert_eq!(targets.selected(), ["t0", "t1"]);
+    },
+    a_shorter_hold_does_not_end_a_longer_one: {
+        let mut targets = targets(1);
+        targets.hold(0, SECOND * 3);
+        targets.hold(0, SECOND);
+        targets.hold(0, Duration::ZERO);
+        assert_eq!(targets.opens_in(0), SECOND * 3);
+    },
+    a_hold_of_any_length_can_be_recorded: {
+        let mut targets = targets(1);
+        targets.hold(0, Duration::MAX);
+        targets.now += SECOND * 100_000;
+        assert!(targets.selected().is_empty());
+        let hash = targets.hash(0);
+        targets.holds.forget(hash);
+        assert_eq!(targets.selected(), ["t0"]);
+    },
+    when_all_are_held_the_earliest_end_counts_whoever_waits: {
+        let mut targets = targets(3);
+        (0..3).for_each(|at| targets.hold(at, SECOND * (at as u32 + 2)));
+        assert_eq!(targets.opens_in(0), SECOND * 2);
+        assert_eq!(targets.opens_in(9), SECOND * 2);
+    },
+    when_all_have_limits_those_ahead_count: {
+        let mut targets = targets(2);
+        for at in 0..2 {
+            let (hash, now) = (targets.hash(at), targets.now);
+            targets.limits.record_answer(hash, Some(2.0), now, now);
+        }
+        assert_eq!(targets.opens_in(0), SECOND / 4);
+        assert_eq!(targets.opens_in(3), SECOND);
+        targets.hold(0, SECOND * 9);
+        assert_eq!(targets.opens_in(0), SECOND / 2);
+    },
+    ejected_targets_are_used_if_too_many_are: {
+        let mut targets = targets(3);
+        let now = targets.now;
+        for at in 0..2 {
+            let hash = targets.hash(at);
+            (0..3).for_each(|_| { targets.health.record_failure(hash, Failure::NoValidAnswer, now); });
+        }
+        assert_eq!(targets.selected().len(), 3);
+        // Closed targets aren't among those of which too many may be ejected.
+        targets.hold(0, SECOND);
+        assert_eq!(targets.selected(), ["t2", "t1"]);
+    },
+    an_unreachable_target_is_used_without_others: {
+        let mut targets = targets(2);
+        let (hash, now) = (targets.hash(0), targets.now);
+        targets.health.record_failure(hash, Failure::Unreachable, now);
+        assert_eq!(targets.selected(), ["t1"]);
+        targets.hold(1, SECOND);
+        assert_eq!(targets.selected(), ["t0"]);
+    },
+    routers_that_were_held_for_the_same_time_do_not_return_in_one_moment: {
+        for router_count in [8_u32, 300] {
+            let mut rng = SmallRng::seed_from_u64(7);
+            let now = Instant::now();
+            let returns = (0..router_count).map(|_| {
+                let mut holds = Holds::default();
+                holds.record(1, SECOND * 5, rng.random_range(0.0..1.0), now);
+                holds.ends_in(1, now).unwrap()
+            });
+            let mut returns = returns.collect::<Vec<_>>();
+            returns.sort_unstable();
+            assert!(returns[0] >= SECOND * 5);
+            let span = returns[returns.len() - 1] - returns[0];
+            assert!(span >= SECOND / 4, "{span:?}");
+            let within = |at: &Duration| {
+                let moment = *at..*at + Duration::from_millis(50);
+                returns.iter().filter(|other| moment.contains(other)).count()
+            };
+            let most = returns.iter().map(within).max().unwrap();
+            assert!(most <= router_count as usize / 2, "{most} of {router_count}");
+        }
+    },
+}
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -71,6 +71,7 @@
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -167,6 +167,7 @@
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     };
     for (at, router) in routers.iter_mut().enumerate() {
         if at != from {
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -185,20 +185,29 @@
     sent_at: Instant,
 ) {
     let is_targets = answer_head.is_signed || answer_head.is_not_run;
-    let statement = answer_head.statement;
-    if !is_targets
-        || status == http::StatusCode::MISDIRECTED_REQUEST
-        || (statement.is_unreadable && statement.limit_per_s.is_none())
-    {
+    if !is_targets || status == http::StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    let mut state = traffic.context.state();
-    let limits = &mut state.target_limits;
-    let change = limits.record_answer(hash, statement.limit_per_s, sent_at, Instant::now());
-    drop(state);
-    if let Some(change) = change {
-        traffic.context.alert.notify_one();
-        super::log_limit(&traffic.context, &target.id, &change, "response");
+    let context = &traffic.context;
+    let news = context.state().record_statement(hash, &answer_head.statement, sent_at);
+    if news.limit.is_some() || news.is_leaving {
+        context.alert.notify_one();
+    }
+    if let Some(change) = news.limit {
+        super::log_limit(context, &target.id, &change, "response");
+    }
+    if news.is_leaving {
+        super::log_leaving(context, &target.id, "response");
+    }
+    if let Some(hold) = news.hold {
+        context.log.state_change(json!({
+            "event": "target-hold", "target": &*target.id, "for_ms": hold.as_millis() as u64,
+        }));
+    }
+    if news.is_unreadable {
+        context.log.state_change(json!({
+            "event": "target", "target": &*target.id, "outcome": "statement can't be read, ignored",
+        }));
     }
 }
 
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use gentianhinge_core::{report, target_limit};
+use gentianhinge_core::report;
 use gentianhinge_platform::peers;
 use gentianhinge_wire::load;
 use serde_json::json;
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
 
-use super::{Context, topic_reader};
+use super::{Context, state, topic_reader};
 
 /// Minimum interval between two reports: about the time in which a target processes a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -128,8 +128,8 @@
                 for poll in std::mem::take(&mut report.polls) {
                     polls.send(poll);
                 }
-                let changes = context.state().apply_report(report, Instant::now());
-                log_limits(&context, &changes);
+                let news = context.state().apply_report(report, Instant::now());
+                log_news(&context, &news);
             }
             Err(err) => {
                 context.metrics.report_failures.increment(1);
@@ -139,9 +139,12 @@
     }
 }
 
-/// Logs changes of targets' limits that another router reported.
-fn log_limits(context: &Context, changes: &[(report::Hash, target_limit::Change)]) {
-    for (target, change) in changes {
+/// Logs what another router reported of targets' statements.
+fn log_news(context: &Context, news: &state::ReportedNews) {
+    for target in &news.leaving {
+        super::log_leaving(context, target, "router");
+    }
+    for (target, change) in &news.limits {
         let state = context.state();
         let id = state.target_id(*target);
         drop(state);
@@ -313,6 +316,7 @@
     let mut state = context.state();
     report.crashes = state.reported_crashes(now);
     report.limits = state.target_limits.own_report(false, now);
+    report.leaving = state.own_leaving();
     report
 }
 
@@ -322,6 +326,7 @@
     state.load.expire(now);
     if parts.has_sums {
         state.target_limits.expire(now);
+        state.holds.expire(now);
     }
     state.refresh_shares(now);
     let report = report::LoadReport {
@@ -343,6 +348,7 @@
         forward_in_zone: false,
         crashes: if parts.has_sums { state.reported_crashes(now) } else { Vec::new() },
         cleared_parts: state.quarantine.take_cleared(),
+        leaving: if parts.has_sums { state.own_leaving() } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -282,6 +282,13 @@
     }));
 }
 
+/// Logs that a target has said that it is leaving; `source` is who heard it.
+fn log_leaving(context: &Context, target: &str, source: &str) {
+    context.log.state_change(json!({
+        "event": "target", "target": target, "outcome": "leaving", "source": source,
+    }));
+}
+
 /// Current time in milliseconds since 1970.
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -28,6 +28,12 @@
     pub report_sent_bytes: metrics::Counter,
     /// Load reports that couldn't be sent, received or decoded.
     pub report_failures: metrics::Counter,
+    /// Targets that state a limit.
+    limited_targets: metrics::Gauge,
+    /// Targets that want no requests from this router for a time.
+    held_targets: metrics::Gauge,
+    /// Registered targets that are leaving.
+    leaving_targets: metrics::Gauge,
 }
 
 impl std::fmt::Debug for Metrics {
@@ -63,6 +69,9 @@
             sums_age: telemetry.histogram("gentianhinge_sums_age_seconds", &[]),
             report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
+            limited_targets: telemetry.gauge("gentianhinge_limited_targets"),
+            held_targets: telemetry.gauge("gentianhinge_held_targets"),
+            leaving_targets: telemetry.gauge("gentianhinge_leaving_targets"),
             histograms_by_team: Mutex::default(),
             outcomes: Mutex::default(),
             telemetry,
@@ -121,6 +130,7 @@
         .route(
             names::METRICS_PATH,
             axum::routing::get(async move || {
+                update_gauges(&metrics_context);
                 metrics_context.metrics.telemetry.run_upkeep();
                 metrics_context.metrics.telemetry.render()
             }),
@@ -131,6 +141,15 @@
     }
 }
 
+fn update_gauges(context: &Context) {
+    let now = tokio::time::Instant::now();
+    let state = context.state();
+    let leaving_count = state.registry.targets().filter(|target| target.is_leaving).count();
+    context.metrics.limited_targets.set(state.target_limits.limited_count() as f64);
+    context.metrics.held_targets.set(state.holds.count(now) as f64);
+    context.metrics.leaving_targets.set(leaving_count as f64);
+}
+
 /// The router's view of the fleet as JSON.
 fn status(context: &Context) -> serde_json::Value {
     let now = tokio::time::Instant::now();
@@ -142,6 +161,7 @@
             "zone": &*target.zone, "leaving": target.is_leaving, "slots": target.slots,
             "running": load.running_count, "unread_tokens": load.unread_tokens,
             "ejected": state.health.is_ejected(target.hash(), now),
+            "held_ms": state.holds.ends_in(target.hash(), now).map(|left| left.as_millis() as u64),
             "limit_per_s": state.target_limits.limit(target.hash(), now).map(|(limit, _)| limit),
         })
     });
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -109,6 +109,7 @@
             team_share: self.context.state().shares.team_share(team),
             backlog_ms: 0.0,
             mean_backlog_ms: 0.0,
+            opens_in_ms: 0.0,
             is_crowded_out: true,
             is_quarantined: false,
         })
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -172,6 +172,7 @@
                 line["shortfall"] = team_counts::round_ratio(refused.team_share.shortfall).into();
                 line["backlog_ms"] = (refused.backlog_ms as u64).into();
                 line["mean_backlog_ms"] = (refused.mean_backlog_ms as u64).into();
+                line["opens_in_ms"] = (refused.opens_in_ms as u64).into();
                 line["crowded_out"] = refused.is_crowded_out.into();
             }
             if self.waited_before_ms > 0 {
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -4,17 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::eligibility::Eligibility;
+use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
 use gentianhinge_core::prompt::Prompt;
 use gentianhinge_core::quarantine::{self, Quarantine};
 use gentianhinge_core::registry::{Registry, Target};
-use gentianhinge_core::report::{self, Hash};
+use gentianhinge_core::report::{self, Hash, HashKeyed};
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::{Shares, TeamShare};
 use gentianhinge_core::target_limit::{self, TargetLimits};
 use gentianhinge_core::{admission, health, patience, placement, polling, spreading};
+use gentianhinge_platform::answer::Statement;
 use gentianhinge_wire::edge;
 use rand::Rng;
 use smallvec::SmallVec;
@@ -27,8 +30,11 @@
 /// the queue.
 const BACKLOG_CACHE_TIME: Duration = Duration::from_millis(10);
 
-/// Longest expected time until a target with a limit takes a request.
-const MAX_OPENING_TIME: Duration = Duration::from_secs(60);
+/// Minimum interval between two log lines on a target's statements that can't be read.
+const UNREADABLE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time for which other routers are told that a target is leaving.
+const LEAVING_TIME: Duration = Duration::from_secs(120);
 
 type Candidates<'a> = SmallVec<[placement::Candidate<'a>; 32]>;
 
@@ -98,6 +104,9 @@
     /// Mean backlog of prompts over all targets, in ms; 0 if the queue was full, and for services
     /// without prompts.
     pub mean_backlog_ms: f64,
+    /// Expected time until a target takes the request, if all have limits or want no requests; in
+    /// ms.
+    pub opens_in_ms: f64,
     /// Whether the queue was full and this request was last in its order.
     pub is_crowded_out: bool,
     /// Whether the prompt has parts under which targets crash.
@@ -113,6 +122,28 @@
     Refuse(Refused),
 }
 
+/// What is new in a target's statement.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StatementNews {
+    /// Change of its limit.
+    pub limit: Option<target_limit::Change>,
+    /// Whether it wasn't known to be leaving.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests, if it wanted them before.
+    pub hold: Option<Duration>,
+    /// Whether a header can't be read, which is told at most once per [`UNREADABLE_INTERVAL`].
+    pub is_unreadable: bool,
+}
+
+/// What is new in another router's report of targets' statements.
+#[derive(Clone, Debug, Default)]
+pub struct ReportedNews {
+    /// Ids of targets that are leaving.
+    pub leaving: Vec<Name>,
+    /// Changes of limits.
+    pub limits: Vec<(Hash, target_limit::Change)>,
+}
+
 /// A router's view of the fleet.
 #[derive(Debug)]
 pub struct RouterState {
@@ -132,6 +163,12 @@
     pub quarantine: Quarantine,
     /// Limits that targets state.
     pub target_limits: TargetLimits,
+    /// Times for which targets want no requests.
+    pub holds: Holds,
+    /// Incarnations that said to this router that they are leaving, and when.
+    leaving: HashKeyed<Instant>,
+    /// When a statement of a target couldn't be read.
+    unreadable: HashKeyed<Instant>,
     /// Names of the routers that are registered in the store, including this one.
     pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
@@ -165,6 +202,9 @@
             health: health::Health::default(),
             quarantine: Quarantine::default(),
             target_limits: TargetLimits::new(seed),
+            holds: Holds::default(),
+            leaving: HashKeyed::default(),
+            unreadable: HashKeyed::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
             weights: placement::Weights::default(),
@@ -245,6 +285,8 @@
         self.load.forget(hash);
         self.health.forget(hash);
         self.target_limits.forget(hash);
+        self.holds.forget(hash);
+        self.unreadable.remove(&hash);
     }
 
     /// Rebuilds the index of targets by service if the registry has changed.
@@ -267,27 +309,14 @@
         let demand_part = self.demand_part(&spec.service, now);
         let all = self.by_service.get(&spec.service)?;
         let untried = all.iter().filter(|(_, hash)| !spec.tried.contains(hash));
-        let limits = &mut self.target_limits;
-        let untried = untried.filter(|(_, hash)| limits.may_send(*hash, demand_part, now));
-        let (mut candidates, mut ejected, mut unreachable) =
-            (Candidates::new(), Candidates::new(), Candidates::new());
-        for entry in untried {
-            let hash = entry.1;
-            let list = match self.health.is_ejected(hash, now) {
-                false => &mut candidates,
-                true if self.health.is_unreachable(hash, now) => &mut unreachable,
-                true => &mut ejected,
-            };
-            list.push(candidate(entry));
-        }
-        let reachable_count = candidates.len() + ejected.len();
-        if (candidates.len() as f64) < reachable_count as f64 * (1.0 - health::MAX_EJECTED_RATIO) {
-            // With too many targets ejected, the rest would be overloaded.
-            candidates.extend(ejected);
-        }
-        if candidates.is_empty() {
-            candidates = unreachable;
-        }
+        let mut eligibility = Eligibility {
+            health: &self.health,
+            limits: &mut self.target_limits,
+            holds: &self.holds,
+            demand_part,
+        };
+        let usable = eligibility.select(untried, now);
+        let candidates = usable.into_iter().map(candidate).collect::<Candidates<'_>>();
         let weights = &self.weights;
         let choice = match &spec.prompt {
             Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
@@ -327,15 +356,17 @@
         part
     }
 
-    /// Mean time until this router may send a request to a target of a service, if all its targets
-    /// have limits; zero otherwise.
-    fn mean_opening_time(&mut self, service: &Name, now: Instant) -> Duration {
-        let demand_part = self.demand_part(service, now);
-        let Some(targets) = self.by_service.get(service) else { return Duration::ZERO };
-        let rates =
-            targets.iter().map(|(_, hash)| self.target_limits.rate_per_s(*hash, demand_part));
-        let max_s = MAX_OPENING_TIME.as_secs_f64();
-        Duration::from_secs_f64(rates.sum::<f64>().recip().min(max_s))
+    /// Expected time until a target of the service takes the request; zero if one does now.
+    fn opens_in(&mut self, spec: &RequestSpec, now: Instant) -> Duration {
+        let demand_part = self.demand_part(&spec.service, now);
+        let Some(targets) = self.by_service.get(&spec.service) else { return Duration::ZERO };
+        let eligibility = Eligibility {
+            health: &self.health,
+            limits: &mut self.target_limits,
+            holds: &self.holds,
+            demand_part,
+        };
+        eligibility.opens_in(targets.iter(), spec.ahead_count, now)
     }
 
     fn service_load(&mut self, service: &Name, now: Instant) -> spreading::ServiceLoad {
@@ -392,8 +423,13 @@
         }
         let demand_part = self.demand_part(service, now);
         let targets = self.by_service.get(service)?.iter();
-        let limits = &mut self.target_limits;
-        let open = targets.filter(|(_, hash)| limits.may_send(*hash, demand_part, now));
+        let mut eligibility = Eligibility {
+            health: &self.health,
+            limits: &mut self.target_limits,
+            holds: &self.holds,
+            demand_part,
+        };
+        let open = targets.filter(|(_, hash)| eligibility.is_open(*hash, now));
         let loads = open.map(|(_, hash)| self.load.load(*hash));
         let backlog = placement::service_backlog(loads, &self.weights);
         if backlog.least_wait_ms.is_infinite() {
@@ -430,7 +466,7 @@
             return (None, Some(busy));
         }
         let placement = self.choose(spec, zone, now);
-        let opens_in = self.mean_opening_time(&spec.service, now) * (1 + spec.ahead_count);
+        let opens_in = self.opens_in(spec, now);
         let Some(chosen) = &placement else {
             let best = admission::BestTarget::closed_for(opens_in);
             return (None, Some(best).filter(|_| !opens_in.is_zero()));
@@ -458,6 +494,7 @@
                 team_share: waiting.team_share,
                 backlog_ms: 0.0,
                 mean_backlog_ms: 0.0,
+                opens_in_ms: 0.0,
                 is_crowded_out: false,
                 is_quarantined: true,
             }));
@@ -477,6 +514,7 @@
                 team_share: waiting.team_share,
                 backlog_ms: best.map_or(0.0, |best| best.wait_ms),
                 mean_backlog_ms: best.map_or(0.0, |best| best.mean_wait_ms),
+                opens_in_ms: best.map_or(0.0, |best| best.opens_in.as_secs_f64() * 1e3),
                 is_crowded_out: false,
                 is_quarantined: false,
             })),
@@ -530,14 +568,10 @@
     }
 
     /// Applies a load report of another router; outdated reports are ignored.
-    /// Returns the changes of targets' limits.
-    pub fn apply_report(
-        &mut self,
-        report: report::LoadReport,
-        now: Instant,
-    ) -> Vec<(Hash, target_limit::Change)> {
+    /// Returns what is new of targets' statements.
+    pub fn apply_report(&mut self, report: report::LoadReport, now: Instant) -> ReportedNews {
         if !self.load.apply_report(&report, now) {
-            return Vec::new();
+            return ReportedNews::default();
         }
         self.hear_era(report.store_era, now);
         for (view, offset) in self.topic_views.iter_mut().zip(report.offsets) {
@@ -553,7 +587,49 @@
         }
         let crashes = report.crashes.into_iter().filter_map(|line| crash(line, now));
         self.quarantine.apply_report(crashes.collect(), &report.cleared_parts, now);
-        self.target_limits.apply_report(&report.sender, &report.limits, now)
+        let leaving = report.leaving.iter();
+        ReportedNews {
+            leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
+            limits: self.target_limits.apply_report(&report.sender, &report.limits, now),
+        }
+    }
+
+    /// Records what a target states in a response to a request that was sent at `sent_at`.
+    pub fn record_statement(
+        &mut self,
+        target: Hash,
+        statement: &Statement,
+        sent_at: Instant,
+    ) -> StatementNews {
+        let now = Instant::now();
+        let mut news = StatementNews::default();
+        if !statement.is_limit_unreadable || statement.limit_per_s.is_some() {
+            let limit_per_s = statement.limit_per_s;
+            news.limit = self.target_limits.record_answer(target, limit_per_s, sent_at, now);
+        }
+        if statement.is_leaving {
+            news.is_leaving = self.registry.mark_leaving(target).is_some();
+            self.leaving.insert(target, now);
+        }
+        if let Some(hold) = statement.hold {
+            news.hold = Some(hold).filter(|_| self.holds.ends_in(target, now).is_none());
+            self.holds.record(target, hold, rand::rng().random(), now);
+        }
+        if statement.is_unreadable {
+            let before = self.unreadable.get(&target);
+            news.is_unreadable = before.is_none_or(|at| now >= *at + UNREADABLE_INTERVAL);
+            if news.is_unreadable {
+                self.unreadable.insert(target, now);
+            }
+        }
+        news
+    }
+
+    /// Incarnations that have said to this router that they are leaving, for its report.
+    pub fn own_leaving(&mut self) -> Vec<Hash> {
+        let now = Instant::now();
+        self.leaving.retain(|_, at| now < *at + LEAVING_TIME);
+        self.leaving.keys().copied().collect()
     }
 
     /// Id of the registered target with this hash.
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -285,7 +285,7 @@
         drop(state);
         if change != polling::EraChange::None && before.next_offset.is_some() {
             self.context.log.state_change(json!({
-                "event": "store-era", "topic": self.topic_name(), "era": era, "before": before.era,
+                "event": "era", "topic": self.topic_name(), "era": era, "before": before.era,
                 "offset": before.next_offset, "outcome": format!("{change:?}").to_lowercase(),
             }));
         }
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -60,6 +60,7 @@
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -20,6 +20,7 @@
   clearedParts @14 :List(UInt64);   # parts of reported crashes that the sender has seen answered
   limits @15 :List(TargetLimit);
   storeEra @16 :UInt64;             # latest era of the store that the sender knows of
+  leaving @17 :List(UInt64);        # incarnations that said to the sender that they are leaving
 }
 
 struct TargetLoad {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -97,6 +97,7 @@
         let _ = crash.set_parts(line.parts.as_slice());
     }
     let _ = builder.reborrow().set_cleared_parts(report.cleared_parts.as_slice());
+    let _ = builder.reborrow().set_leaving(report.leaving.as_slice());
     let mut limits = builder.reborrow().init_limits(report.limits.len() as u32);
     for (i, line) in report.limits.iter().enumerate() {
         write_limit(limits.reborrow().get(i as u32), line);
@@ -224,5 +225,6 @@
         crashes,
         cleared_parts,
         limits: reader.get_limits()?.iter().map(read_limit).collect(),
+        leaving: reader.get_leaving()?.iter().collect(),
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -156,6 +156,7 @@
         forward_in_zone: true,
         crashes: vec![report::Crash { target: 5, team: 6, age_ms: 70, parts: vec![8, 9] }],
         cleared_parts: vec![8],
+        leaving: vec![3, 4],
         limits: vec![
             TargetLimit {
                 target: 5,
