--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -108,7 +108,7 @@
     }
 
     /// Position after the last record that was applied.
-    pub fn next(&self) -> Position {
+    pub fn position(&self) -> Position {
         self.next
     }
 
@@ -119,7 +119,7 @@
 
     /// Applies one record; `target` is `None` if the record is a removal or can't be decoded.
     ///
-    /// A record before [`next`](Registry::next) is stale and ignored.
+    /// A record before [`position`](Registry::position) is stale and ignored.
     pub fn apply(
         &mut self,
         key: &str,
@@ -140,7 +140,7 @@
     /// Replaces the targets by a full listing of the registry.
     ///
     /// Returns the targets that changed, or `None` if the listing ends before
-    /// [`next`](Registry::next) and was ignored as stale.
+    /// [`position`](Registry::position) and was ignored as stale.
     pub fn replace(
         &mut self,
         mut listing: Vec<Target>,
--- a/core/src/target_limit.rs
+++ b/core/src/target_limit.rs
@@ -359,11 +359,6 @@
         lines
     }
 
-    /// Requests that this router has sent to a target within [`WINDOW`].
-    pub fn sent_count(&self, target: Hash, now: Instant) -> u32 {
-        self.targets.get(&target).map_or(0, |state| state.sends.count(WINDOW, now))
-    }
-
     /// Drops targets that no router has sent to or heard of for [`LAPSE_TIME`].
     pub fn expire(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LAPSE_TIME;
--- a/daemon/src/edge/crash.rs
+++ b/daemon/src/edge/crash.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gentianhinge_core::quarantine::Crash;
+use gentianhinge_core::quarantine::{Crash, Quarantine};
+use gentianhinge_core::report;
 use gentianhinge_platform::connection;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::queue::InFlight;
 use super::serve::Traffic;
-use super::state::RequestSpec;
+use super::spec::RequestSpec;
 
 /// Timeout for connecting to a target that may have ended: some round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -51,3 +52,23 @@
         traffic.context.state().quarantine.record_answer(&parts, Instant::now());
     }
 }
+
+/// Some of the crashes that this router knows of, the latest one among them, for its report.
+#[allow(clippy::cast_possible_truncation)] // Crashes are kept for some minutes.
+pub fn reported(quarantine: &mut Quarantine, now: Instant) -> Vec<report::Crash> {
+    let crashes = quarantine.report_crashes(now).into_iter();
+    let lines = crashes.map(|crash| report::Crash {
+        target: crash.target,
+        team: crash.team,
+        age_ms: now.duration_since(crash.at).as_millis() as u32,
+        parts: crash.parts.to_vec(),
+    });
+    lines.collect()
+}
+
+/// A reported crash; `None` if it was before the clock's start.
+pub fn from_report(line: report::Crash, now: Instant) -> Option<Crash> {
+    let at = now.checked_sub(Duration::from_millis(line.age_ms.into()))?;
+    let parts = line.parts.into_iter().collect();
+    Some(Crash { target: line.target, team: line.team, at, parts })
+}
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -21,7 +21,7 @@
 use super::reply::{self, Body, Reason};
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
-use super::state::{Refused, RequestSpec};
+use super::spec::{Refused, RequestSpec};
 use super::{Context, Phase};
 
 /// `Retry-After` of a request that arrives before a configuration has been read.
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
 
-use super::{Context, state, topic_reader};
+use super::{Context, crash, polls, statements};
 
 /// Minimum interval between two reports: about the time in which a target processes a prompt.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -105,7 +105,7 @@
     context: Arc<Context>,
     socket: Arc<UdpSocket>,
     peers: Peers,
-    polls: topic_reader::PollSenders,
+    polls: polls::PollSenders,
 ) {
     let mut buffer = vec![0; load::MAX_DATAGRAM_BYTES];
     loop {
@@ -140,7 +140,7 @@
 }
 
 /// Logs what another router reported of targets' statements.
-fn log_news(context: &Context, news: &state::ReportedNews) {
+fn log_news(context: &Context, news: &statements::ReportedNews) {
     for target in &news.leaving {
         super::log_leaving(context, target, "router");
     }
@@ -314,9 +314,9 @@
     let (mut report, _) = compose(context, seq, NO_PARTS);
     let now = Instant::now();
     let mut state = context.state();
-    report.crashes = state.reported_crashes(now);
+    report.crashes = crash::reported(&mut state.quarantine, now);
     report.limits = state.target_limits.own_report(false, now);
-    report.leaving = state.own_leaving();
+    report.leaving = state.statements.leaving(now);
     report
 }
 
@@ -346,9 +346,13 @@
         offsets: state.offsets(),
         polls: Vec::new(),
         forward_in_zone: false,
-        crashes: if parts.has_sums { state.reported_crashes(now) } else { Vec::new() },
+        crashes: if parts.has_sums {
+            crash::reported(&mut state.quarantine, now)
+        } else {
+            Vec::new()
+        },
         cleared_parts: state.quarantine.take_cleared(),
-        leaving: if parts.has_sums { state.own_leaving() } else { Vec::new() },
+        leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -9,8 +9,9 @@
 //! # Modules, bottom up
 //!
 //! - [`decisions`] writes the log.
+//! - [`spec`] describes a request to the decisions, [`statements`] what targets say of themselves.
 //! - [`state`] holds the router's view of the fleet; [`store_sync`] and [`load_reports`] update it.
-//!   [`topic_reader`] reads the store's topics, or hears from the router that reads them.
+//!   [`topic_reader`] reads the store's topics, or hears through [`polls`] what another router reads.
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
 //! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on; [`crash`]
@@ -48,13 +49,16 @@
 pub mod lag;
 pub mod load_reports;
 pub mod operators;
+pub mod polls;
 pub mod queue;
 pub mod relay;
 pub mod reply;
 pub mod request_record;
 pub mod response_limits;
 pub mod serve;
+pub mod spec;
 pub mod state;
+pub mod statements;
 pub mod store_sync;
 pub mod team_counts;
 pub mod topic_reader;
@@ -327,9 +331,9 @@
     let config_apply = edge::duration_ms(settings.bounds.config_apply_ms);
     let drain = edge::duration_ms(settings.bounds.drain_ms);
     let store = Store::new(store_addr, timeout);
-    let (poll_senders, polls) = topic_reader::poll_channels();
-    let [config_polls, target_polls, router_polls] = polls;
-    let (outbox, own_polls) = mpsc::channel(topic_reader::POLL_QUEUE_LEN);
+    let (poll_senders, receivers) = polls::channels();
+    let [config_polls, target_polls, router_polls] = receivers;
+    let (outbox, own_polls) = mpsc::channel(polls::QUEUE_LEN);
     let reader = |topic, bound, polls| {
         topic_reader::TopicReader::new(
             context.clone(),
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -12,7 +12,7 @@
 use tokio::time::{self, Instant};
 
 use super::Context;
-use super::state::{Decision, Placement, Refused, RequestSpec};
+use super::spec::{Decision, Placement, Refused, RequestSpec};
 
 /// Interval between two scans of the queue: a small part of the shortest latency target.
 const SCAN_INTERVAL: Duration = Duration::from_millis(10);
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -20,7 +20,7 @@
 use super::reply::{Body, BodyError};
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
-use super::state::RequestSpec;
+use super::spec::RequestSpec;
 
 /// Capacity of the channel to the caller's connection, in chunks.
 const CHANNEL_CHUNKS: usize = 16;
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::queue::InFlight;
-use super::state::Refused;
+use super::spec::Refused;
 use super::{Context, decisions, operators, team_counts};
 
 /// Collects the decisions on a request. Dropping it writes one log line and updates the metrics.
--- /dev/null
+++ b/daemon/src/edge/spec.rs
@@ -0,0 +1,98 @@
+//! A request as admission sees it, and the decisions on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentianhinge_core::ids::Name;
+use gentianhinge_core::placement;
+use gentianhinge_core::prompt::Prompt;
+use gentianhinge_core::quarantine;
+use gentianhinge_core::registry::Target;
+use gentianhinge_core::report::Hash;
+use gentianhinge_core::share::TeamShare;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+/// Properties of a request on which admission and the choice of a target depend.
+#[derive(Clone, Debug)]
+pub struct RequestSpec {
+    /// Request id.
+    pub request_id: Name,
+    /// Service that runs the request.
+    pub service: Name,
+    /// The prompt of a model request; `None` for other services.
+    pub prompt: Option<Prompt>,
+    /// Hash of the team's name; 0 without a team.
+    pub team: Hash,
+    /// When the request arrived, or its retry was queued.
+    pub arrived_at: Instant,
+    /// When the latency target ends.
+    pub due_at: Instant,
+    /// Deadline of the caller or the route, whichever is earlier.
+    pub deadline: Instant,
+    /// Number of urgency steps below the most urgent route of the service.
+    pub urgency_step: u32,
+    /// Targets to which the request was already sent.
+    pub tried: SmallVec<[Hash; 2]>,
+    /// Whether this is a retry, which goes before new requests.
+    pub is_retry: bool,
+    /// Requests of the service that wait at this router and are decided before this one.
+    pub ahead_count: u32,
+}
+
+impl RequestSpec {
+    /// Ids of the shared parts of the prompt.
+    pub fn shared_parts(&self) -> SmallVec<[u64; 4]> {
+        self.prompt.as_ref().map(quarantine::shared_parts).unwrap_or_default()
+    }
+
+    /// Tokens charged to the team.
+    pub fn charged_tokens(&self) -> u32 {
+        self.prompt.as_ref().map_or(0, Prompt::charged_tokens)
+    }
+}
+
+/// The target chosen for a request.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Hash of the target's incarnation.
+    pub hash: Hash,
+    /// The estimates on which the choice is based.
+    pub choice: placement::Choice,
+    /// Limit of the target in requests per second, and the time since the target stated it.
+    pub limit: Option<(f64, Duration)>,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    /// Time after which a retry is likely to be served.
+    pub retry_after: Duration,
+    /// Whether the service has no usable target.
+    pub has_no_target: bool,
+    /// How much the team has used of its share.
+    pub team_share: TeamShare,
+    /// Backlog of prompts at the best target, in ms; 0 if the queue was full.
+    pub backlog_ms: f64,
+    /// Mean backlog of prompts over all targets, in ms; 0 if the queue was full, and for services
+    /// without prompts.
+    pub mean_backlog_ms: f64,
+    /// Expected time until a target takes the request, if all have limits or want no requests; in
+    /// ms.
+    pub opens_in_ms: f64,
+    /// Whether the queue was full and this request was last in its order.
+    pub is_crowded_out: bool,
+    /// Whether the prompt has parts under which targets crash.
+    pub is_quarantined: bool,
+}
+
+/// Decision on a request that leaves the queue.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Send it; its load is already counted.
+    Send(Placement),
+    /// Refuse it.
+    Refuse(Refused),
+}
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -11,7 +11,7 @@
 use gentianhinge_core::prompt::Prompt;
 use gentianhinge_core::quarantine::{self, Quarantine};
 use gentianhinge_core::registry::{Registry, Target};
-use gentianhinge_core::report::{self, Hash, HashKeyed};
+use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::{Shares, TeamShare};
@@ -23,6 +23,10 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use super::crash;
+use super::spec::{Decision, Placement, Refused, RequestSpec};
+use super::statements;
+
 /// Minimum interval between two computations of the fair share.
 const SHARES_INTERVAL: Duration = Duration::from_millis(350);
 
@@ -30,120 +34,8 @@
 /// the queue.
 const BACKLOG_CACHE_TIME: Duration = Duration::from_millis(10);
 
-/// Minimum interval between two log lines on a target's statements that can't be read.
-const UNREADABLE_INTERVAL: Duration = Duration::from_secs(60);
-
-/// Time for which other routers are told that a target is leaving.
-const LEAVING_TIME: Duration = Duration::from_secs(120);
-
 type Candidates<'a> = SmallVec<[placement::Candidate<'a>; 32]>;
 
-/// Properties of a request on which admission and the choice of a target depend.
-#[derive(Clone, Debug)]
-pub struct RequestSpec {
-    /// Request id.
-    pub request_id: Name,
-    /// Service that runs the request.
-    pub service: Name,
-    /// The prompt of a model request; `None` for other services.
-    pub prompt: Option<Prompt>,
-    /// Hash of the team's name; 0 without a team.
-    pub team: Hash,
-    /// When the request arrived, or its retry was queued.
-    pub arrived_at: Instant,
-    /// When the latency target ends.
-    pub due_at: Instant,
-    /// Deadline of the caller or the route, whichever is earlier.
-    pub deadline: Instant,
-    /// Number of urgency steps below the most urgent route of the service.
-    pub urgency_step: u32,
-    /// Targets to which the request was already sent.
-    pub tried: SmallVec<[Hash; 2]>,
-    /// Whether this is a retry, which goes before new requests.
-    pub is_retry: bool,
-    /// Requests of the service that wait at this router and are decided before this one.
-    pub ahead_count: u32,
-}
-
-impl RequestSpec {
-    /// Ids of the shared parts of the prompt.
-    pub fn shared_parts(&self) -> SmallVec<[u64; 4]> {
-        self.prompt.as_ref().map(quarantine::shared_parts).unwrap_or_default()
-    }
-
-    /// Tokens charged to the team.
-    pub fn charged_tokens(&self) -> u32 {
-        self.prompt.as_ref().map_or(0, Prompt::charged_tokens)
-    }
-}
-
-/// The target chosen for a request.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// The target.
-    pub target: Arc<Target>,
-    /// Hash of the target's incarnation.
-    pub hash: Hash,
-    /// The estimates on which the choice is based.
-    pub choice: placement::Choice,
-    /// Limit of the target in requests per second, and the time since the target stated it.
-    pub limit: Option<(f64, Duration)>,
-}
-
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug)]
-pub struct Refused {
-    /// Time after which a retry is likely to be served.
-    pub retry_after: Duration,
-    /// Whether the service has no usable target.
-    pub has_no_target: bool,
-    /// How much the team has used of its share.
-    pub team_share: TeamShare,
-    /// Backlog of prompts at the best target, in ms; 0 if the queue was full.
-    pub backlog_ms: f64,
-    /// Mean backlog of prompts over all targets, in ms; 0 if the queue was full, and for services
-    /// without prompts.
-    pub mean_backlog_ms: f64,
-    /// Expected time until a target takes the request, if all have limits or want no requests; in
-    /// ms.
-    pub opens_in_ms: f64,
-    /// Whether the queue was full and this request was last in its order.
-    pub is_crowded_out: bool,
-    /// Whether the prompt has parts under which targets crash.
-    pub is_quarantined: bool,
-}
-
-/// Decision on a request that leaves the queue.
-#[derive(Clone, Debug)]
-pub enum Decision {
-    /// Send it; its load is already counted.
-    Send(Placement),
-    /// Refuse it.
-    Refuse(Refused),
-}
-
-/// What is new in a target's statement.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StatementNews {
-    /// Change of its limit.
-    pub limit: Option<target_limit::Change>,
-    /// Whether it wasn't known to be leaving.
-    pub is_leaving: bool,
-    /// Time for which it wants no requests, if it wanted them before.
-    pub hold: Option<Duration>,
-    /// Whether a header can't be read, which is told at most once per [`UNREADABLE_INTERVAL`].
-    pub is_unreadable: bool,
-}
-
-/// What is new in another router's report of targets' statements.
-#[derive(Clone, Debug, Default)]
-pub struct ReportedNews {
-    /// Ids of targets that are leaving.
-    pub leaving: Vec<Name>,
-    /// Changes of limits.
-    pub limits: Vec<(Hash, target_limit::Change)>,
-}
-
 /// A router's view of the fleet.
 #[derive(Debug)]
 pub struct RouterState {
@@ -165,10 +57,8 @@
     pub target_limits: TargetLimits,
     /// Times for which targets want no requests.
     pub holds: Holds,
-    /// Incarnations that said to this router that they are leaving, and when.
-    leaving: HashKeyed<Instant>,
-    /// When a statement of a target couldn't be read.
-    unreadable: HashKeyed<Instant>,
+    /// What this router keeps of targets' statements, for its log and reports.
+    pub statements: statements::Statements,
     /// Names of the routers that are registered in the store, including this one.
     pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
@@ -203,8 +93,7 @@
             quarantine: Quarantine::default(),
             target_limits: TargetLimits::new(seed),
             holds: Holds::default(),
-            leaving: HashKeyed::default(),
-            unreadable: HashKeyed::default(),
+            statements: statements::Statements::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
             weights: placement::Weights::default(),
@@ -286,7 +175,7 @@
         self.health.forget(hash);
         self.target_limits.forget(hash);
         self.holds.forget(hash);
-        self.unreadable.remove(&hash);
+        self.statements.forget(hash);
     }
 
     /// Rebuilds the index of targets by service if the registry has changed.
@@ -521,19 +410,6 @@
         }
     }
 
-    /// Some of the crashes that this router knows of, the latest one among them, for its report.
-    #[allow(clippy::cast_possible_truncation)] // Crashes are kept for some minutes.
-    pub fn reported_crashes(&mut self, now: Instant) -> Vec<report::Crash> {
-        let crashes = self.quarantine.report_crashes(now).into_iter();
-        let lines = crashes.map(|crash| report::Crash {
-            target: crash.target,
-            team: crash.team,
-            age_ms: now.duration_since(crash.at).as_millis() as u32,
-            parts: crash.parts.to_vec(),
-        });
-        lines.collect()
-    }
-
     /// Whether the prompt has parts under which targets crash.
     pub fn is_quarantined(&self, spec: &RequestSpec, now: Instant) -> bool {
         self.quarantine.crash_count() > 0
@@ -569,9 +445,13 @@
 
     /// Applies a load report of another router; outdated reports are ignored.
     /// Returns what is new of targets' statements.
-    pub fn apply_report(&mut self, report: report::LoadReport, now: Instant) -> ReportedNews {
+    pub fn apply_report(
+        &mut self,
+        report: report::LoadReport,
+        now: Instant,
+    ) -> statements::ReportedNews {
         if !self.load.apply_report(&report, now) {
-            return ReportedNews::default();
+            return statements::ReportedNews::default();
         }
         self.hear_era(report.store_era, now);
         for (view, offset) in self.topic_views.iter_mut().zip(report.offsets) {
@@ -585,10 +465,10 @@
         if !report.services.is_empty() {
             self.retries.apply_report(&report.sender, report.services, now);
         }
-        let crashes = report.crashes.into_iter().filter_map(|line| crash(line, now));
+        let crashes = report.crashes.into_iter().filter_map(|line| crash::from_report(line, now));
         self.quarantine.apply_report(crashes.collect(), &report.cleared_parts, now);
         let leaving = report.leaving.iter();
-        ReportedNews {
+        statements::ReportedNews {
             leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
             limits: self.target_limits.apply_report(&report.sender, &report.limits, now),
         }
@@ -600,38 +480,26 @@
         target: Hash,
         statement: &Statement,
         sent_at: Instant,
-    ) -> StatementNews {
+    ) -> statements::News {
         let now = Instant::now();
-        let mut news = StatementNews::default();
+        let mut news = statements::News::default();
         if !statement.is_limit_unreadable || statement.limit_per_s.is_some() {
             let limit_per_s = statement.limit_per_s;
             news.limit = self.target_limits.record_answer(target, limit_per_s, sent_at, now);
         }
         if statement.is_leaving {
             news.is_leaving = self.registry.mark_leaving(target).is_some();
-            self.leaving.insert(target, now);
+            self.statements.record_leaving(target, now);
         }
         if let Some(hold) = statement.hold {
             news.hold = Some(hold).filter(|_| self.holds.ends_in(target, now).is_none());
             self.holds.record(target, hold, rand::rng().random(), now);
         }
-        if statement.is_unreadable {
-            let before = self.unreadable.get(&target);
-            news.is_unreadable = before.is_none_or(|at| now >= *at + UNREADABLE_INTERVAL);
-            if news.is_unreadable {
-                self.unreadable.insert(target, now);
-            }
-        }
+        news.is_unreadable =
+            statement.is_unreadable && self.statements.record_unreadable(target, now);
         news
     }
 
-    /// Incarnations that have said to this router that they are leaving, for its report.
-    pub fn own_leaving(&mut self) -> Vec<Hash> {
-        let now = Instant::now();
-        self.leaving.retain(|_, at| now < *at + LEAVING_TIME);
-        self.leaving.keys().copied().collect()
-    }
-
     /// Id of the registered target with this hash.
     pub fn target_id(&self, hash: Hash) -> Option<Name> {
         let targets = self.registry.targets();
@@ -639,17 +507,6 @@
     }
 }
 
-/// A reported crash; `None` if it was before the clock's start.
-fn crash(line: report::Crash, now: Instant) -> Option<quarantine::Crash> {
-    let at = now.checked_sub(Duration::from_millis(line.age_ms.into()))?;
-    Some(quarantine::Crash {
-        target: line.target,
-        team: line.team,
-        at,
-        parts: line.parts.into_iter().collect(),
-    })
-}
-
 fn candidate((target, hash): &(Arc<Target>, Hash)) -> placement::Candidate<'_> {
     placement::Candidate { target, hash: *hash, slots: f64::from(target.slots) }
 }
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -18,9 +18,6 @@
 
 use super::Context;
 
-/// Capacity of the channels of polls; further ones are dropped, and the next one makes up for them.
-pub const POLL_QUEUE_LEN: usize = 64;
-
 /// Interval at which a router checks whether it has to poll: reports may show that it is behind.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,34 +35,6 @@
 /// repetition makes up for lost datagrams.
 const RELAY_TIME_PART: f64 = 0.5;
 
-/// Senders of the polls of other routers, by [`Topic::number`].
-#[derive(Clone, Debug)]
-pub struct PollSenders([mpsc::Sender<report::Poll>; Topic::ALL.len()]);
-
-impl PollSenders {
-    /// Passes a poll to the reader of its topic.
-    pub fn send(&self, poll: report::Poll) {
-        let [config, targets, routers] = &self.0;
-        let sender = match poll.topic {
-            Topic::Config => config,
-            Topic::Targets => targets,
-            Topic::Routers => routers,
-        };
-        if sender.try_send(poll).is_err() {
-            tracing::debug!("a poll of another router is dropped: the queue is full");
-        }
-    }
-}
-
-/// Creates the channels for the polls of other routers.
-pub fn poll_channels() -> (PollSenders, [mpsc::Receiver<report::Poll>; Topic::ALL.len()]) {
-    let (config_sender, config) = mpsc::channel(POLL_QUEUE_LEN);
-    let (targets_sender, targets) = mpsc::channel(POLL_QUEUE_LEN);
-    let (routers_sender, routers) = mpsc::channel(POLL_QUEUE_LEN);
-    let senders = PollSenders([config_sender, targets_sender, routers_sender]);
-    (senders, [config, targets, routers])
-}
-
 /// Records read from a topic.
 #[derive(Debug)]
 pub enum Batch {
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -7,7 +7,8 @@
 use gentianhinge_core::polling::Position;
 use gentianhinge_core::prompt::{Part, Prompt};
 use gentianhinge_core::registry::Target;
-use gentianhinged::edge::state::{Decision, Placement, RequestSpec, RouterState};
+use gentianhinged::edge::spec::{Decision, Placement, RequestSpec};
+use gentianhinged::edge::state::RouterState;
 use tokio::time::Instant;
 
 mod edge_context;
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -6,7 +6,8 @@
 
 use gentianhinge_core::report::{LoadReport, Poll, Record, Topic};
 use gentianhinge_platform::store;
-use gentianhinged::edge::topic_reader::{self, Batch, PollSenders, TopicReader};
+use gentianhinged::edge::polls::{self, PollSenders};
+use gentianhinged::edge::topic_reader::{Batch, TopicReader};
 use tokio::sync::mpsc;
 use tokio::time;
 
@@ -22,14 +23,14 @@
     let target_addr: net::SocketAddr = "127.0.0.1:9".parse().unwrap();
     store.put_target("t0", target_addr, "ready");
     let client = store::Store::new(addr, Duration::from_secs(1));
-    let (senders, [_, polls, _]) = topic_reader::poll_channels();
-    let (outbox, own_polls) = mpsc::channel(topic_reader::POLL_QUEUE_LEN);
+    let (senders, [_, receiver, _]) = polls::channels();
+    let (outbox, own_polls) = mpsc::channel(polls::QUEUE_LEN);
     let mut reader = TopicReader::new(
         edge_context::context(io::sink()),
         client,
         Topic::Targets,
         BOUND,
-        polls,
+        receiver,
         outbox,
     );
     let batch = reader.next_batch().await;
