--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -4,18 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentianhinge_core::eligibility::Eligibility;
+use gentianhinge_core::eligibility::{self, Eligibility};
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
 use gentianhinge_core::prompt::Prompt;
-use gentianhinge_core::quarantine::{self, Quarantine};
+use gentianhinge_core::quarantine::Quarantine;
 use gentianhinge_core::registry::{Registry, Target};
 use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
-use gentianhinge_core::share::{Shares, TeamShare};
-use gentianhinge_core::target_limit::{self, TargetLimits};
+use gentianhinge_core::share::Shares;
+use gentianhinge_core::target_limit::TargetLimits;
 use gentianhinge_core::{admission, health, patience, placement, polling, spreading};
 use gentianhinge_platform::answer::Statement;
 use gentianhinge_wire::edge;
@@ -247,15 +247,22 @@
 
     /// Expected time until a target of the service takes the request; zero if one does now.
     fn opens_in(&mut self, spec: &RequestSpec, now: Instant) -> Duration {
-        let demand_part = self.demand_part(&spec.service, now);
-        let Some(targets) = self.by_service.get(&spec.service) else { return Duration::ZERO };
-        let eligibility = Eligibility {
-            health: &self.health,
-            limits: &mut self.target_limits,
-            holds: &self.holds,
-            demand_part,
-        };
-        eligibility.opens_in(targets.iter(), spec.ahead_count, now)
+        let eligibility = self.eligibility(&spec.service, now);
+        eligibility.map_or(Duration::ZERO, |(eligibility, targets)| {
+            eligibility.opens_in(targets.iter(), spec.ahead_count, now)
+        })
+    }
+
+    /// Eligibility of the targets of a service; `None` without any.
+    fn eligibility(
+        &mut self,
+        service: &Name,
+        now: Instant,
+    ) -> Option<(Eligibility<'_>, &[eligibility::Entry])> {
+        let demand_part = self.demand_part(service, now);
+        let targets = self.by_service.get(service)?;
+        let RouterState { health, target_limits: limits, holds, .. } = self;
+        Some((Eligibility { health, limits, holds, demand_part }, targets))
     }
 
     fn service_load(&mut self, service: &Name, now: Instant) -> spreading::ServiceLoad {
@@ -310,16 +317,11 @@
         {
             return Some(*backlog);
         }
-        let demand_part = self.demand_part(service, now);
-        let targets = self.by_service.get(service)?.iter();
-        let mut eligibility = Eligibility {
-            health: &self.health,
-            limits: &mut self.target_limits,
-            holds: &self.holds,
-            demand_part,
-        };
-        let open = targets.filter(|(_, hash)| eligibility.is_open(*hash, now));
-        let loads = open.map(|(_, hash)| self.load.load(*hash));
+        let (mut eligibility, targets) = self.eligibility(service, now)?;
+        let open = targets.iter().map(|(_, hash)| *hash);
+        let open = open.filter(|hash| eligibility.is_open(*hash, now));
+        let open = open.collect::<SmallVec<[Hash; 32]>>();
+        let loads = open.iter().map(|hash| self.load.load(*hash));
         let backlog = placement::service_backlog(loads, &self.weights);
         if backlog.least_wait_ms.is_infinite() {
             return None;
