--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -112,7 +112,7 @@
         && response.status.is_success()
         && in_flight.placement.choice.unread_tokens == 0
     {
-        traffic.context.state().record_service_time(&target.service, sent_at.elapsed());
+        traffic.context.state().times.record_service_time(&target.service, sent_at.elapsed());
     }
     outcome
 }
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -9,7 +9,8 @@
 //! # Modules, bottom up
 //!
 //! - [`decisions`] writes the log.
-//! - [`spec`] describes a request to the decisions, [`statements`] what targets say of themselves.
+//! - [`spec`] describes a request to the decisions, [`statements`] what targets say of themselves;
+//!   [`service_times`] learns how long services take.
 //! - [`state`] holds the router's view of the fleet; [`store_sync`] and [`load_reports`] update it.
 //!   [`topic_reader`] reads the store's topics, or hears through [`polls`] what another router reads.
 //! - [`queue`] decides which waiting request is sent next.
@@ -56,6 +57,7 @@
 pub mod request_record;
 pub mod response_limits;
 pub mod serve;
+pub mod service_times;
 pub mod spec;
 pub mod state;
 pub mod statements;
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -45,7 +45,7 @@
         if unread_tokens > 0 {
             let mut state = self.context.state();
             state.load.prompt_read(self.placement.hash, unread_tokens);
-            state.record_first_event(&self.placement, self.sent_at.elapsed());
+            state.times.record_first_event(&self.placement, self.sent_at.elapsed());
         }
     }
 }
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use super::crash;
+use super::service_times::ServiceTimes;
 use super::spec::{Decision, Placement, Refused, RequestSpec};
 use super::statements;
 
@@ -67,9 +68,8 @@
     policy: admission::Policy,
     shares_computed_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
-    service_times: HashMap<Name, Duration>,
-    /// Mean time from sending to the first event beyond what was expected, by service, in ms.
-    extra_first_event_ms: HashMap<Name, f64>,
+    /// How long services take.
+    pub times: ServiceTimes,
     patience: HashMap<Name, patience::Patience>,
     service_backlogs: HashMap<Name, (Instant, admission::ServiceBacklog)>,
     /// This router's part of the demand for each service, and when it was computed.
@@ -100,8 +100,7 @@
             policy: admission::Policy::default(),
             shares_computed_at: None,
             by_service: HashMap::new(),
-            service_times: HashMap::new(),
-            extra_first_event_ms: HashMap::new(),
+            times: ServiceTimes::default(),
             patience: HashMap::new(),
             service_backlogs: HashMap::new(),
             demand_parts: HashMap::new(),
@@ -268,7 +267,7 @@
     fn service_load(&mut self, service: &Name, now: Instant) -> spreading::ServiceLoad {
         spreading::ServiceLoad {
             arrivals_per_s: self.retries.requests_per_s(report::hash(service, 0), now),
-            service_time: self.service_times.get(service).copied().unwrap_or_default(),
+            service_time: self.times.mean(service),
             report_age: self.load.mean_report_age(now),
         }
     }
@@ -284,27 +283,6 @@
         patience.waited(limit)
     }
 
-    /// Records the time from sending to the first event of a request.
-    pub fn record_first_event(&mut self, placement: &Placement, time: Duration) {
-        /// Weight of a request in the moving average.
-        const WEIGHT: f64 = 0.05;
-        /// Maximum difference of one request that counts: beyond it, the target was slow.
-        const MAX_EXTRA_MS: f64 = 400.0;
-        let expected_ms = placement.choice.wait_ms + placement.choice.read_ms;
-        let extra_ms = (time.as_secs_f64() * 1e3 - expected_ms).clamp(-MAX_EXTRA_MS, MAX_EXTRA_MS);
-        let service = placement.target.service.clone();
-        let mean = self.extra_first_event_ms.entry(service).or_default();
-        *mean = (*mean + (extra_ms - *mean) * WEIGHT).max(0.0);
-    }
-
-    /// Records how long a target took for a request without a prompt.
-    pub fn record_service_time(&mut self, service: &Name, time: Duration) {
-        /// Weight of a request in the moving average.
-        const WEIGHT: f64 = 0.1;
-        let mean = self.service_times.entry(service.clone()).or_insert(time);
-        *mean = mean.mul_f64(1.0 - WEIGHT) + time.mul_f64(WEIGHT);
-    }
-
     /// Backlog of the targets of a service, at most [`BACKLOG_CACHE_TIME`] old.
     fn service_backlog(
         &mut self,
@@ -362,7 +340,7 @@
             let best = admission::BestTarget::closed_for(opens_in);
             return (None, Some(best).filter(|_| !opens_in.is_zero()));
         };
-        let extra_ms = self.extra_first_event_ms.get(&spec.service).copied().unwrap_or_default();
+        let extra_ms = self.times.mean_extra_ms(&spec.service);
         let best = Some(admission::BestTarget {
             wait_ms: chosen.choice.wait_ms,
             read_ms: chosen.choice.read_ms + extra_ms,
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -74,7 +74,7 @@
     };
     let placement = Placement { target: Arc::new(target), hash, choice, limit: None };
     for _ in 0..100 {
-        state.record_first_event(&placement, Duration::from_millis(150 + extra_ms));
+        state.times.record_first_event(&placement, Duration::from_millis(150 + extra_ms));
     }
     state
 }
