A repeated word that a target is leaving is no longer looked up among all targets

Each report repeats it for two minutes, and each lookup hashed every registered target under the lock of the state. A target in the set is leaving already or will be when it registers, as the new test holds.

--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -171,7 +171,11 @@
     /// Records that an incarnation is leaving, as it says itself, whatever its record states; returns
     /// the id of the target if it is registered and that is news.
     pub fn mark_leaving(&mut self, hash: report::Hash) -> Option<Name> {
-        if !self.leaving.contains(&hash) && self.leaving.len() >= MAX_REMOVED {
+        if self.leaving.contains(&hash) {
+            // Reports repeat it, and hashing all targets each time is expensive.
+            return None;
+        }
+        if self.leaving.len() >= MAX_REMOVED {
             self.leaving.clear();
         }
         self.leaving.insert(hash);
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -164,4 +164,17 @@
         assert_eq!(registry.apply("t1", at(5), Some(beat), now), Change::None);
         assert_eq!(registry.revision(), revision);
     },
+    a_target_that_said_that_it_leaves_is_leaving_whenever_it_registers: {
+        let now = Instant::now();
+        let mut registry = registry_of(vec![target("t1", 1, false)], 5, now);
+        let (registered, later) = (target("t1", 1, false).hash(), target("t2", 1, false).hash());
+        assert_eq!(registry.mark_leaving(registered), Some("t1".into()));
+        assert_eq!(registry.mark_leaving(later), None);
+        assert_eq!(registry.apply("t2", at(5), Some(target("t2", 1, false)), now), Change::Leaving);
+        // What is repeated is no news, and a record that says ready takes nothing back.
+        registry.apply("t1", at(6), Some(target("t1", 1, false)), now);
+        assert_eq!((registry.mark_leaving(registered), registry.mark_leaving(later)), (None, None));
+        assert!(registry.targets().all(|target| target.is_leaving));
+        assert_eq!(registry.apply("t1", at(7), Some(target("t1", 2, false)), now), Change::Added);
+    },
 }
