--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -195,6 +195,7 @@
                 Err(_) if Instant::now() >= self.request.deadline => return StreamEnd::Timeout,
                 Err(_) => {
                     self.record_health(in_flight, false);
+                    self.record.set_silent();
                     return broken("silence", has_begun);
                 }
             };
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Records that the target of the last attempt has been silent for longer than expected.
+    pub fn set_silent(&mut self) {
+        let silent_ms = self.arrived_at.elapsed().as_millis() as u64;
+        if let Some(send) = self.sends.last_mut().and_then(Value::as_object_mut) {
+            send.insert("silent_ms".to_string(), silent_ms.into());
+        }
+    }
+
     /// Sets the time of the first event, or of the complete response of a request without events.
     pub fn set_first_event(&mut self) {
         let first_event_time = self.arrived_at.elapsed();
@@ -175,6 +183,10 @@
                 line["opens_in_ms"] = (refused.opens_in_ms as u64).into();
                 line["crowded_out"] = refused.is_crowded_out.into();
             }
+            let config_end = self.context.config_version();
+            if config_end != self.config_version {
+                line["config_end"] = config_end.into();
+            }
             if self.waited_before_ms > 0 {
                 line["waited_before_ms"] = self.waited_before_ms.into();
             }
