--- a/daemon/tests/edge_deadly.rs
+++ b/daemon/tests/edge_deadly.rs
@@ -9,8 +9,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use edge_kit::{Router, Store};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use edge_kit::{Router, Store, raw};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -63,27 +63,16 @@
 }
 
 async fn serve(mut stream: TcpStream, id: &str, ending: Ending, has_ended: watch::Sender<bool>) {
-    while let Some(head) = read_request(&mut stream).await {
-        let header = |name: &str| {
-            let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-            lines
-                .find(|(key, _)| key.eq_ignore_ascii_case(name))
-                .map(|(_, value)| value.to_string())
-        };
-        if header("expect-instance").as_deref() != Some(id) {
-            let refusal = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
-            stream.write_all(refusal.as_bytes()).await.ok();
+    while let Some(head) = raw::read_request(&mut stream).await {
+        if raw::refuse_misdirected(&mut stream, &head, id).await {
             continue;
         }
         let is_chunked = ending == Ending::Chunks;
         let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
-        let response_head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nServer-Stamp: s\r\n\
-             Content-Type: text/event-stream\r\n{framing}\r\n",
-            header("attempt-id").unwrap(),
-        );
+        let lines = format!("Content-Type: text/event-stream\r\n{framing}");
+        let response_head = raw::response_head(&head, &lines);
         stream.write_all(response_head.as_bytes()).await.ok();
-        if header("prefix-hash").unwrap_or_default().contains(DEADLY_PART) {
+        if raw::header(&head, "prefix-hash").unwrap_or_default().contains(DEADLY_PART) {
             tokio::time::sleep(Duration::from_millis(10)).await;
             stream.set_zero_linger().unwrap();
             has_ended.send_replace(true);
@@ -95,7 +84,9 @@
             Ending::Close => {}
             Ending::CloseWithinEvent => events += "id: 13\ndata: ev",
             Ending::CloseWithoutEvent => events.clear(),
-            Ending::CloseAt => events.truncate(header("x-cut").unwrap().parse().unwrap()),
+            Ending::CloseAt => {
+                events.truncate(raw::header(&head, "x-cut").unwrap().parse().unwrap());
+            }
         }
         stream.write_all(events.as_bytes()).await.ok();
         if !is_chunked {
@@ -104,24 +95,6 @@
     }
 }
 
-/// Reads a request with a body of known length; returns its head.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n")
-            && body.len() >= "body".len()
-        {
-            return Some(head.to_string());
-        }
-        let mut buffer = [0; 4096];
-        match stream.read(&mut buffer).await {
-            Ok(len) if len > 0 => bytes.extend_from_slice(&buffer[..len]),
-            _ => return None,
-        }
-    }
-}
-
 /// Routers and `target_count` targets; also returns the number of targets that have ended.
 async fn fleet(
     router_names: &[&str],
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -22,6 +22,8 @@
 
 use crate::support;
 
+pub mod raw;
+
 /// Key of the team `clubs`.
 pub const KEY: &str = "key-of-clubs";
 
