--- a/daemon/src/edge/events.rs
+++ b/daemon/src/edge/events.rs
@@ -59,7 +59,7 @@
             let Some(id) = line.strip_prefix(b"id:") else { continue };
             let id = std::str::from_utf8(id).ok().and_then(|id| id.trim().parse::<u64>().ok());
             let Some(id) = id else { continue };
-            self.has_gap |= last_id.is_some_and(|last| id != last + 1);
+            self.has_gap |= last_id.is_some_and(|last| last.checked_add(1) != Some(id));
             last_id = Some(id);
         }
         if !self.has_gap {
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -487,7 +487,8 @@
     }
 }
 
-async fn connect(addr: net::SocketAddr) -> std::io::Result<http1::SendRequest<Full<Bytes>>> {
+/// Connects as a caller does.
+pub async fn connect(addr: net::SocketAddr) -> std::io::Result<http1::SendRequest<Full<Bytes>>> {
     let stream = tokio::net::TcpStream::connect(addr).await?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
