Callers' connections are kept as long as the newest configuration allows

A connection kept the idle time of the configuration at its start, or the default if it was opened before the first one. Callers reuse connections that were idle for up to four fifths of the newest limit, so after a change that raises it their requests met connections that the router had closed. The time also ran on to the end of the next request head, so a request that began within the idle time was cut before its own time for the head was over.

Evidence: three of the four new cases of edge_config_change fail before the fix, "no answer: operation was canceled" twice (an idle time raised from 1 s to 5 s with a request after 4 s, and from the default of 15 s to 30 s with one after 19 s), "early eof" for a head that begins after 1.6 s of 2 s and takes 1.2 s of 2 s. The fourth shows that an idle connection is closed in silence, without a 408.

hyper takes its timer from the caller, and the timer now looks the limits up when the time is over, and waits on if they were raised. The time is the sum of both limits, since a caller may begin its request at the end of the idle time.

--- /dev/null
+++ b/daemon/src/edge/idle.rs
@@ -0,0 +1,75 @@
+//! Closes callers' connections on which no request arrives in time.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{self, Poll};
+use std::time::{self as std_time, Duration};
+
+use hyper::rt;
+use tokio::time::{self, Instant};
+
+use super::Context;
+
+/// Timer for hyper's header read timeout, which runs from the end of the last request to the end of
+/// the next request head.
+///
+/// The timeout follows the configuration: callers reuse connections as long as the newest one
+/// allows. The deadlines passed to this timer are therefore the starts of the waits, so the timeout
+/// given to hyper must be zero.
+#[derive(Clone, Debug)]
+pub struct IdleTimer {
+    context: Arc<Context>,
+}
+
+impl IdleTimer {
+    /// Creates a timer that follows the configuration of this router.
+    pub fn new(context: Arc<Context>) -> IdleTimer {
+        IdleTimer { context }
+    }
+}
+
+impl rt::Timer for IdleTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn rt::Sleep>> {
+        self.sleep_until(self.now() + duration)
+    }
+
+    fn sleep_until(&self, since: std_time::Instant) -> Pin<Box<dyn rt::Sleep>> {
+        let (context, since) = (self.context.clone(), Instant::from_std(since));
+        let sleep = Box::pin(time::sleep_until(since + timeout(&context)));
+        Box::pin(IdleSleep { context, since, sleep })
+    }
+
+    fn now(&self) -> std_time::Instant {
+        Instant::now().into_std()
+    }
+}
+
+/// Time for the head of the next request: a caller may begin it at the end of the idle time.
+fn timeout(context: &Context) -> Duration {
+    let limits = context.state().table.as_ref().map(|table| table.limits).unwrap_or_default();
+    limits.idle_timeout + limits.header_timeout
+}
+
+struct IdleSleep {
+    context: Arc<Context>,
+    since: Instant,
+    sleep: Pin<Box<time::Sleep>>,
+}
+
+impl Future for IdleSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<()> {
+        loop {
+            task::ready!(self.sleep.as_mut().poll(cx));
+            let ends_at = self.since + timeout(&self.context);
+            if Instant::now() >= ends_at {
+                return Poll::Ready(());
+            }
+            self.sleep.as_mut().reset(ends_at);
+        }
+    }
+}
+
+impl rt::Sleep for IdleSleep {}
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -49,6 +49,7 @@
 pub mod decisions;
 pub mod events;
 pub mod handle;
+pub mod idle;
 pub mod lag;
 pub mod load_reports;
 pub mod operators;
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -22,6 +22,7 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use super::idle::IdleTimer;
 use super::queue::Queue;
 use super::upstream::Upstream;
 use super::{Context, Phase, handle, lag, response_limits};
@@ -217,15 +218,16 @@
     }
     let limits = traffic.context.state().table.as_ref().map(|table| table.limits);
     let limits = limits.unwrap_or_default();
-    let mut phase = traffic.context.phase.subscribe();
+    let context = traffic.context.clone();
+    let mut phase = context.phase.subscribe();
     let service = service::service_fn(move |request| {
         let traffic = traffic.clone();
         async move { Ok::<_, Infallible>(handle::handle(traffic, request).await) }
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .timer(IdleTimer::new(context))
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
     let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/daemon/tests/edge_config_change.rs
+++ b/daemon/tests/edge_config_change.rs
@@ -3,11 +3,16 @@
 mod edge_kit;
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use edge_kit::{APPLY_BOUND, Behavior, Router, Store, Target};
 use gentianhinged::edge::events::EventSplitter;
 use http_body_util::Full;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time;
 
 /// Paths of the routes: once only, repeatable, a stream that may be resumed, and one that may not.
 const PATHS: [&str; 4] = ["/book/", "/look/", "/brief/", "/note/"];
@@ -144,3 +149,79 @@
         check_all_kinds_are_served(&fleet, &[]).await;
     },
 }
+
+/// Changes the limits on idle connections and on the time for a request head.
+async fn set_idle_limits(fleet: &Fleet, idle_ms: u64, header_ms: u64) {
+    change_config(fleet, |config| {
+        config["limits"]["idle_timeout_ms"] = idle_ms.into();
+        config["limits"]["header_timeout_ms"] = header_ms.into();
+    })
+    .await;
+}
+
+/// A caller's connection on which a request has been served, idle since.
+async fn kept_connection(fleet: &Fleet) -> edge_kit::Connection {
+    let request = edge_kit::request("/book/", "a1", &[]);
+    let (status, connection) = edge_kit::call_and_keep(&fleet.router, request).await;
+    assert_eq!(status, 200);
+    connection.expect("kept")
+}
+
+async fn check_next_is_served(mut connection: edge_kit::Connection) {
+    let response = connection.send_request(edge_kit::request("/book/", "a2", &[])).await;
+    let response = response.unwrap_or_else(|err| panic!("no answer: {err}"));
+    assert_eq!(edge_kit::read_response(response).await.status, 200);
+}
+
+cases! {
+    an_idle_connection_is_kept_for_the_time_of_a_later_configuration: {
+        let fleet = fleet(&[Behavior::Serve]).await;
+        set_idle_limits(&fleet, 1000, 500).await;
+        let connection = kept_connection(&fleet).await;
+        set_idle_limits(&fleet, 5000, 500).await;
+        time::sleep(Duration::from_millis(4000)).await;
+        check_next_is_served(connection).await;
+    },
+    a_connection_from_before_the_first_configuration_is_kept_for_its_idle_time: {
+        let (store, store_addr) = Store::start().await;
+        let (target, addr) = Target::start("t0", Behavior::Serve).await;
+        store.put_target(&target.id, addr, "ready");
+        let router = Router::start(store_addr, 4096);
+        let is_up = async || edge_kit::connect(router.callers).await.is_ok();
+        edge_kit::wait_for(Duration::from_secs(10), is_up).await;
+        let connection = edge_kit::connect(router.callers).await.unwrap();
+        store.put_config(3);
+        let fleet = Fleet { targets: vec![target], router, store };
+        fleet.router.wait_for_readiness(200).await;
+        // Longer than the default of 15 s.
+        set_idle_limits(&fleet, 30_000, 500).await;
+        time::sleep(Duration::from_secs(19)).await;
+        check_next_is_served(connection).await;
+    },
+    a_request_that_begins_within_the_idle_time_has_the_whole_time_for_its_head: {
+        let fleet = fleet(&[Behavior::Serve]).await;
+        set_idle_limits(&fleet, 2000, 2000).await;
+        let mut stream = TcpStream::connect(fleet.router.callers).await.unwrap();
+        let head = format!(
+            "POST /book/ HTTP/1.1\r\nhost: lanes.example\r\nattempt-id: a1\r\ncontent-length: 0\r\n\
+             authorization: Bearer {}\r\n\r\n", edge_kit::KEY,
+        );
+        let (first, last) = head.split_at(30);
+        time::sleep(Duration::from_millis(1600)).await;
+        stream.write_all(first.as_bytes()).await.unwrap();
+        time::sleep(Duration::from_millis(1200)).await;
+        let _ = stream.write_all(last.as_bytes()).await;
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("no answer");
+        assert_eq!(&answer, b"HTTP/1.1 200");
+    },
+    an_idle_connection_is_closed_without_an_answer_after_its_time: {
+        let fleet = fleet(&[Behavior::Serve]).await;
+        set_idle_limits(&fleet, 1000, 500).await;
+        let mut stream = TcpStream::connect(fleet.router.callers).await.unwrap();
+        let mut received = Vec::new();
+        let closing = time::timeout(Duration::from_secs(4), stream.read_to_end(&mut received)).await;
+        closing.expect("closed").unwrap();
+        assert_eq!(received, b"");
+    },
+}
