A request is handled by the configuration in force when its body has been read

The route, the service and the key of a request were looked up when its head had arrived. A body may take up to the route's time limit, and the request was then run by the service of an old configuration, or with a route or key that had been withdrawn in the meantime.

The request is looked up again after its body has been read if the version has changed meanwhile. The body is read by then, so a refusal leaves the connection usable.

--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -90,6 +90,13 @@
     service: Name,
 }
 
+impl Match {
+    fn record(&self, record: &mut RequestRecord) {
+        let team = self.team.as_ref().map(|team| &team.name);
+        record.set_route(&self.route.name, team, self.table.version);
+    }
+}
+
 /// Determines route, team and deadline of a request and reads its body.
 async fn prepare(
     traffic: &Traffic,
@@ -99,16 +106,20 @@
     record: &mut RequestRecord,
 ) -> Result<(Request, RequestSpec), Rejection> {
     let arrived_at = Instant::now();
-    let matched = match find(traffic, &head, caller_head) {
+    let mut matched = match find(traffic, &head, caller_head) {
         Ok(matched) => matched,
         Err(rejection) => {
             let leaves_body = !discard_body(body, &head).await;
             return Err(Rejection { leaves_body, ..rejection });
         }
     };
+    matched.record(record);
+    let body = read_body(body, matched.table.limits.max_body_bytes, &matched.route).await?;
+    if traffic.context.config_version() != Some(matched.table.version) {
+        matched = find(traffic, &head, caller_head)?;
+        matched.record(record);
+    }
     let Match { table, route, team, service } = matched;
-    record.set_route(&route.name, team.as_ref().map(|team| &team.name), table.version);
-    let body = read_body(body, table.limits.max_body_bytes, &route).await?;
     let caller_deadline = arrived_at + caller_head.time_left.unwrap_or(route.timeout);
     let deadline = caller_deadline.min(arrived_at + route.timeout);
     let urgency = urgency_step(&table, &route, &service);
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -156,9 +156,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Version of the configuration in force; 0 before one has been read.
-    pub fn config_version(&self) -> u64 {
-        self.state().table.as_ref().map_or(0, |table| table.version)
+    /// Version of the configuration in force; `None` before one has been read.
+    pub fn config_version(&self) -> Option<u64> {
+        self.state().table.as_ref().map(|table| table.version)
     }
 
     /// Phase of the process.
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -197,7 +197,7 @@
                 line["crowded_out"] = refused.is_crowded_out.into();
             }
             let config_end = self.context.config_version();
-            if config_end != self.config_version {
+            if config_end.is_some_and(|version| version != self.config_version) {
                 line["config_end"] = config_end.into();
             }
             if self.waited_before_ms > 0 {
