A request whose handling panics is answered with 502, and panics are logged

A panic in the task of a connection closed it without an answer: the caller heard nothing, the log said `caller-left`. A panic in the scan of the queue ended the scan for good, so that every request that had to wait waited until its deadline. No panic was in the log.

Evidence: found by the cases of huge numbers, "no answer: connection closed before message completed".

Handling a request and scanning the queue now survive a panic: the request gets 502, as it may have run, and the connection closes; waiting requests of the scan are refused. A panic hook logs each panic of any thread, in addition to the message on standard error. The locks and cells that are shared are usable after a panic, as they were before: poisoned locks were taken over already.

--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -22,7 +22,7 @@
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
 use super::spec::RequestSpec;
-use super::{Context, Phase, response_limits};
+use super::{Context, Phase, panics, response_limits};
 
 /// `Retry-After` of a request that arrives before a configuration has been read.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -30,11 +30,21 @@
 /// Time for which the body of a refused request is read before the refusal is sent.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
-/// Handles one request. Errors become responses, too.
+/// Handles one request. Errors and panics become responses, too.
 pub async fn handle(
     traffic: Rc<Traffic>,
     request: http::Request<Incoming>,
 ) -> http::Response<Body> {
+    let request_id = caller::request_id(request.headers()).to_string();
+    let response = panics::catch_async(respond(traffic, request)).await;
+    response.unwrap_or_else(|| {
+        let mut response = reply::error_response(Reason::Unknown, &request_id, None);
+        reply::set_connection_close(response.headers_mut());
+        response
+    })
+}
+
+async fn respond(traffic: Rc<Traffic>, request: http::Request<Incoming>) -> http::Response<Body> {
     let (head, body) = request.into_parts();
     let caller_head = caller::decode(&head.headers);
     let mut record =
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -53,6 +53,7 @@
 pub mod lag;
 pub mod load_reports;
 pub mod operators;
+pub mod panics;
 pub mod polls;
 pub mod queue;
 pub mod relay;
@@ -222,6 +223,7 @@
         lag_ms: atomic::AtomicU64::new(0),
         alert: Notify::new(),
     });
+    panics::log_panics(context.log.clone());
     context.log.state_change(json!({
         "event": "start", "zone": &*context.zone,
         "incarnation": context.incarnation, "callers_addr": addrs.callers.to_string(),
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 
-use super::Context;
 use super::spec::{Decision, Placement, Refused, RequestSpec};
+use super::{Context, panics};
 
 /// Interval between two scans of the queue: a small part of the shortest latency target.
 const SCAN_INTERVAL: Duration = Duration::from_millis(10);
@@ -158,7 +158,8 @@
             }
             time::sleep(pause).await;
             let began_at = std::time::Instant::now();
-            self.decide_all();
+            // A panic drops requests of this scan, which are then refused.
+            let _ = panics::catch(|| self.decide_all());
             pause = (began_at.elapsed() * SCAN_PAUSE_FACTOR).max(SCAN_INTERVAL);
         }
     }
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use gentianhinge_core::ids::Name;
@@ -9,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::queue::InFlight;
+use super::reply::Reason;
 use super::spec::Refused;
 use super::{Context, decisions, operators, team_counts};
 
@@ -170,6 +172,10 @@
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         self.context.open_requests.fetch_sub(1, Ordering::Relaxed);
+        if thread::panicking() {
+            let reason = Reason::Unknown;
+            self.set_outcome(reason.name(), reason.status().as_u16(), false);
+        }
         let total_time = self.arrived_at.elapsed();
         if let Some(histograms) = &self.histograms {
             histograms.total.record(total_time.as_secs_f64());
