A connection that is closed with unread bytes no longer cuts its last answer

The router closed the socket of a connection as soon as its last answer was in the socket's buffer. If the caller had sent more by then (a request behind the last one, the rest of a refused body), the kernel reset the connection and dropped what it had not sent yet of the answer: a caller got the beginning of an answer, then "connection reset".

Evidence: an_answer_is_whole_though_bytes_follow_the_last_request fails before the fix in 3 of 3 runs: of an answer of 4 MB that is read slowly, 1,338,368 bytes arrive (1,243,136 once), then "Connection reset by peer". It holds in 3 of 3 runs after it. Small answers weren't lost on the loopback of Linux, where a receiver reads what arrived before the reset.

The shutdown of a connection now closes the router's direction only, and reads and drops what still comes until the caller closes the other one, for at most two seconds.

--- /dev/null
+++ b/daemon/src/edge/linger.rs
@@ -0,0 +1,99 @@
+//! Closes callers' connections without a reset.
+//!
+//! A socket that is closed with unread bytes resets its connection, which drops what hasn't been
+//! sent of the last answer. The router therefore closes its own direction first and reads on until
+//! the caller closes the other one.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{self, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time;
+
+/// Time for which a caller may take to read the last answer and to close the connection.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Size of the buffer for bytes that are dropped.
+const DISCARD_BYTES: usize = 4096;
+
+/// A stream whose shutdown waits until the peer has closed its direction, for a limited time.
+#[derive(Debug)]
+pub struct LingeringStream<S> {
+    inner: S,
+    /// Set once the write direction is closed.
+    linger: Option<Pin<Box<time::Sleep>>>,
+}
+
+impl<S> LingeringStream<S> {
+    /// Wraps a stream.
+    pub fn new(inner: S) -> LingeringStream<S> {
+        LingeringStream { inner, linger: None }
+    }
+}
+
+impl<S: AsyncRead + Unpin> LingeringStream<S> {
+    /// Reads and drops bytes until the peer closes its direction or the connection fails.
+    fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DISCARD_BYTES];
+        loop {
+            let mut buf = ReadBuf::new(&mut bytes);
+            let result = task::ready!(Pin::new(&mut self.inner).poll_read(cx, &mut buf));
+            if result.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LingeringStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for LingeringStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            task::ready!(Pin::new(&mut self.inner).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(time::sleep(LINGER_TIME)));
+        }
+        if self.poll_discard(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        match &mut self.linger {
+            Some(linger) => linger.as_mut().poll(cx).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
+    }
+}
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -51,6 +51,7 @@
 pub mod handle;
 pub mod idle;
 pub mod lag;
+pub mod linger;
 pub mod load_reports;
 pub mod operators;
 pub mod panics;
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -23,6 +23,7 @@
 use tokio::time::{self, Instant};
 
 use super::idle::IdleTimer;
+use super::linger::LingeringStream;
 use super::queue::Queue;
 use super::upstream::Upstream;
 use super::{Context, Phase, handle, lag, response_limits};
@@ -229,7 +230,8 @@
         .timer(IdleTimer::new(context))
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
-    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    let stream = rt::TokioIo::new(LingeringStream::new(stream));
+    let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     tokio::select! {
         // Errors of the connection are handled by the request in progress.
--- a/daemon/tests/edge_refusals.rs
+++ b/daemon/tests/edge_refusals.rs
@@ -149,3 +149,43 @@
         assert!(received.contains("200"), "{received}");
     },
 }
+
+/// Size of an answer that no socket buffers hold.
+const LARGE_BYTES: usize = 4 << 20;
+
+/// A target whose answers are large.
+async fn large_target() -> std::net::SocketAddr {
+    let answer = async |headers: axum::http::HeaderMap| {
+        let head = [("attempt-id", headers["attempt-id"].clone())];
+        (head, [("server-stamp", "stamp")], vec![b'x'; LARGE_BYTES])
+    };
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let app = axum::Router::new().fallback(answer);
+    tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+    addr
+}
+
+cases! {
+    an_answer_is_whole_though_bytes_follow_the_last_request: {
+        let (store, _target, router) = fleet().await;
+        store.put_target("t0", large_target().await, "ready");
+        time::sleep(Duration::from_secs(1)).await;
+        let mut stream = TcpStream::connect(router.callers).await.unwrap();
+        let request = head("/book/", KEY, "content-length: 0\r\nconnection: close");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        time::sleep(ANSWER_TIME).await;
+        stream.write_all(&[b'x'; 50_000]).await.unwrap();
+        let mut buf = vec![0; 1 << 16];
+        let mut count = 0;
+        loop {
+            match stream.read(&mut buf).await {
+                Ok(0) => break,
+                Ok(read) => count += read,
+                Err(err) => panic!("cut after {count} bytes: {err}"),
+            }
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        assert!(count >= LARGE_BYTES, "{count}");
+    },
+}
