A request that isn't read by its deadline is refused as not run

A body was read for up to the route's time limit, whatever the caller's was. A caller whose limit had passed by then got 504, which doesn't say whether the request has run, and the request was still offered to a target with no time left. One whose body took longer than the route's limit got 400, as if it were malformed, and callers don't retry after 400.

Evidence: before the fix a_request_whose_body_takes_longer_than_its_time_limit_is_refused_as_not_run gets "504 Gateway Timeout", and the one for the limit of the route "400 Bad Request"; both get 503 now, and no target hears of them.

The deadline of a request, the earlier of its caller's and its route's, now ends also the reading of its body.

--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -101,6 +101,12 @@
 }
 
 impl Match {
+    /// Deadline of the caller, if it states one, or the route, whichever is earlier.
+    fn deadline(&self, arrived_at: Instant, caller_deadline: Option<Instant>) -> Instant {
+        let route_deadline = arrived_at + self.route.timeout;
+        caller_deadline.map_or(route_deadline, |deadline| deadline.min(route_deadline))
+    }
+
     fn record(&self, record: &mut RequestRecord) {
         let team = self.team.as_ref().map(|team| &team.name);
         record.set_route(&self.route.name, team, self.table.version);
@@ -124,14 +130,19 @@
         }
     };
     matched.record(record);
-    let body = read_body(body, matched.table.limits.max_body_bytes, &matched.route).await?;
+    let max_bytes = matched.table.limits.max_body_bytes;
+    let caller_deadline = caller_head.time_left.map(|time| arrived_at + time);
+    let body = read_body(body, max_bytes, matched.deadline(arrived_at, caller_deadline)).await?;
     if traffic.context.config_version() != Some(matched.table.version) {
         matched = find(traffic, &head, caller_head)?;
         matched.record(record);
     }
+    let deadline = matched.deadline(arrived_at, caller_deadline);
+    if Instant::now() >= deadline {
+        return Err(Reason::TooLate.into());
+    }
     let Match { table, route, team, service } = matched;
-    let caller_deadline = arrived_at + caller_head.time_left.unwrap_or(route.timeout);
-    let deadline = caller_deadline.min(arrived_at + route.timeout);
+    let caller_deadline = caller_deadline.unwrap_or(arrived_at + route.timeout);
     let urgency = urgency_step(&table, &route, &service);
     let team_hash = team.as_ref().map_or(0, |team| team.hash);
     let waited_before = caller_head.time_left.map_or(Duration::ZERO, |limit| {
@@ -204,15 +215,19 @@
     if ratio > 1.0 { ratio.log2().ceil() as u32 } else { 0 }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, route: &Route) -> Result<Bytes, Rejection> {
-    let reading = time::timeout(route.timeout, Limited::new(body, max_bytes).collect()).await;
-    match reading {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(Rejection { leaves_body: true, ..Reason::BodyTooLarge.into() })
-        }
-        Ok(Err(_)) | Err(_) => Err(Rejection { leaves_body: true, ..Reason::BodyBroken.into() }),
-    }
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Rejection> {
+    let reading = time::timeout_at(deadline, Limited::new(body, max_bytes).collect()).await;
+    let reason = match reading {
+        Ok(Ok(body)) => return Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Reason::BodyTooLarge,
+        Ok(Err(_)) => Reason::BodyBroken,
+        Err(_) => Reason::TooLate,
+    };
+    Err(Rejection { leaves_body: true, ..reason.into() })
 }
 
 /// Reads and drops the body of a refused request, so that the connection can be kept; returns
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -108,7 +108,9 @@
         "not-sent" => "not run: the chosen targets couldn't be reached",
         "quarantined" => "not run: targets crash under a part of its prompt",
         "not-run" => "not run: the chosen targets stated that they did not run it",
-        "too-late" => "not run: its deadline passed before a target was free",
+        "too-late" => {
+            "not run: its deadline passed before it was read, or before a target was free"
+        }
         "unknown-outcome" => {
             "it may have run: a target returned no usable response, and it can't be retried"
         }
--- a/daemon/tests/edge_refusals.rs
+++ b/daemon/tests/edge_refusals.rs
@@ -131,6 +131,23 @@
         let received = exchange(&router, &[head.as_bytes(), b"body"]).await.unwrap();
         assert!(received.starts_with("HTTP/1.1 100") && received.contains("HTTP/1.1 200"), "{received}");
     },
+    a_request_whose_body_takes_longer_than_its_time_limit_is_refused_as_not_run: {
+        let (_store, target, router) = fleet().await;
+        let head = head("/look/", KEY, "content-length: 4").replace("3000", "100");
+        let received = exchange(&router, &[head.as_bytes(), b"bo", b"dy"]).await.unwrap();
+        assert!(received.starts_with("HTTP/1.1 503"), "{received}");
+        assert!(received.contains("connection: close"), "{received}");
+        assert_eq!(target.requests().len(), 0);
+    },
+    a_request_whose_body_takes_longer_than_the_time_limit_of_its_route_is_refused_as_not_run: {
+        let (_store, target, router) = fleet().await;
+        let head = head("/look/", KEY, "content-length: 4").replace("3000", "9000");
+        let pause = [b"".as_slice(); 25];
+        let parts = [&[head.as_bytes(), b"bo"], &pause[..], &[b"dy"]].concat();
+        let received = exchange(&router, &parts).await.unwrap();
+        assert!(received.starts_with("HTTP/1.1 503"), "{received}");
+        assert_eq!(target.requests().len(), 0);
+    },
     pipelined_requests_are_all_answered: {
         let (_store, target, router) = fleet().await;
         let request = head("/book/", KEY, "content-length: 0");
