--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -204,7 +204,13 @@
         let (first, other) = race(&mut sending.result, others).await;
         if let Some(Ok(answer)) = other {
             if !answer.is_error() {
-                self.record.set_attempt_result(number, "silence");
+                match first {
+                    // Another target has answered, whatever this one did.
+                    Some((outcome, in_flight)) => {
+                        let _ = self.finish(outcome, Attempt { number, in_flight });
+                    }
+                    None => self.record.set_attempt_result(number, "silence"),
+                }
                 return Ok(answer);
             }
             let (outcome, in_flight) = first_or_wait(first, &mut sending.result).await;
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -108,9 +108,14 @@
 }
 
 impl Outcome {
-    /// Whether the target has answered.
+    /// Whether the target has answered with a server error.
+    pub fn is_error(&self) -> bool {
+        matches!(self, Outcome::Buffered(response) if response.status.is_server_error())
+    }
+
+    /// Whether the target has answered, other than with an error.
     pub fn is_answer(&self) -> bool {
-        matches!(self, Outcome::Buffered(_) | Outcome::Events(_))
+        matches!(self, Outcome::Buffered(_) | Outcome::Events(_)) && !self.is_error()
     }
 }
 
@@ -311,7 +316,7 @@
     let now = Instant::now();
     let mut state = traffic.context.state();
     let change = match outcome {
-        Outcome::Buffered(response) if response.status.is_server_error() => {
+        outcome if outcome.is_error() => {
             state.health.record_failure(hash, health::Failure::NoValidAnswer, now)
         }
         Outcome::Buffered(_) => state.health.record_success(hash),
