--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -194,17 +194,11 @@
 
     /// The bytes of a frame; `None` if the stream is complete.
     fn check(&self, stream: &EventStream, frame: FrameResult) -> Result<Option<Bytes>, String> {
-        match frame {
-            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(err)) => Err(err.to_string()),
-            None if self.splitter.has_partial_event() => {
-                Err("stream ended within an event".to_string())
-            }
-            None if stream.answer_head.ends_with_connection && !self.splitter.has_events() => {
-                Err("stream ended without an event".to_string())
-            }
-            None => Ok(None),
+        if let Some(cause) = break_cause(stream, &self.splitter, &frame) {
+            return Err(cause);
         }
+        let frame = frame.and_then(Result::ok);
+        Ok(frame.map(|frame| frame.into_data().unwrap_or_default()))
     }
 
     /// Reads the next frame. If the target is silent, another one may continue the stream first.
@@ -266,6 +260,23 @@
     }
 }
 
+/// Why a stream is broken after `frame`, if it is.
+fn break_cause(
+    stream: &EventStream,
+    splitter: &EventSplitter,
+    frame: &FrameResult,
+) -> Option<String> {
+    match frame {
+        Some(Ok(_)) => None,
+        Some(Err(err)) => Some(err.to_string()),
+        None if splitter.has_partial_event() => Some("stream ended within an event".to_string()),
+        None if stream.answer_head.ends_with_connection && !splitter.has_events() => {
+            Some("stream ended without an event".to_string())
+        }
+        None => None,
+    }
+}
+
 /// What came first after a target was silent.
 enum Replacement {
     /// A frame of the silent target's stream, or its end.
@@ -289,11 +300,9 @@
             None => return Replacement::Frame(stream.frame().await),
         },
     };
-    let is_broken = match &frame {
-        Some(frame) => frame.is_err(),
-        None => splitter.has_partial_event(),
-    };
-    if is_broken && let Some(source) = resuming.await {
+    if break_cause(stream, splitter, &frame).is_some()
+        && let Some(source) = resuming.await
+    {
         return Replacement::Source(source);
     }
     Replacement::Frame(frame)
