An end without event isn't progress of another target (ORDER)

Callers of resumable streams without length got a part of a stream that looked complete: its target fell silent after event 5 and went on later, and the other target's connection ended right after its head. Cause: the end of a stream that has begun counts as complete, also that of a target that has sent nothing of it. Now such a target hasn't continued the stream, and the silent one is waited for.

Failed before: an_end_of_another_target_without_event_is_no_progress of edge_hedge, complete after 5 of 12 events.

--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -77,9 +77,22 @@
         }
     }
 
-    /// Puts back the frame that was read last.
-    pub fn put_back(&mut self, frame: Frame<Bytes>) {
-        self.next_frame = Some(frame);
+    /// Waits for the first frame, which stays to be read, or the end.
+    ///
+    /// # Errors
+    ///
+    /// Describes why the stream hasn't begun. A connection that ends without an event may have
+    /// failed.
+    pub async fn begin(&mut self) -> Result<(), String> {
+        match self.body.frame().await {
+            Some(Ok(frame)) => self.next_frame = Some(frame),
+            Some(Err(err)) => return Err(err.to_string()),
+            None if self.answer_head.ends_with_connection => {
+                return Err("stream ended without an event".to_string());
+            }
+            None => {}
+        }
+        Ok(())
     }
 }
 
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -311,13 +311,9 @@
 /// Finds a target that continues the stream, and waits until it does: a head alone is no progress.
 async fn resume_with_event(active: &mut ActiveRequest, last_id: Option<u64>) -> Option<Source> {
     let (mut stream, attempt) = resume(active, last_id).await?;
-    match stream.frame().await {
-        Some(Ok(frame)) => stream.put_back(frame),
-        Some(Err(err)) => {
-            active.record.set_attempt_result(attempt.number, &err.to_string());
-            return None;
-        }
-        None => {}
+    if let Err(cause) = stream.begin().await {
+        active.record.set_attempt_result(attempt.number, &cause);
+        return None;
     }
     Some((stream, attempt))
 }
