--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -200,7 +200,7 @@
         }
         self.record.set_silent(number);
         attempt::record_silence(&self.traffic, &sending.target, sending.hash);
-        let others = Box::pin(self.try_targets(Some(Reason::Unknown)));
+        let others = Box::pin(self.try_others());
         let (first, other) = race(&mut sending.result, others).await;
         if let Some(Ok(answer)) = other {
             if !answer.is_error() {
@@ -221,6 +221,20 @@
         self.finish(outcome, Attempt { number, in_flight })
     }
 
+    /// Tries other targets until one has begun to answer: the head of a stream is no progress.
+    async fn try_others(&mut self) -> Result<TargetAnswer, Refusal> {
+        match self.try_targets(Some(Reason::Unknown)).await? {
+            TargetAnswer::Events(mut stream, attempt) => match stream.begin().await {
+                Ok(()) => Ok(TargetAnswer::Events(stream, attempt)),
+                Err(cause) => {
+                    self.record.set_attempt_result(attempt.number, &cause);
+                    Err(self.refusal(Reason::Unknown, None))
+                }
+            },
+            answer => Ok(answer),
+        }
+    }
+
     /// Records the outcome of an attempt. The error is why another target may be tried.
     fn finish(&mut self, outcome: Outcome, attempt: Attempt) -> Result<TargetAnswer, Reason> {
         let number = attempt.number;
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -84,6 +84,9 @@
     /// Describes why the stream hasn't begun. A connection that ends without an event may have
     /// failed.
     pub async fn begin(&mut self) -> Result<(), String> {
+        if self.next_frame.is_some() {
+            return Ok(());
+        }
         match self.body.frame().await {
             Some(Ok(frame)) => self.next_frame = Some(frame),
             Some(Err(err)) => return Err(err.to_string()),
