The old route table is dropped after the lock of the state is released

Taking in a configuration held the lock while the old table was freed, and requests wait for that lock. Found by reading. A table that a request still uses is freed by that request, as before.

--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -52,14 +52,15 @@
             return false;
         }
     };
+    let (version, route_count) = (table.version, table.route_count());
+    let table = Arc::new(table);
     let mut state = context.state();
     let before = state.table.as_ref().map(|table| table.version);
-    let is_newer = before.is_none_or(|before| table.version > before);
-    let (version, route_count) = (table.version, table.route_count());
-    if is_newer {
-        state.table = Some(Arc::new(table));
-    }
+    let is_newer = before.is_none_or(|before| version > before);
+    let old_table = if is_newer { state.table.replace(table) } else { Some(table) };
     drop(state);
+    // Requests wait for the state, and dropping a large table takes time.
+    drop(old_table);
     if is_newer {
         context.log.state_change(json!({
             "event": "config", "outcome": "in force", "version": version, "before": before,
