Cleared prompt parts are no longer dropped with a report that isn't sent

Other routers went on refusing sound requests with a part that this router had seen answered. A report takes cleared parts out of their queue, but was dropped if nothing else had changed; the clearing was queued again only with the next crash that was heard. Found by reading; the test fails with the condition as it was.

--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -187,11 +187,7 @@
             );
             router_count = count;
         }
-        if !parts.has_sums
-            && report.targets.is_empty()
-            && report.cached_parts.is_empty()
-            && report.limits.is_empty()
-        {
+        if !has_content(parts, &report) {
             schedule.sent(parts, 0, now);
             continue;
         }
@@ -200,6 +196,16 @@
     }
 }
 
+/// Whether a report that is due tells anything. What a report takes out of a queue is told once, so
+/// it must not be dropped.
+pub fn has_content(parts: Parts, report: &report::LoadReport) -> bool {
+    parts.has_sums
+        || !report.targets.is_empty()
+        || !report.cached_parts.is_empty()
+        || !report.limits.is_empty()
+        || !report.cleared_parts.is_empty()
+}
+
 /// Sends the result of a poll to all other routers.
 async fn relay_poll(
     context: &Context,
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -3,9 +3,10 @@
 use std::net;
 use std::time::Duration;
 
+use gentianhinge_core::report::LoadReport;
 use gentianhinge_platform::peers;
 use gentianhinged::edge::lag::{self, LagMonitor};
-use gentianhinged::edge::load_reports::{Parts, Peers, Schedule};
+use gentianhinged::edge::load_reports::{self, Parts, Peers, Schedule};
 use gentianhinged::edge::state::RouterState;
 use tokio::time::{self, Instant};
 
@@ -108,7 +109,35 @@
     is_overloaded
 }
 
+/// A report that tells nothing.
+fn empty_report() -> LoadReport {
+    LoadReport {
+        sender: "r1".into(),
+        incarnation: 1,
+        seq: 1,
+        targets: Vec::new(),
+        teams: Vec::new(),
+        services: Vec::new(),
+        cached_parts: Vec::new(),
+        is_full: false,
+        store_era: 0,
+        offsets: [0; 3],
+        polls: Vec::new(),
+        forward_in_zone: false,
+        crashes: Vec::new(),
+        cleared_parts: Vec::new(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+    }
+}
+
 cases! {
+    cleared_parts_are_not_dropped_for_lack_of_other_content: {
+        let parts = Parts { has_changes: true, has_sums: false, is_full: false };
+        assert!(!load_reports::has_content(parts, &empty_report()));
+        let report = LoadReport { cleared_parts: vec![8], ..empty_report() };
+        assert!(load_reports::has_content(parts, &report));
+    },
     a_small_fleet_reports_to_each_router_itself: {
         let receivers = fleet(&[("a", 3), ("b", 4)]).receivers("a", 1);
         assert_eq!(receivers.direct.len(), 7);
