--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,11 +1,20 @@
-//! Quarantine of prompt parts under which targets crash (queries of death).
+//! Quarantine of requests and prompt parts under which targets crash (queries of death).
 //!
-//! Load pattern: a shared part of some prompts ends each target that starts to answer them. The
-//! requests differ in everything else and come to all routers, and each retry ends another target,
-//! until the service has none left. Sound requests of the same team share the other parts.
+//! Load patterns: a request ends each target that runs it, and comes again to any router; or a shared
+//! part of some prompts ends each target that starts to answer them. The latter requests differ in
+//! everything else. In both cases each retry ends another target, until the service has none left.
+//! Sound requests run at the same targets, and share the other parts.
 //!
 //! # Evidence
 //!
+//! There are keys of two kinds: whole requests and shared parts of prompts.
+//!
+//! An [`EndedTarget`] names the requests that a target was running when it ended, by
+//! [`request_key`]. A request that was at [`MIN_CRASHES`] targets that ended at different times is
+//! quarantined, unless other requests that were at as many account for all of these crashes; it is
+//! quarantined for [`MAX_AMBIGUOUS_CRASHES`] in any case. An answer clears the request, so that what
+//! was only beside the cause is soon set apart.
+//!
 //! A [`Crash`] names the parts of a request whose answer a target had begun when it ended. Routers
 //! exchange crashes, and tell each other which of the parts were answered elsewhere: an answer that
 //! ran to its end clears the parts of its request. A part with crashes at [`MIN_CRASHES`] targets at
@@ -18,10 +27,14 @@
 //!
 //! # Bounds
 //!
-//! Callers choose the ids of parts. Only parts of crashed targets are kept as evidence, at most
+//! Callers choose the ids of parts and the contents of requests. The key of a request depends on its
+//! team, so that no team can have the request of another quarantined or cleared; at most
+//! [`MAX_ENDED`] targets with [`MAX_RUNNING`] requests each are kept. Only parts of crashed targets are kept as evidence, at most
 //! [`MAX_CRASHES`]; it applies to the team that sent the requests, and to all teams once two teams
 //! have crashed targets with the part.
 
+mod requests;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -29,7 +42,16 @@
 use tokio::time::Instant;
 
 use crate::prompt::Prompt;
-use crate::report::{Hash, HashKeyed};
+use crate::report::{self, Hash, HashKeyed};
+
+use requests::Requests;
+pub use requests::{
+    EndedTarget, Evidence, MAX_AMBIGUOUS_CRASHES, MAX_ENDED, MAX_REPORTED_CLEARED,
+    MAX_REPORTED_ENDED, MAX_REPORTED_RUNNING, MAX_RUNNING,
+};
+
+/// Context of the hash that identifies requests.
+const REQUEST_KEY_CONTEXT: &str = "gentianhinge request key v1";
 
 /// Number of crashes, at different targets and times, from which a part is quarantined.
 pub const MIN_CRASHES: usize = 3;
@@ -82,6 +104,17 @@
     /// Parts of other routers' crashes that this router has seen answered, to be reported.
     cleared: SmallVec<[u64; 4]>,
     next_reported: usize,
+    requests: Requests,
+}
+
+/// Key of a request: a hash of what is the same when it comes again. It is the same on all routers.
+pub fn request_key(team: Hash, method: &str, path_and_query: &str, body: &[u8]) -> Hash {
+    let mut hasher = blake3::Hasher::new_derive_key(REQUEST_KEY_CONTEXT);
+    hasher.update(&team.to_le_bytes());
+    for field in [method, path_and_query] {
+        hasher.update(&(field.len() as u64).to_le_bytes()).update(field.as_bytes());
+    }
+    report::hash_of(&hasher.update(body).finalize())
 }
 
 /// Ids of the shared parts of a prompt, at most [`MAX_PARTS`].
@@ -142,7 +175,8 @@
         let is_of_several_teams = with_part.iter().any(|crash| crash.team != with_part[0].team);
         let of_team = with_part.iter().filter(|c| is_of_several_teams || c.team == team);
         let of_team = of_team.copied().collect::<SmallVec<[&Crash; 8]>>();
-        if count_separate(&of_team) < MIN_CRASHES {
+        let times = of_team.iter().map(|crash| (crash.at, crash.target));
+        if count_separate(times.collect()) < MIN_CRASHES {
             return false;
         }
         let is_common = |part: &&u64| of_team.iter().all(|crash| crash.parts.contains(*part));
@@ -198,6 +232,64 @@
         }
     }
 
+    /// Records that a target ended while it ran a request of this router; returns whether this is new
+    /// evidence.
+    pub fn record_ended(&mut self, target: Hash, request: Hash, now: Instant) -> bool {
+        self.requests.expire(now);
+        self.requests.record_own(target, request, now)
+    }
+
+    /// Records that a request was answered completely, which clears it.
+    pub fn record_request_answer(&mut self, request: Hash, now: Instant) {
+        self.requests.record_answer(request, now);
+    }
+
+    /// Whether a request keeps ending its targets.
+    pub fn is_request_quarantined(&self, request: Hash, now: Instant) -> bool {
+        self.requests.is_quarantined(request, now)
+    }
+
+    /// What is known of a request.
+    pub fn evidence(&self, request: Hash, now: Instant) -> Evidence {
+        self.requests.evidence(request, now)
+    }
+
+    /// Whether a router may send a request to another target by itself after the last one ended. Its
+    /// caller may still do so if others were at all of the same crashes.
+    pub fn may_retry_request(&self, request: Hash, now: Instant) -> bool {
+        self.evidence(request, now).crash_count < MIN_CRASHES
+    }
+
+    /// Ended targets that the other routers haven't been told of.
+    pub fn take_unreported_ended(&mut self) -> Vec<EndedTarget> {
+        self.requests.take_unreported()
+    }
+
+    /// Some of the ended targets that this router knows of, for its report.
+    pub fn report_ended(&mut self, now: Instant) -> Vec<EndedTarget> {
+        self.requests.report(now)
+    }
+
+    /// Requests that were at ended targets and that this router has seen answered, for its report.
+    pub fn take_cleared_requests(&mut self) -> Vec<Hash> {
+        self.requests.take_cleared()
+    }
+
+    /// Applies what another router reports of requests.
+    pub fn apply_ended(&mut self, ended: Vec<EndedTarget>, cleared: &[Hash], now: Instant) {
+        self.requests.apply_report(ended, cleared, now);
+    }
+
+    /// Whether there is no evidence at all.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.requests.ended_count() == 0
+    }
+
+    /// Number of ended targets that are kept as evidence.
+    pub fn ended_count(&self) -> usize {
+        self.requests.ended_count()
+    }
+
     fn is_evidence(&self, part: u64) -> bool {
         self.crashes.iter().any(|crash| crash.parts.contains(&part))
     }
@@ -223,12 +315,11 @@
 }
 
 /// Number of crashes at different targets and times.
-fn count_separate(crashes: &[&Crash]) -> usize {
-    let mut seen = crashes.iter().map(|crash| (crash.at, crash.target)).collect::<Vec<_>>();
-    seen.sort_unstable();
+fn count_separate(mut crashes: Vec<(Instant, Hash)>) -> usize {
+    crashes.sort_unstable();
     let mut targets = SmallVec::<[Hash; 8]>::new();
     let mut last_at = None;
-    for (at, target) in seen {
+    for (at, target) in crashes {
         let is_separate = last_at.is_none_or(|last| at >= last + MIN_CRASH_GAP);
         if is_separate && !targets.contains(&target) {
             targets.push(target);
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -16,7 +16,11 @@
 pub fn hash(name: &str, number: u64) -> Hash {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&number.to_le_bytes()).update(name.as_bytes());
-    let digest = hasher.finalize();
+    hash_of(&hasher.finalize())
+}
+
+/// The first 64 bits of a digest.
+pub(crate) fn hash_of(digest: &blake3::Hash) -> Hash {
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&digest.as_bytes()[..8]);
     u64::from_le_bytes(bytes)
@@ -77,6 +81,10 @@
     pub crashes: Vec<Crash>,
     /// Parts of reported crashes that the sender has seen answered.
     pub cleared_parts: Vec<u64>,
+    /// Targets that ended, with requests that they were running.
+    pub ended: Vec<EndedTarget>,
+    /// Requests that the sender has seen answered, of those that ended targets were running.
+    pub cleared_requests: Vec<Hash>,
     /// Targets with a limit, and those that had one lately.
     pub limits: Vec<TargetLimit>,
     /// Hashes of incarnations that said to the sender that they are leaving.
@@ -116,6 +124,17 @@
     pub parts: Vec<u64>,
 }
 
+/// A target that ended, with requests that it was running; see [`crate::quarantine`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedTarget {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Time since the target ended, in milliseconds.
+    pub age_ms: u32,
+    /// Keys of the requests.
+    pub requests: Vec<Hash>,
+}
+
 /// A topic of the store that routers follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -70,6 +70,8 @@
         forward_in_zone: false,
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
+        ended: Vec::new(),
+        cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
     }
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -166,6 +166,8 @@
         forward_in_zone: false,
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
+        ended: Vec::new(),
+        cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
     };
--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -9,22 +9,20 @@
 use std::future::Future;
 use std::pin::{self, Pin};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use gentianhinge_core::registry::Target;
-use gentianhinge_core::report::Hash;
 use gentianhinge_core::routing::Idempotency;
 use http::StatusCode;
 use tokio::time::{self, Instant};
 
 use super::attempt::{self, EventStream, Outcome, Request};
 use super::buffered::BufferedResponse;
+use super::crash;
 use super::queue::{Admission, InFlight};
 use super::reply::Reason;
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
-use super::spec::{Refused, RequestSpec};
+use super::spec::{Placement, Refused, RequestSpec};
 
 /// Maximum number of attempts until a target answers, including those that weren't run.
 const MAX_ATTEMPTS: usize = 4;
@@ -86,8 +84,7 @@
 /// An attempt whose target hasn't answered yet. Dropping it closes the connection.
 struct Sending {
     number: usize,
-    target: Arc<Target>,
-    hash: Hash,
+    placement: Placement,
     /// When the target counts as silent.
     silent_at: Instant,
     result: SendResult,
@@ -122,7 +119,7 @@
         self.try_targets(None).await
     }
 
-    /// Tries other targets after one has failed, or beside a silent one.
+    /// Tries other targets after one has failed.
     ///
     /// # Errors
     ///
@@ -132,6 +129,16 @@
         self.try_targets(Some(Reason::Unknown)).await
     }
 
+    /// The same beside a silent target: a stream must have begun.
+    ///
+    /// # Errors
+    ///
+    /// As for [`answer`](ActiveRequest::answer).
+    pub async fn begun_answer_of_another(&mut self) -> Result<TargetAnswer, Refusal> {
+        self.attempt_count = 1;
+        self.try_others().await
+    }
+
     /// `failed` is why the last attempt failed, if there was one.
     async fn try_targets(&mut self, mut failed: Option<Reason>) -> Result<TargetAnswer, Refusal> {
         loop {
@@ -177,17 +184,19 @@
     fn send(&mut self, in_flight: InFlight) -> Sending {
         self.run_count += 1;
         self.attempt_count += 1;
-        let (target, hash) = (in_flight.placement.target.clone(), in_flight.placement.hash);
-        self.spec.tried.push(hash);
+        let placement = in_flight.placement.clone();
+        self.spec.tried.push(placement.hash);
         let number = self.record.add_attempt(&in_flight);
         let silent_at = attempt::silent_at(&self.request, &in_flight, Instant::now());
         let (traffic, request) = (self.traffic.clone(), self.request.clone());
+        let spec = self.spec.clone();
         let last_event_id = self.last_event_id;
         let result = Box::pin(async move {
             let outcome = attempt::send(&traffic, &request, &in_flight, last_event_id).await;
+            crash::record_outcome(&traffic, &spec, &in_flight.placement, &outcome).await;
             (outcome, in_flight)
         });
-        Sending { number, target, hash, silent_at, result }
+        Sending { number, placement, silent_at, result }
     }
 
     /// The answer to an attempt, or that of another target if this one is silent.
@@ -199,7 +208,9 @@
             return self.finish(outcome, Attempt { number, in_flight });
         }
         self.record.set_silent(number);
-        attempt::record_silence(&self.traffic, &sending.target, sending.hash);
+        let placement = &sending.placement;
+        attempt::record_silence(&self.traffic, &placement.target, placement.hash);
+        crash::check_silent(&self.traffic, &self.spec, placement).await;
         let others = Box::pin(self.try_others());
         let (first, other) = race(&mut sending.result, others).await;
         if let Some(Ok(answer)) = other {
@@ -209,7 +220,10 @@
                     Some((outcome, in_flight)) => {
                         let _ = self.finish(outcome, Attempt { number, in_flight });
                     }
-                    None => self.record.set_attempt_result(number, "silence"),
+                    None => {
+                        self.record.set_attempt_result(number, "silence");
+                        crash::check_in_background(&self.traffic, &self.spec, sending.placement);
+                    }
                 }
                 return Ok(answer);
             }
@@ -228,6 +242,8 @@
                 Ok(()) => Ok(TargetAnswer::Events(stream, attempt)),
                 Err(cause) => {
                     self.record.set_attempt_result(attempt.number, &cause);
+                    let placement = &attempt.in_flight.placement;
+                    crash::may_retry(&self.traffic, &self.spec, placement, true).await;
                     Err(self.refusal(Reason::Unknown, None))
                 }
             },
@@ -290,6 +306,7 @@
         let has_not_run = matches!(reason, Reason::NotRun | Reason::NotSent);
         let may_send_again = (has_not_run && self.run_count == 0) || self.request.is_repeatable();
         let may_retry = may_send_again
+            && crash::may_send_again(&self.traffic, &self.spec)
             && self.run_count < self.request.route.max_attempts
             && Instant::now() < self.request.deadline
             && self.attempt_count < MAX_ATTEMPTS;
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -21,7 +21,7 @@
 use super::reply::{self, Body, Reason};
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
-use super::spec::RequestSpec;
+use super::spec::{Identity, RequestSpec};
 use super::{Context, Phase, panics, response_limits};
 
 /// `Retry-After` of a request that arrives before a configuration has been read.
@@ -154,6 +154,7 @@
         request_id: caller_head.request_id.as_str().into(),
         prompt: caller_head.prompt.clone().filter(|_| route.has_prompt),
         team: team_hash,
+        identity: Arc::new(Identity::new(team_hash, &head, &body)),
         arrived_at,
         due_at: arrived_at + due_in,
         deadline,
@@ -165,6 +166,7 @@
     };
     // Such a request is no demand of the team.
     if traffic.context.state().is_quarantined(&spec, arrived_at) {
+        record.set_detail(format!("request {:x}", spec.identity.key()));
         return Err(Reason::Quarantined.into());
     }
     record.set_tokens(spec.charged_tokens(), spec.due_at);
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -204,6 +204,7 @@
         || !report.cached_parts.is_empty()
         || !report.limits.is_empty()
         || !report.cleared_parts.is_empty()
+        || !report.cleared_requests.is_empty()
 }
 
 /// Sends the result of a poll to all other routers.
@@ -321,6 +322,7 @@
     let now = Instant::now();
     let mut state = context.state();
     report.crashes = crash::reported(&mut state.quarantine, now);
+    report.ended = crash::unreported(&mut state.quarantine, now);
     report.limits = state.target_limits.own_report(false, now);
     report.leaving = state.statements.leaving(now);
     report
@@ -358,6 +360,12 @@
             Vec::new()
         },
         cleared_parts: state.quarantine.take_cleared(),
+        ended: if parts.has_sums {
+            crash::reported_ended(&mut state.quarantine, now)
+        } else {
+            Vec::new()
+        },
+        cleared_requests: state.quarantine.take_cleared_requests(),
         leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -14,7 +14,7 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
-use super::active::{ActiveRequest, Attempt, TargetAnswer};
+use super::active::{ActiveRequest, Attempt, Refusal, TargetAnswer};
 use super::attempt::{self, EventStream, FrameResult};
 use super::crash;
 use super::events::{EventSplitter, StreamTimeouts};
@@ -113,9 +113,11 @@
                 }
                 StreamEnd::Timeout => {
                     self.active.record.set_attempt_result(number, "time limit");
+                    self.check_in_background(&attempt);
                 }
                 StreamEnd::Replaced(other) => {
                     self.active.record.set_attempt_result(number, "silence");
+                    self.check_in_background(&attempt);
                     self.splitter = EventSplitter::new(self.splitter.last_id);
                     source = Some(other);
                 }
@@ -221,6 +223,7 @@
         self.active.record.set_silent(attempt.number);
         let placement = &attempt.in_flight.placement;
         attempt::record_silence(&self.active.traffic, &placement.target, placement.hash);
+        crash::check_silent(&self.active.traffic, &self.active.spec, placement).await;
         let replacing = replace_silent(&mut self.active, stream, &self.splitter);
         let replaced = tokio::select! {
             biased;
@@ -235,6 +238,11 @@
         }
     }
 
+    fn check_in_background(&self, attempt: &Attempt) {
+        let placement = attempt.in_flight.placement.clone();
+        crash::check_in_background(&self.active.traffic, &self.active.spec, placement);
+    }
+
     fn record_success(&self, attempt: &Attempt) {
         let placement = &attempt.in_flight.placement;
         let change = self.active.traffic.context.state().health.record_success(placement.hash);
@@ -243,12 +251,12 @@
 
     /// Finds a target that continues a broken stream.
     async fn replace_broken(&mut self, in_flight: InFlight, is_at_start: bool) -> Option<Source> {
-        let may_resume = !is_at_start
-            || crash::may_retry(&self.active.traffic, &self.active.spec, &in_flight).await;
+        let (traffic, spec) = (&self.active.traffic, &self.active.spec);
+        let may_resume = crash::may_retry(traffic, spec, &in_flight.placement, is_at_start).await;
         // Its load must not count at the choice of the next target.
         drop(in_flight);
         if !may_resume {
-            self.active.record.set_detail("the target ended as it began to answer".to_string());
+            self.active.record.set_detail("the target ended as it ran the request".to_string());
             return None;
         }
         let last_id = self.splitter.last_id;
@@ -310,18 +318,18 @@
 
 /// Finds a target that continues the stream, and waits until it does: a head alone is no progress.
 async fn resume_with_event(active: &mut ActiveRequest, last_id: Option<u64>) -> Option<Source> {
-    let (mut stream, attempt) = resume(active, last_id).await?;
-    if let Err(cause) = stream.begin().await {
-        active.record.set_attempt_result(attempt.number, &cause);
-        return None;
-    }
-    Some((stream, attempt))
+    active.last_event_id = last_id;
+    source(active.begun_answer_of_another().await)
 }
 
 /// Finds a target that continues the stream after the last complete event.
 async fn resume(active: &mut ActiveRequest, last_id: Option<u64>) -> Option<Source> {
     active.last_event_id = last_id;
-    match active.answer_of_another().await {
+    source(active.answer_of_another().await)
+}
+
+fn source(answer: Result<TargetAnswer, Refusal>) -> Option<Source> {
+    match answer {
         Ok(TargetAnswer::Events(stream, attempt)) => Some((stream, attempt)),
         // The caller has the head of a successful response.
         Ok(TargetAnswer::Buffered(_)) | Err(_) => None,
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -40,7 +40,7 @@
     NoTarget,
     /// The targets are too busy to serve the request in time.
     Overload,
-    /// Targets crash under a part of the prompt.
+    /// Targets crash under the request or a part of its prompt.
     Quarantined,
     /// The request couldn't be sent to the chosen targets.
     NotSent,
@@ -106,7 +106,7 @@
         "no-target" => "not run: the service had no usable target",
         "overload" => "not run: every target was too busy to serve it in time",
         "not-sent" => "not run: the chosen targets couldn't be reached",
-        "quarantined" => "not run: targets crash under a part of its prompt",
+        "quarantined" => "not run: targets crash under it or a part of its prompt",
         "not-run" => "not run: the chosen targets stated that they did not run it",
         "too-late" => {
             "not run: its deadline passed before it was read, or before a target was free"
--- a/daemon/src/edge/spec.rs
+++ b/daemon/src/edge/spec.rs
@@ -1,8 +1,9 @@
 //! A request as admission sees it, and the decisions on it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::placement;
 use gentianhinge_core::prompt::Prompt;
@@ -13,6 +14,43 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+/// What is the same when a request comes again, at any router.
+#[derive(Debug, Default)]
+pub struct Identity {
+    /// Hash of the team's name; 0 without a team.
+    pub team: Hash,
+    /// Method.
+    pub method: http::Method,
+    /// Path with query.
+    pub path_and_query: String,
+    /// Complete body.
+    pub body: Bytes,
+    key: OnceLock<Hash>,
+}
+
+impl Identity {
+    /// Identity of a request of a team.
+    pub fn new(team: Hash, head: &http::request::Parts, body: &Bytes) -> Identity {
+        let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        Identity {
+            team,
+            method: head.method.clone(),
+            path_and_query: path_and_query.to_string(),
+            body: body.clone(),
+            key: OnceLock::new(),
+        }
+    }
+
+    /// Key by which routers tell each other of the request. It is computed at first use, since it is
+    /// needed only while there is evidence.
+    pub fn key(&self) -> Hash {
+        let method = self.method.as_str();
+        *self.key.get_or_init(|| {
+            quarantine::request_key(self.team, method, &self.path_and_query, &self.body)
+        })
+    }
+}
+
 /// Properties of a request on which admission and the choice of a target depend.
 #[derive(Clone, Debug)]
 pub struct RequestSpec {
@@ -24,6 +62,8 @@
     pub prompt: Option<Prompt>,
     /// Hash of the team's name; 0 without a team.
     pub team: Hash,
+    /// What is the same when the request comes again.
+    pub identity: Arc<Identity>,
     /// When the request arrived, or its retry was queued.
     pub arrived_at: Instant,
     /// When the latency target ends.
@@ -84,7 +124,7 @@
     pub opens_in_ms: f64,
     /// Whether the queue was full and this request was last in its order.
     pub is_crowded_out: bool,
-    /// Whether the prompt has parts under which targets crash.
+    /// Whether targets crash under the request or parts of its prompt.
     pub is_quarantined: bool,
 }
 
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -52,7 +52,7 @@
     pub retries: RetryBudget,
     /// Health of targets.
     pub health: health::Health,
-    /// Prompt parts under which targets crash.
+    /// Requests and prompt parts under which targets crash.
     pub quarantine: Quarantine,
     /// Limits that targets state.
     pub target_limits: TargetLimits,
@@ -390,10 +390,11 @@
         }
     }
 
-    /// Whether the prompt has parts under which targets crash.
+    /// Whether targets crash under the request or parts of its prompt.
     pub fn is_quarantined(&self, spec: &RequestSpec, now: Instant) -> bool {
-        self.quarantine.crash_count() > 0
-            && self.quarantine.is_quarantined(spec.team, &spec.shared_parts(), now)
+        !self.quarantine.is_empty()
+            && (self.quarantine.is_request_quarantined(spec.identity.key(), now)
+                || self.quarantine.is_quarantined(spec.team, &spec.shared_parts(), now))
     }
 
     fn record_dispatch(&mut self, spec: &RequestSpec, placement: &Placement, now: Instant) {
@@ -447,6 +448,8 @@
         }
         let crashes = report.crashes.into_iter().filter_map(|line| crash::from_report(line, now));
         self.quarantine.apply_report(crashes.collect(), &report.cleared_parts, now);
+        let ended = report.ended.into_iter().filter_map(|line| crash::ended_target(line, now));
+        self.quarantine.apply_ended(ended.collect(), &report.cleared_requests, now);
         let leaving = report.leaving.iter();
         statements::ReportedNews {
             leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -44,6 +44,7 @@
         service: "model".into(),
         prompt: Some(prompt(part)),
         team: 1,
+        identity: Arc::default(),
         arrived_at: now,
         due_at: now + Duration::from_millis(800),
         deadline: now + Duration::from_secs(12),
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -60,6 +60,8 @@
         forward_in_zone: false,
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
+        ended: Vec::new(),
+        cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
     }
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -21,6 +21,8 @@
   limits @15 :List(TargetLimit);
   storeEra @16 :UInt64;             # latest era of the store that the sender knows of
   leaving @17 :List(UInt64);        # incarnations that said to the sender that they are leaving
+  ended @18 :List(EndedTarget);
+  clearedRequests @19 :List(UInt64); # requests of ended targets that the sender has seen answered
 }
 
 struct TargetLoad {
@@ -69,6 +71,12 @@
   parts @3 :List(UInt64);           # shared prompt parts of the request
 }
 
+struct EndedTarget {
+  target @0 :UInt64;                # hash of the target's incarnation
+  ageMs @1 :UInt32;                 # time since the target ended
+  requests @2 :List(UInt64);        # keys of requests that it was running
+}
+
 struct TargetLimit {
   target @0 :UInt64;                # hash of the target's incarnation
   hasStatement @1 :Bool;            # whether the target stated something to the sender
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -96,6 +96,14 @@
         // The length of a list in a message is bounded by that of the slice.
         let _ = crash.set_parts(line.parts.as_slice());
     }
+    let mut ended = builder.reborrow().init_ended(report.ended.len() as u32);
+    for (i, line) in report.ended.iter().enumerate() {
+        let mut target = ended.reborrow().get(i as u32);
+        target.set_target(line.target);
+        target.set_age_ms(line.age_ms);
+        let _ = target.set_requests(line.requests.as_slice());
+    }
+    let _ = builder.reborrow().set_cleared_requests(report.cleared_requests.as_slice());
     let _ = builder.reborrow().set_cleared_parts(report.cleared_parts.as_slice());
     let _ = builder.reborrow().set_leaving(report.leaving.as_slice());
     let mut limits = builder.reborrow().init_limits(report.limits.len() as u32);
@@ -150,6 +158,13 @@
     }
 }
 
+fn read_ended(
+    line: load_capnp::ended_target::Reader<'_>,
+) -> Result<report::EndedTarget, DecodeError> {
+    let requests = line.get_requests()?.iter().take(quarantine::MAX_RUNNING).collect();
+    Ok(report::EndedTarget { target: line.get_target(), age_ms: line.get_age_ms(), requests })
+}
+
 fn read_poll(reader: load_capnp::poll::Reader<'_>) -> Result<report::Poll, DecodeError> {
     let mut records = Vec::new();
     for line in reader.get_records()? {
@@ -201,6 +216,10 @@
         })
     });
     let crashes = crashes.collect::<Result<_, _>>()?;
+    let ended = reader.get_ended()?.iter().take(quarantine::MAX_ENDED).map(read_ended);
+    let ended = ended.collect::<Result<_, _>>()?;
+    let cleared_requests = reader.get_cleared_requests()?.iter();
+    let cleared_requests = cleared_requests.take(quarantine::MAX_REPORTED_CLEARED).collect();
     let cleared_parts = reader.get_cleared_parts()?.iter().collect();
     let cached_parts = reader.get_kept()?.iter();
     let cached_parts = cached_parts
@@ -224,6 +243,8 @@
         polls,
         crashes,
         cleared_parts,
+        ended,
+        cleared_requests,
         limits: reader.get_limits()?.iter().map(read_limit).collect(),
         leaving: reader.get_leaving()?.iter().collect(),
     })
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -156,6 +156,8 @@
         forward_in_zone: true,
         crashes: vec![report::Crash { target: 5, team: 6, age_ms: 70, parts: vec![8, 9] }],
         cleared_parts: vec![8],
+        ended: vec![report::EndedTarget { target: 5, age_ms: 80, requests: vec![10, 11] }],
+        cleared_requests: vec![10],
         leaving: vec![3, 4],
         limits: vec![
             TargetLimit {
