Failing test: hedges leave no retries for requests that fail

After 200 streams that were silent together, 62 of about 63 usable retries are taken for the rest of the window, though each of these streams would have been whole without. Requests that a target then refuses or fails aren't retried. Suggested: a hedge takes a retry only while more than half of the usable budget is left.

--- a/daemon/tests/edge_hedge.rs
+++ b/daemon/tests/edge_hedge.rs
@@ -348,3 +348,24 @@
     // The settings allow 0.2 for each request, and 50.
     assert!(hedge_count <= 40 + 50, "{hedge_count} hedges");
 }
+
+/// Hedges are optional; requests that a target refuses or fails need their retries.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hedges_leave_retries_for_requests_that_fail() {
+    let fleet = fleet_of(60).await;
+    let scripts = ["wait:1500 head events:12 end"; 2];
+    let ids = (0..200).map(|i| format!("x{i}")).collect::<Vec<_>>();
+    let calls = ids
+        .iter()
+        .map(|id| edge_kit::call(&fleet.router, request("/brief/", id, "chunked", scripts)));
+    future::join_all(calls).await;
+    let mut statuses = Vec::new();
+    for i in 0..10 {
+        for (path, first) in [("/book/", "refuse"), ("/look/", "fail")] {
+            let id = format!("y{i}{first}");
+            let request = request(path, &id, "close", [first, "serve"]);
+            statuses.push(edge_kit::call(&fleet.router, request).await.status);
+        }
+    }
+    assert_eq!(statuses, [200; 20]);
+}
