--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -202,10 +202,12 @@
     /// The answer to an attempt, or that of another target if this one is silent.
     async fn first_answer(&mut self, mut sending: Sending) -> Result<TargetAnswer, Reason> {
         let number = sending.number;
-        if let Ok((outcome, in_flight)) =
-            time::timeout_at(sending.silent_at, &mut sending.result).await
-        {
-            return self.finish(outcome, Attempt { number, in_flight });
+        tokio::select! {
+            biased;
+            (outcome, in_flight) = &mut sending.result => {
+                return self.finish(outcome, Attempt { number, in_flight });
+            }
+            () = attempt::silence(sending.silent_at) => {}
         }
         self.record.set_silent(number);
         let placement = &sending.placement;
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -321,6 +321,21 @@
     (now + timeout).min(request.deadline)
 }
 
+/// Delay of this thread from which on a target's bytes may have arrived without having been read.
+const MAX_DELAY: Duration = Duration::from_millis(10);
+
+/// Time for reading what has arrived during a delay.
+const CATCH_UP_TIME: Duration = Duration::from_millis(100);
+
+/// Waits until a target that hasn't sent anything counts as silent. After a delay of this thread
+/// itself, its connections are read first.
+pub async fn silence(silent_at: Instant) {
+    time::sleep_until(silent_at).await;
+    if silent_at.elapsed() >= MAX_DELAY {
+        time::sleep(CATCH_UP_TIME).await;
+    }
+}
+
 /// Records that a target has been silent for longer than expected. Its next answer restores it.
 pub fn record_silence(traffic: &Rc<Traffic>, target: &Target, hash: Hash) {
     let failure = health::Failure::NoValidAnswer;
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -215,10 +215,8 @@
             biased;
             frame = stream.frame() => return Ok(frame),
             () = self.chunks.closed() => return Err(StreamEnd::CallerLeft),
-            () = time::sleep_until(silent_at.min(deadline)) => {}
-        }
-        if Instant::now() >= deadline {
-            return Err(StreamEnd::Timeout);
+            () = time::sleep_until(deadline) => return Err(StreamEnd::Timeout),
+            () = attempt::silence(silent_at) => {}
         }
         self.active.record.set_silent(attempt.number);
         let placement = &attempt.in_flight.placement;
--- a/daemon/tests/edge_hedge.rs
+++ b/daemon/tests/edge_hedge.rs
@@ -25,6 +25,9 @@
 /// Time after a disconnect within which all targets must have stopped.
 const LEAVE_TIME: Duration = Duration::from_millis(500);
 
+/// Streams during a stop of the router.
+const STREAM_COUNT: usize = 12;
+
 /// Time for which two targets may run a stream that the second one has resumed.
 const OVERLAP_TIME: Duration = Duration::from_millis(400);
 
@@ -310,15 +313,15 @@
     assert!(overlap <= OVERLAP_TIME, "both were at work for {overlap:?}");
 }
 
-/// After a stop of the router itself, no target has been silent.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_router_that_was_stopped_hedges_no_stream() {
+/// Sends streams whose first run has an event each 400 ms and then goes on with `ending`, and stops
+/// the router itself meanwhile. Returns the number of whole streams and of runs.
+async fn run_while_stopped(ending: &str, second: &str) -> (usize, usize) {
     let fleet = fleet().await;
-    let ids = (0..12).map(|i| format!("x{i}")).collect::<Vec<_>>();
-    let events = (6..=12).map(|id| format!("events:{id} wait:400")).collect::<Vec<_>>().join(" ");
-    let script = format!("head events:5 wait:400 {events} end");
+    let events = (6..=11).map(|id| format!("events:{id} wait:400")).collect::<Vec<_>>().join(" ");
+    let first = format!("head events:5 wait:400 {events} {ending}");
+    let ids = (0..STREAM_COUNT).map(|i| format!("x{i}")).collect::<Vec<_>>();
     let calls = ids.iter().map(|id| {
-        edge_kit::call(&fleet.router, request("/brief/", id, "chunked", [&script, "hang"]))
+        edge_kit::call(&fleet.router, request("/brief/", id, "chunked", [&first, second]))
     });
     let stopping = async {
         time::sleep(Duration::from_millis(800)).await;
@@ -328,7 +331,21 @@
     };
     let (responses, ()) = future::join(future::join_all(calls), stopping).await;
     let whole_count = responses.iter().filter(|it| it.body == edge_kit::full_stream()).count();
-    assert_eq!((whole_count, fleet.runs.list().len()), (ids.len(), ids.len()));
+    (whole_count, fleet.runs.list().len())
+}
+
+/// After a stop of the router itself, no target has been silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_was_stopped_hedges_no_stream() {
+    let seen = run_while_stopped("events:12 end", "hang").await;
+    assert_eq!(seen, (STREAM_COUNT, STREAM_COUNT));
+}
+
+/// A stop of the router itself takes no attempt, which a stream that breaks later needs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_was_stopped_resumes_streams_that_break_later() {
+    let seen = run_while_stopped("wait:100", "head events:12 end").await;
+    assert_eq!(seen, (STREAM_COUNT, 2 * STREAM_COUNT));
 }
 
 /// A burst of hedges stays within the retry budget, and ends no request.
