Callers are told no less than a hold and no more than the greatest jitter

A caller whose only target wanted nothing for 9 s was told 13.031 s in one run of a_caller_hears_at_once_when_all_targets_want_nothing_until_after_its_deadline (bound: 13). Cause: a hold's end is put off by up to 10% at each router, and the time told to callers was that end times 0.8 to 1.4, so the factors multiply to 0.8 to 1.54. Callers told less than the hold came back before its end and were refused again.

Where all targets are closed until a known time, callers are now told that time or up to 1.4/1.1 times as much; the product can't exceed 1.4. Estimated times keep their factors.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -19,6 +19,7 @@
 
 use tokio::time::Instant;
 
+use crate::holds;
 use crate::share::TeamShare;
 
 /// Parameters of admission. Backlogs are in milliseconds of prefill, see [`BestTarget::wait_ms`].
@@ -191,6 +192,24 @@
 /// Shortest `retry_after`: a router's queue clears in about this time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Least factor on an estimated `retry_after`.
+const MIN_JITTER_FACTOR: f64 = 0.8;
+
+/// Greatest factor on a `retry_after`, also on one that targets state.
+const MAX_JITTER_FACTOR: f64 = 1.4;
+
+/// Adds jitter to a `retry_after`, so that callers refused at the same time don't return at the same
+/// time; none returns before targets take requests, in `opens_in`. `draw` is uniformly distributed
+/// from 0 to 1.
+pub fn add_jitter(retry_after: Duration, opens_in: Duration, draw: f64) -> Duration {
+    let [least, greatest] = if opens_in.is_zero() {
+        [MIN_JITTER_FACTOR, MAX_JITTER_FACTOR]
+    } else {
+        [1.0, MAX_JITTER_FACTOR / holds::MAX_JITTER_FACTOR]
+    };
+    retry_after.mul_f64(least + (greatest - least) * draw)
+}
+
 /// Order in which waiting requests are decided on; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
--- a/core/src/holds.rs
+++ b/core/src/holds.rs
@@ -9,8 +9,9 @@
 /// Longest time, so that its end can be computed.
 const MAX_HOLD: Duration = Duration::from_secs(365 * 24 * 3600);
 
-/// Part of the time by which its end is put off at random, so that not all routers return at once.
-const JITTER_PART: f64 = 0.1;
+/// Greatest factor on the time that a target states. Its end is put off at random, so that not all
+/// routers return at once.
+pub const MAX_JITTER_FACTOR: f64 = 1.1;
 
 /// Targets that want no requests from this router, and until when.
 #[derive(Debug, Default)]
@@ -25,7 +26,8 @@
         if time.is_zero() {
             return;
         }
-        let time = time.min(MAX_HOLD).mul_f64(1.0 + JITTER_PART * draw.clamp(0.0, 1.0));
+        let time =
+            time.min(MAX_HOLD).mul_f64(1.0 + (MAX_JITTER_FACTOR - 1.0) * draw.clamp(0.0, 1.0));
         let end = self.ends.entry(target).or_insert(now);
         *end = (*end).max(now + time);
     }
--- a/core/tests/eligibility.rs
+++ b/core/tests/eligibility.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::admission;
 use gentianhinge_core::eligibility::{Eligibility, Entry};
 use gentianhinge_core::health::{Failure, Health};
 use gentianhinge_core::holds::Holds;
@@ -171,4 +172,17 @@
             assert!(most <= router_count as usize / 2, "{most} of {router_count}");
         }
     },
+    a_caller_is_told_no_less_than_a_hold_and_no_more_than_the_greatest_jitter: {
+        let hold = SECOND * 9;
+        for seed in 0..10_000 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let mut targets = targets(1);
+            let hash = targets.hash(0);
+            targets.holds.record(hash, hold, rng.random_range(0.0..1.0), targets.now);
+            let opens_in = targets.opens_in(0);
+            let told = admission::add_jitter(opens_in, opens_in, rng.random_range(0.0..1.0));
+            assert!((hold..=hold.mul_f64(1.4)).contains(&told), "seed {seed}: {told:?}");
+            assert!(told >= opens_in, "seed {seed}: {told:?}, open in {opens_in:?}");
+        }
+    },
 }
--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -161,8 +161,8 @@
             Ok(Admission::Send(in_flight)) => Ok(in_flight),
             Ok(Admission::Refuse(refused)) => {
                 self.record.set_refusal(&refused);
-                let retry_after = Some(add_jitter(refused.retry_after));
-                let retry_after = retry_after.filter(|_| !refused.is_quarantined);
+                let retry_after = refused.retry_after_with_jitter();
+                let retry_after = Some(retry_after).filter(|_| !refused.is_quarantined);
                 Err(self.refusal(failed.unwrap_or(refusal_reason(&refused)), retry_after))
             }
             Err(_) => Err(self.refusal(failed.unwrap_or(Reason::TooLate), None)),
@@ -360,9 +360,3 @@
         Reason::Overload
     }
 }
-
-/// Adds jitter, so that callers refused at the same time don't return at the same time.
-fn add_jitter(retry_after: Duration) -> Duration {
-    use rand::Rng;
-    retry_after.mul_f64(rand::rng().random_range(0.8..1.4))
-}
--- a/daemon/src/edge/spec.rs
+++ b/daemon/src/edge/spec.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::placement;
 use gentianhinge_core::prompt::Prompt;
-use gentianhinge_core::quarantine;
 use gentianhinge_core::registry::Target;
 use gentianhinge_core::report::Hash;
 use gentianhinge_core::share::TeamShare;
+use gentianhinge_core::{admission, placement, quarantine};
+use rand::Rng;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -128,6 +128,14 @@
     pub is_quarantined: bool,
 }
 
+impl Refused {
+    /// `retry_after` with jitter, so that callers refused at the same time return spread.
+    pub fn retry_after_with_jitter(&self) -> Duration {
+        let opens_in = Duration::from_secs_f64(self.opens_in_ms / 1e3);
+        admission::add_jitter(self.retry_after, opens_in, rand::rng().random())
+    }
+}
+
 /// Decision on a request that leaves the queue.
 #[derive(Clone, Debug)]
 pub enum Decision {
