A caller whose request may not be retried hears how long its targets want nothing

With the retry budget used up, a caller was told 0.2 s though its only target wanted nothing for 9 s, so it came back and was refused until the hold's end. Cause: the refusal without another attempt told a constant. It now tells the time until a target of the service takes requests, as the refusal by admission does, and the constant only where one does already.

The new test uses the budget up with 80 requests at once and failed before ("0.2", bound 9 to 13); it passes now.

--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -11,8 +11,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gentianhinge_core::admission;
 use gentianhinge_core::routing::Idempotency;
 use http::StatusCode;
+use rand::Rng;
 use tokio::time::{self, Instant};
 
 use super::attempt::{self, EventStream, Outcome, Request};
@@ -27,7 +29,7 @@
 /// Maximum number of attempts until a target answers, including those that weren't run.
 const MAX_ATTEMPTS: usize = 4;
 
-/// `Retry-After` of a request whose targets refused it.
+/// Least `Retry-After` of a request whose targets refused it.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A request in progress, with all its attempts.
@@ -143,7 +145,7 @@
     async fn try_targets(&mut self, mut failed: Option<Reason>) -> Result<TargetAnswer, Refusal> {
         loop {
             if let Some(reason) = failed.filter(|reason| !self.may_retry(*reason)) {
-                return Err(self.refusal(reason, Some(BUSY_RETRY_AFTER)));
+                return Err(self.refusal(reason, Some(self.retry_after())));
             }
             let in_flight = self.admit(failed).await?;
             let sending = self.send(in_flight);
@@ -169,6 +171,13 @@
         }
     }
 
+    /// `Retry-After` without another attempt: until a target takes requests, if all are closed.
+    fn retry_after(&self) -> Duration {
+        let opens_in = self.traffic.context.state().opens_in(&self.spec, Instant::now());
+        let draw = rand::rng().random();
+        admission::add_jitter(opens_in, opens_in, draw).max(BUSY_RETRY_AFTER)
+    }
+
     /// A request that may have run isn't refused as one that hasn't.
     fn refusal(&self, reason: Reason, retry_after: Option<Duration>) -> Refusal {
         let means_not_run = reason.status() == StatusCode::SERVICE_UNAVAILABLE;
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -245,7 +245,7 @@
     }
 
     /// Expected time until a target of the service takes the request; zero if one does now.
-    fn opens_in(&mut self, spec: &RequestSpec, now: Instant) -> Duration {
+    pub fn opens_in(&mut self, spec: &RequestSpec, now: Instant) -> Duration {
         let eligibility = self.eligibility(&spec.service, now);
         eligibility.map_or(Duration::ZERO, |(eligibility, targets)| {
             eligibility.opens_in(targets.iter(), spec.ahead_count, now)
--- a/daemon/tests/edge_statements.rs
+++ b/daemon/tests/edge_statements.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use edge_kit::{APPLY_BOUND, Behavior, Router, Store, Target};
+use futures_util::future;
 
 /// Two routers with targets `t0` and `t1`, or only `t0`.
 struct Fleet {
@@ -124,6 +125,22 @@
         assert!((6.0..=13.0).contains(&after_s), "{after_s}");
         assert_eq!(fleet.targets[0].arrivals().len(), count);
     },
+    a_caller_hears_how_long_all_targets_want_nothing_when_the_retry_budget_is_used_up: {
+        /// Enough requests to use up the budget: 50 retries, and one for each five requests.
+        const REQUESTS: usize = 80;
+        let fleet = fleet(1).await;
+        fleet.targets[0].set_behavior(Behavior::Refuse);
+        let requests = (0..REQUESTS).map(|i| edge_kit::request("/look/", &format!("a{i}"), &[]));
+        let calls = requests.map(|request| edge_kit::call(&fleet.routers[0], request));
+        assert!(future::join_all(calls).await.iter().all(|response| response.status == 503));
+        fleet.targets[0].state(&[("retry-after", "9")]);
+        let count = fleet.targets[0].arrivals().len();
+        let response = edge_kit::call(&fleet.routers[0], edge_kit::request("/look/", "b", &[])).await;
+        assert_eq!(response.status, 503);
+        assert_eq!(fleet.targets[0].arrivals().len(), count + 1);
+        let after_s = response.headers["retry-after"].to_str().unwrap().parse::<f64>().unwrap();
+        assert!((9.0..=13.0).contains(&after_s), "{after_s}");
+    },
     a_statement_that_cannot_be_read_changes_nothing: {
         let fleet = fleet(1).await;
         fleet.targets[0].state(&[("server-leaving", "soon"), ("server-limit", "few"), ("retry-after", "-1")]);
