Parts of a limit add up to one when all routers get requests at once

When a service without requests got some at all of 70 routers at once, a target with a limit of 1 a second got 47 requests in 4 s (allowed 11). Cause: a router counted its own requests at once but others' from their reports, so each took itself for the only one with demand and sent at the whole limit. The parts of 8 such routers added up to 8.

Each router now counts its own requests and tokens as of its last report, as it counts the others', besides half a request each, so that one without reported requests has a small part. A router that has reported no tokens has its part by requests.

The simulated routers compute their part when a request needs it, as the daemon does; before, all did at the same moments, which hid the fault.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -19,6 +19,9 @@
 /// yet.
 const USABLE_RATIO: f64 = 0.7;
 
+/// Requests that each router is taken to have besides those it has reported.
+const PRIOR_REQUESTS: f64 = 0.5;
+
 /// Buckets of the sliding window.
 const BUCKET_COUNT: u32 = 10;
 
@@ -43,14 +46,23 @@
     router_count: f64,
     buckets: VecDeque<Bucket>,
     peers: HashMap<Name, (Instant, Vec<report::ServiceUse>)>,
+    /// Requests in this router's last report.
+    reported: HashMap<Hash, u32>,
 }
 
 impl RetryBudget {
     /// Creates a budget of `ratio` retries per request plus `extra_retries` per window, for each
     /// service. Both may be fractions; a retry is allowed only if a whole one is left.
     pub fn new(ratio: f64, extra_retries: f64, window: Duration) -> RetryBudget {
-        let (buckets, peers) = (VecDeque::new(), HashMap::new());
-        RetryBudget { ratio, extra_retries, window, router_count: 1.0, buckets, peers }
+        RetryBudget {
+            ratio,
+            extra_retries,
+            window,
+            router_count: 1.0,
+            buckets: VecDeque::new(),
+            peers: HashMap::new(),
+            reported: HashMap::new(),
+        }
     }
 
     /// Replaces the bounds; counts stay.
@@ -108,16 +120,16 @@
     }
 
     /// This router's part of the requests for a service; a router that hasn't reported yet is
-    /// taken to have as many as the others at the mean.
-    pub fn demand_part(&mut self, service: Hash, now: Instant) -> f64 {
-        let own = self.own_counts(now).get(&service).map_or(0, |count| count.requests);
+    /// taken to have as many as the others at the mean. Only reported requests count, so that the
+    /// parts of routers that get requests at the same time add up to one.
+    pub fn demand_part(&self, service: Hash) -> f64 {
+        let own = f64::from(self.reported.get(&service).copied().unwrap_or_default());
         let lines = self.peers.values().flat_map(|(_, lines)| lines);
         let lines = lines.filter(|line| line.service == service);
-        let own = f64::from(own);
         let known = own + lines.map(|line| f64::from(line.request_count)).sum::<f64>();
         let known_count = 1.0 + self.peers.len() as f64;
         let all = known * (self.router_count / known_count).max(1.0);
-        if all > 0.0 { own / all } else { self.router_count.recip() }
+        (own + PRIOR_REQUESTS) / (all + PRIOR_REQUESTS * self.router_count)
     }
 
     fn current_bucket(&mut self, now: Instant) -> &mut HashMap<Hash, Count> {
@@ -148,11 +160,13 @@
 
     /// This router's counts within the window, for its report.
     pub fn own_report(&mut self, now: Instant) -> Vec<report::ServiceUse> {
-        let own = self.own_counts(now).into_iter().map(|(service, count)| report::ServiceUse {
+        let own = self.own_counts(now);
+        self.reported = own.iter().map(|(service, count)| (*service, count.requests)).collect();
+        let lines = own.into_iter().map(|(service, count)| report::ServiceUse {
             service,
             request_count: count.requests,
             retry_count: count.retries,
         });
-        own.collect()
+        lines.collect()
     }
 }
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -65,6 +65,8 @@
     fair_share_tokens: f64,
     served_share_tokens: f64,
     totals: HashMap<Hash, Usage>,
+    /// Tokens that teams asked for in this router's last report.
+    reported: HashMap<Hash, f64>,
     /// Tokens due to all teams, and this router's part of them.
     due_tokens: [f64; 2],
     /// Paces of the teams that ask for more than their share.
@@ -94,6 +96,7 @@
             fair_share_tokens,
             served_share_tokens,
             totals: HashMap::new(),
+            reported: HashMap::new(),
             due_tokens: [0.0; 2],
             paces: HashMap::new(),
         }
@@ -134,12 +137,14 @@
     /// This router's counts within the window, for its report.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Few seconds' tokens.
     pub fn own_report(&mut self, now: Instant) -> Vec<report::TeamUse> {
-        let own = self.own_usage(now).into_iter().map(|(team, usage)| report::TeamUse {
+        let own = self.own_usage(now);
+        self.reported = own.iter().map(|(team, usage)| (*team, usage.asked_tokens)).collect();
+        let lines = own.into_iter().map(|(team, usage)| report::TeamUse {
             team,
             asked_tokens: usage.asked_tokens as u32,
             begun_tokens: usage.begun_tokens as u32,
         });
-        own.collect()
+        lines.collect()
     }
 
     fn own_usage(&mut self, now: Instant) -> HashMap<Hash, Usage> {
@@ -183,26 +188,32 @@
     }
 
     /// Tokens due to all teams, and the part of those that ask this router for them: each team's due
-    /// is divided among the routers by what it asks of them.
+    /// is divided among the routers by what it asks of them. Of this router's own only what it has
+    /// reported counts, as of the others.
     fn sum_due_tokens(&self, own: &HashMap<Hash, Usage>) -> [f64; 2] {
         let mut sums = [0.0; 2];
-        for (team, usage) in self.totals.iter().filter(|(_, usage)| usage.asked_tokens > 0.0) {
-            let due_tokens = usage.asked_tokens.min(self.served_share_tokens);
+        for (team, usage) in &self.totals {
             let own_tokens = own.get(team).map_or(0.0, |usage| usage.asked_tokens);
+            let reported_tokens = self.reported.get(team).copied().unwrap_or_default();
+            let asked_tokens = usage.asked_tokens - own_tokens + reported_tokens;
+            if asked_tokens <= 0.0 {
+                continue;
+            }
+            let due_tokens = asked_tokens.min(self.served_share_tokens);
             sums[0] += due_tokens;
-            sums[1] += due_tokens * own_tokens / usage.asked_tokens;
+            sums[1] += due_tokens * reported_tokens / asked_tokens;
         }
         sums
     }
 
     /// This router's part of what is due to all teams, as of the last [`Shares::recompute`]; a router
-    /// that hasn't reported yet is taken to have as much as the others at the mean. `None` if no
-    /// team asks for tokens.
+    /// that hasn't reported yet is taken to have as much as the others at the mean. `None` if this
+    /// one has reported no tokens.
     pub fn due_part(&self, router_count: usize) -> Option<f64> {
         let [all, own] = self.due_tokens;
         let known_count = 1.0 + self.peers.len() as f64;
         let all = all * (router_count as f64 / known_count).max(1.0);
-        (all > 0.0).then(|| own / all)
+        (own > 0.0).then(|| own / all)
     }
 
     /// Divides the share of each team that asks for more among the routers, by what it asks of them.
--- a/core/tests/target_limits.rs
+++ b/core/tests/target_limits.rs
@@ -16,8 +16,8 @@
 const TARGET: Hash = 7;
 const SERVICE: Hash = 9;
 const SEEDS: std::ops::Range<u64> = 1..4;
-/// Steps between two computations of a router's part of the demand.
-const DEMAND_STEPS: usize = 35;
+/// Time for which a router keeps its part of the demand.
+const DEMAND_PART_TIME: Duration = Duration::from_millis(350);
 
 /// Time from which a target's limit must be kept.
 const APPLY_TIME: Duration = Duration::from_secs(3);
@@ -55,10 +55,25 @@
 struct Router {
     limits: TargetLimits,
     retries: RetryBudget,
-    demand_part: f64,
+    /// This router's part of the demand, and when it was computed.
+    demand_part: Option<(Instant, f64)>,
     waiting: VecDeque<Instant>,
 }
 
+impl Router {
+    fn demand_part(&mut self, router_count: usize, now: Instant) -> f64 {
+        if let Some((at, part)) = self.demand_part
+            && now < at + DEMAND_PART_TIME
+        {
+            return part;
+        }
+        self.retries.set_router_count(router_count);
+        let part = self.retries.demand_part(SERVICE);
+        self.demand_part = Some((now, part));
+        part
+    }
+}
+
 type Lines = (usize, Vec<gentianhinge_core::report::TargetLimit>, Vec<ServiceUse>);
 
 /// Times at which the target received requests, from the start, and how long each had waited.
@@ -70,7 +85,7 @@
     let router = |i| Router {
         limits: TargetLimits::new(seed * 1_000 + i as u64),
         retries: RetryBudget::new(0.2, 50.0, Duration::from_secs(10)),
-        demand_part: 1.0,
+        demand_part: None,
         waiting: VecDeque::new(),
     };
     let mut routers = (0..pattern.router_count).map(router).collect::<Vec<_>>();
@@ -96,10 +111,6 @@
             }
         }
         for (i, router) in routers.iter_mut().enumerate() {
-            if (step as usize).is_multiple_of(DEMAND_STEPS) {
-                router.retries.set_router_count(pattern.router_count);
-                router.demand_part = router.retries.demand_part(SERVICE, now);
-            }
             let per_step = (pattern.demand_per_s)(i, second) * STEP.as_secs_f64();
             let mut arrivals = per_step.floor();
             arrivals += f64::from(u8::from(rng.random_range(0.0..1.0) < per_step.fract()));
@@ -109,7 +120,8 @@
             }
             router.waiting.retain(|at| now.duration_since(*at) < MAX_WAIT);
             while let Some(arrived_at) = router.waiting.front().copied() {
-                if !router.limits.may_send(TARGET, router.demand_part, now) {
+                let demand_part = router.demand_part(pattern.router_count, now);
+                if !router.limits.may_send(TARGET, demand_part, now) {
                     break;
                 }
                 router.waiting.pop_front();
@@ -130,7 +142,7 @@
 /// Requests of two teams that a target with a limit takes in 20 s after the first 10: one team sends
 /// 20 requests a second to each of 8 routers, the other 20 a second to one of them. `part` is a
 /// router's part of the openings.
-fn requests_of_two_teams(part: impl Fn(&mut Shares, &mut RetryBudget, Instant) -> f64) -> [u32; 2] {
+fn requests_of_two_teams(part: impl Fn(&Shares, &RetryBudget) -> f64) -> [u32; 2] {
     const ROUTERS: usize = 8;
     const TOKENS: u32 = 1_000;
     const LIMIT_PER_S: f64 = 10.0;
@@ -178,7 +190,7 @@
             for router in 0..ROUTERS {
                 retries[router].set_router_count(ROUTERS);
                 shares[router].recompute(0.0, now);
-                parts[router] = part(&mut shares[router], &mut retries[router], now);
+                parts[router] = part(&shares[router], &retries[router]);
             }
         }
     }
@@ -267,6 +279,14 @@
         limit_per_s: |second| (second >= 5).then_some(4.0),
         ..Pattern::default()
     };
+    a_limit_holds_when_all_routers_of_an_idle_service_get_requests_at_once: 1.0 in 5..45, 0.05 used, Pattern {
+        router_count: 70,
+        demand_per_s: |_, second| if second < 6 || second % 15 == 0 { 20.0 } else { 0.0 },
+        report_interval: Duration::from_millis(400),
+        limit_per_s: |second| (second >= 5).then_some(1.0),
+        length_s: 45,
+        ..Pattern::default()
+    };
 }
 
 macro_rules! cases {
@@ -278,14 +298,41 @@
 
 cases! {
     under_a_limit_a_team_at_one_router_gets_at_least_half_of_what_one_at_all_routers_gets: {
-        let [all, one] = requests_of_two_teams(|shares, retries, now| {
-            shares.due_part(8).unwrap_or_else(|| retries.demand_part(SERVICE, now))
+        let [all, one] = requests_of_two_teams(|shares, retries| {
+            shares.due_part(8).unwrap_or_else(|| retries.demand_part(SERVICE))
         });
         assert!(one >= all / 2, "{one} of {all}");
         // Openings by the number of requests fail.
-        let [all, one] = requests_of_two_teams(|_, retries, now| retries.demand_part(SERVICE, now));
+        let [all, one] = requests_of_two_teams(|_, retries| retries.demand_part(SERVICE));
         assert!(one < all / 2, "{one} of {all}");
     },
+    the_parts_of_routers_that_get_requests_at_once_add_up_to_one: {
+        const ROUTERS: usize = 8;
+        let now = Instant::now();
+        let mut shares = (0..ROUTERS).map(|_| Shares::new(WINDOW)).collect::<Vec<_>>();
+        let retries = || RetryBudget::new(0.2, 50.0, Duration::from_secs(10));
+        let mut retries = (0..ROUTERS).map(|_| retries()).collect::<Vec<_>>();
+        // The routers know of each other, as they have reported that they had no requests.
+        for round in 0..2 {
+            for from in 0..ROUTERS {
+                let name = format!("r{from}").as_str().into();
+                let (teams, services) = (shares[from].own_report(now), retries[from].own_report(now));
+                for to in (0..ROUTERS).filter(|to| *to != from) {
+                    shares[to].apply_report(&name, teams.clone(), now);
+                    retries[to].apply_report(&name, services.clone(), now);
+                }
+            }
+            let part = |router: usize| {
+                shares[router].count_request(1, 1_000, now);
+                retries[router].count_request(SERVICE, now);
+                shares[router].recompute(0.0, now);
+                retries[router].set_router_count(ROUTERS);
+                shares[router].due_part(ROUTERS).unwrap_or(retries[router].demand_part(SERVICE))
+            };
+            let sum = (0..ROUTERS).map(part).sum::<f64>();
+            assert!((sum - 1.0).abs() < 1e-9, "{sum} after {round} requests");
+        }
+    },
     a_target_of_which_no_limit_is_known_gets_all_requests: {
         let sends = simulate(&Pattern { limit_per_s: |_| None, ..Pattern::default() }, 1);
         assert!(sends.iter().all(|(_, waited)| waited.is_zero()));
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -238,8 +238,7 @@
             .as_ref()
             .is_some_and(|table| table.service(service).is_some_and(|service| service.is_model));
         let due_part = self.shares.due_part(router_count).filter(|_| is_model);
-        let part =
-            due_part.unwrap_or_else(|| self.retries.demand_part(report::hash(service, 0), now));
+        let part = due_part.unwrap_or_else(|| self.retries.demand_part(report::hash(service, 0)));
         self.demand_parts.insert(service.clone(), (now, part));
         part
     }
