--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -19,6 +19,10 @@
 /// yet.
 const USABLE_RATIO: f64 = 0.7;
 
+/// Part of the usable budget for requests whose target is only silent. The rest is left for requests
+/// that failed: without a retry these are lost, and the silent ones may not be.
+const HEDGE_RATIO: f64 = 0.5;
+
 /// Requests that each router is taken to have besides those it has reported.
 const PRIOR_REQUESTS: f64 = 0.5;
 
@@ -77,7 +81,16 @@
 
     /// Counts a retry and returns true if the budget has room for it.
     pub fn try_take(&mut self, service: Hash, now: Instant) -> bool {
-        let has_room = self.has_room(service, now);
+        self.try_take_of(service, 1.0, now)
+    }
+
+    /// The same for a retry beside an attempt whose target is silent.
+    pub fn try_take_hedge(&mut self, service: Hash, now: Instant) -> bool {
+        self.try_take_of(service, HEDGE_RATIO, now)
+    }
+
+    fn try_take_of(&mut self, service: Hash, ratio: f64, now: Instant) -> bool {
+        let has_room = self.has_room_of(service, ratio, now);
         if has_room {
             self.current_bucket(now).entry(service).or_default().retries += 1;
         }
@@ -86,6 +99,11 @@
 
     /// Whether the budget has room for one more retry.
     pub fn has_room(&mut self, service: Hash, now: Instant) -> bool {
+        self.has_room_of(service, 1.0, now)
+    }
+
+    /// Whether a part of the budget has room for one more retry.
+    fn has_room_of(&mut self, service: Hash, ratio: f64, now: Instant) -> bool {
         let own = self.own_counts(now).get(&service).copied().unwrap_or_default();
         let window = self.window;
         self.peers.retain(|_, (received_at, _)| now.duration_since(*received_at) < window);
@@ -96,7 +114,7 @@
             requests += f64::from(line.request_count);
             retries += f64::from(line.retry_count);
         }
-        let allowed = self.ratio * requests + self.extra_retries;
+        let allowed = (self.ratio * requests + self.extra_retries) * ratio;
         let own_requests = f64::from(own.requests);
         let share_of_requests = if requests > 0.0 { own_requests / requests } else { 0.0 };
         let share = (share_of_requests + 1.0 / self.router_count) / 2.0;
--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -81,6 +81,15 @@
     pub retry_after: Option<Duration>,
 }
 
+/// Why targets are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// No attempt is in progress.
+    Answer,
+    /// Another attempt is in progress, and its target is silent.
+    Hedge,
+}
+
 type SendResult = Pin<Box<dyn Future<Output = (Outcome, InFlight)>>>;
 
 /// An attempt whose target hasn't answered yet. Dropping it closes the connection.
@@ -118,7 +127,7 @@
     ///
     /// No target has answered and no other may be tried.
     pub async fn answer(&mut self) -> Result<TargetAnswer, Refusal> {
-        self.try_targets(None).await
+        self.try_targets(None, Purpose::Answer).await
     }
 
     /// Tries other targets after one has failed.
@@ -128,7 +137,7 @@
     /// As for [`answer`](ActiveRequest::answer).
     pub async fn answer_of_another(&mut self) -> Result<TargetAnswer, Refusal> {
         self.attempt_count = 1;
-        self.try_targets(Some(Reason::Unknown)).await
+        self.try_targets(Some(Reason::Unknown), Purpose::Answer).await
     }
 
     /// The same beside a silent target: a stream must have begun.
@@ -142,9 +151,13 @@
     }
 
     /// `failed` is why the last attempt failed, if there was one.
-    async fn try_targets(&mut self, mut failed: Option<Reason>) -> Result<TargetAnswer, Refusal> {
+    async fn try_targets(
+        &mut self,
+        mut failed: Option<Reason>,
+        purpose: Purpose,
+    ) -> Result<TargetAnswer, Refusal> {
         loop {
-            if let Some(reason) = failed.filter(|reason| !self.may_retry(*reason)) {
+            if let Some(reason) = failed.filter(|reason| !self.may_retry(*reason, purpose)) {
                 return Err(self.refusal(reason, Some(self.retry_after())));
             }
             let in_flight = self.admit(failed).await?;
@@ -248,7 +261,7 @@
 
     /// Tries other targets until one has begun to answer: the head of a stream is no progress.
     async fn try_others(&mut self) -> Result<TargetAnswer, Refusal> {
-        match self.try_targets(Some(Reason::Unknown)).await? {
+        match self.try_targets(Some(Reason::Unknown), Purpose::Hedge).await? {
             TargetAnswer::Events(mut stream, attempt) => match stream.begin().await {
                 Ok(()) => Ok(TargetAnswer::Events(stream, attempt)),
                 Err(cause) => {
@@ -313,7 +326,7 @@
 
     /// Whether the request may be sent to another target after an attempt failed with `reason`.
     /// Takes a retry from the budget if so.
-    fn may_retry(&mut self, reason: Reason) -> bool {
+    fn may_retry(&mut self, reason: Reason, purpose: Purpose) -> bool {
         let has_not_run = matches!(reason, Reason::NotRun | Reason::NotSent);
         let may_send_again = (has_not_run && self.run_count == 0) || self.request.is_repeatable();
         let may_retry = may_send_again
@@ -325,7 +338,7 @@
             return false;
         }
         // A request that was never sent is no load for the service.
-        if reason != Reason::NotSent && !self.traffic.take_retry(&self.spec.service) {
+        if reason != Reason::NotSent && !self.take_retry(purpose) {
             self.record.set_detail("retry budget exhausted".to_string());
             return false;
         }
@@ -333,6 +346,13 @@
         self.spec.arrived_at = Instant::now();
         true
     }
+
+    fn take_retry(&self, purpose: Purpose) -> bool {
+        match purpose {
+            Purpose::Answer => self.traffic.take_retry(&self.spec.service),
+            Purpose::Hedge => self.traffic.take_hedge(&self.spec.service),
+        }
+    }
 }
 
 /// Waits for the outcome of a silent attempt, and beside it for that of `others`, which is dropped
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -90,6 +90,11 @@
         self.context.state().retries.try_take(report::hash(service, 0), Instant::now())
     }
 
+    /// The same for a retry beside an attempt whose target is silent.
+    pub fn take_hedge(&self, service: &str) -> bool {
+        self.context.state().retries.try_take_hedge(report::hash(service, 0), Instant::now())
+    }
+
     /// Whether the budget of a service has a retry left.
     pub fn has_retry(&self, service: &str) -> bool {
         self.context.state().retries.has_room(report::hash(service, 0), Instant::now())
