The first datagrams of a router are sent, not dropped

Traced from a failure of `a_drain_told_to_any_router_is_final_also_for_the_next_dispatcher` (6 runs at the drained target, not 1; in 1 of 7 runs beside 24 busy processes, with the routers' logs kept): r1 never saw another router, while r2 and r3 were a fleet of two. r1 was told of the drain and had nobody to tell.

Cause: a UDP socket that tokio has just registered counts as not writable until the runtime has polled it once, and `try_send_to` then refuses without an attempt. The first request to join of each router was sent before that, so it was always lost, and repeated only after 500 ms.

`Gossip::new` now waits until the socket is writable, which takes one turn of the runtime.

--- a/daemon/src/control/fleet.rs
+++ b/daemon/src/control/fleet.rs
@@ -45,7 +45,7 @@
     }
 
     /// Starts to accept peer connections and to join the fleet.
-    pub(super) fn start(
+    pub(super) async fn start(
         id: &RouterId,
         settings: &settings::Settings,
         peers: PeerSockets,
@@ -62,11 +62,11 @@
             zone: settings.router.zone.as_str().into(),
         };
         let times = gossip::settings(&settings.peers);
-        let mut membership = Membership::new(times, local, rand::random(), time::Instant::now());
-        membership.set_seeds(peers.seeds.clone());
         let listener = tokio::net::TcpListener::from_std(peers.listener)?;
         tokio::task::spawn_local(peer::server::serve(listener, context.clone()));
-        let gossip = gossip::Gossip::new(peers.socket, &settings.peers.secret)?;
+        let gossip = gossip::Gossip::new(peers.socket, &settings.peers.secret).await?;
+        let mut membership = Membership::new(times, local, rand::random(), time::Instant::now());
+        membership.set_seeds(peers.seeds.clone());
         Ok(Fleet { membership, gossip, settings_seeds: peers.seeds })
     }
 
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -105,7 +105,10 @@
     let (context, mut events) = peer::Context::new(setup.id.clone(), &setup.settings.peers.secret);
     let Setup { id, settings, table, pools, platform, mut commands, peers, ready } = setup;
     let targets = targets::Targets::start(platform, &pools);
-    let fleet = peers.map(|peers| Fleet::start(&id, &settings, peers, &context)).transpose()?;
+    let fleet = match peers {
+        Some(peers) => Some(Fleet::start(&id, &settings, peers, &context).await?),
+        None => None,
+    };
     let mut control = Control::new(id, &settings, table, &pools, (context, targets, fleet, ready));
     let mut batch = Vec::with_capacity(COMMAND_BATCH);
     control.step(time::Instant::now());
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -18,14 +18,16 @@
 }
 
 impl Gossip {
-    /// Registers a bound socket with the current runtime.
+    /// Registers a bound socket with the current runtime and waits until it can send.
     ///
     /// # Errors
     ///
     /// The socket can't be registered with the runtime.
-    pub fn new(socket: net::UdpSocket, secret: &str) -> std::io::Result<Gossip> {
+    pub async fn new(socket: net::UdpSocket, secret: &str) -> std::io::Result<Gossip> {
         socket.set_nonblocking(true)?;
         let socket = tokio::net::UdpSocket::from_std(socket)?;
+        // Until the runtime has polled a new socket once, it refuses each send without an attempt.
+        socket.writable().await?;
         let sealer = datagram::Sealer::new(secret);
         Ok(Gossip { socket, sealer, buffer: vec![0; datagram::MAX_DATAGRAM_BYTES + 1] })
     }
