A router that has lost its request to join still asks a seed, whoever joined through it

Until its first pass over the members has ended, a router now asks a seed that isn't a live member, besides a live member. Afterwards nothing changes.

--- a/core/src/membership/joining.rs
+++ b/core/src/membership/joining.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
+use smallvec::SmallVec;
 use tokio::time;
 
 use super::{Envelope, Kind, Membership, Message, message};
@@ -26,12 +27,15 @@
         self.sync_at = now + self.sync_wait;
         self.sync_wait = (self.sync_wait * 2).min(MAX_SYNC_WAIT);
         let live = self.members().filter(|member| member.is_live());
-        let mut to = live.map(|member| member.peers_addr).collect::<Vec<_>>();
-        if to.is_empty() {
-            to.clone_from(&self.seeds);
+        let live = live.map(|member| member.peers_addr).collect::<Vec<_>>();
+        let mut to = live.choose(&mut self.rng).copied().into_iter().collect::<SmallVec<[_; 2]>>();
+        // Before the first pass has ended, the live members may be routers that joined through this
+        // one and know no others.
+        if !self.has_joined || to.is_empty() {
+            to.extend(self.unknown_seeds().choose(&mut self.rng).copied());
         }
-        if let Some(addr) = to.choose(&mut self.rng).copied() {
-            self.send(addr, Kind::Sync { after }, 0);
+        for addr in to {
+            self.send(addr, Kind::Sync { after: after.clone() }, 0);
         }
     }
 
--- a/core/src/membership/liveness.rs
+++ b/core/src/membership/liveness.rs
@@ -1,5 +1,6 @@
 //! Failure detection: probes, suspicion and death of members.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::time::Duration;
 
@@ -159,12 +160,15 @@
             return;
         }
         self.next_seed_probe_at = now + SEED_PROBE_INTERVAL;
-        let live = |addr: &net::SocketAddr| {
-            self.members().any(|member| member.is_live() && member.peers_addr == *addr)
-        };
-        let unknown = self.seeds.iter().filter(|addr| !live(addr)).copied().collect::<Vec<_>>();
-        if let Some(addr) = unknown.choose(&mut self.rng) {
+        if let Some(addr) = self.unknown_seeds().choose(&mut self.rng) {
             self.send(*addr, Kind::Ping, 0);
         }
     }
+
+    /// Seeds that aren't the address of a live member.
+    pub(super) fn unknown_seeds(&self) -> Vec<net::SocketAddr> {
+        let live = self.members().filter(|member| member.is_live());
+        let live = live.map(|member| member.peers_addr).collect::<BTreeSet<_>>();
+        self.seeds.iter().filter(|addr| !live.contains(addr)).copied().collect()
+    }
 }
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -32,6 +32,20 @@
             joined(count, 1);
         }
     },
+    a_lost_request_to_join_does_not_split_the_fleet: {
+        for seed in 1..=20 {
+            let mut network = Network::new(0, seed);
+            network.start(0, 1);
+            network.start(1, 1);
+            network.machine(1).set_seeds(vec![network::addr(0)]);
+            network.loss_ratio = 1.0;
+            network.flush(1);
+            network.loss_ratio = 0.0;
+            network.start(2, 1);
+            network.machine(2).set_seeds(vec![network::addr(1)]);
+            network.run_until(2 * S, |network| (0..3).all(|i| network.sees(i, 0..3)));
+        }
+    },
     a_stopped_router_is_declared_dead: {
         let mut network = joined(8, 2);
         network.stop(3);
