A router that joins later learns the leaving targets from the pages

Pages of the members now hold the leaving targets too, both in the order of their names, so the cursor and the format stay. What comes by a page isn't spread again, as for members. A router is ready after its first pass, so it knows them before it has a role.

`a_router_that_joins_later_learns_all_leaving_targets` (100 targets, paused clock): before, none within 2 s. `a_drain_is_final_also_for_a_dispatcher_that_starts_later` (processes): before, 8 requests at the drained target.

--- a/core/src/membership/joining.rs
+++ b/core/src/membership/joining.rs
@@ -1,5 +1,6 @@
-//! Joining: requests the member list in pages until a pass finds no new members.
+//! Joining: requests the members and leaving targets in pages until a pass finds no new members.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::ops;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use smallvec::SmallVec;
 use tokio::time;
 
-use super::{Envelope, Kind, Membership, Message, message};
+use super::{Envelope, Kind, LeavingTarget, Member, Membership, Message, message};
 use crate::ids::Name;
 
 /// Initial time after which an unanswered request for a page is repeated.
@@ -17,6 +18,8 @@
 const RESYNC_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time between two requests for a page.
 const MAX_SYNC_WAIT: Duration = Duration::from_secs(5);
+/// Number of members or leaving targets that is too large for one page, whatever their names.
+const MAX_PAGE_ENTRIES: usize = message::MAX_UPDATES_BYTES / LeavingTarget::FIXED_BYTES + 1;
 
 impl Membership {
     pub(super) fn poll_sync(&mut self, now: time::Instant) {
@@ -69,26 +72,36 @@
         if !self.page_budget.take(now) {
             return;
         }
-        let mut left_bytes = message::MAX_UPDATES_BYTES;
-        let mut members = Vec::new();
-        let mut more = false;
+        let (members, leaving_targets, more) = self.page(after);
+        let (kind, sender) = (Kind::Page { more }, self.local.clone());
+        let message = Message { kind, seq, sender, members, leaving_targets };
+        self.outbox.push(Envelope { to, message });
+    }
+
+    /// Returns the members and leaving targets after a name that fit one page, and whether there
+    /// are more. A member and a target of the same name are in the same page.
+    fn page(&self, after: &Name) -> (Vec<Member>, Vec<LeavingTarget>, bool) {
         let from = (ops::Bound::Excluded(after.clone()), ops::Bound::Unbounded);
-        for entry in self.members.range(from).map(|(_, entry)| entry) {
-            let size = entry.member.size_bytes();
+        let members = self.members.range(from.clone()).map(|(name, _)| name);
+        let targets = self.leaving_targets.range(from).map(|(name, _)| name);
+        let names = members.take(MAX_PAGE_ENTRIES).chain(targets.take(MAX_PAGE_ENTRIES));
+        let mut left_bytes = message::MAX_UPDATES_BYTES;
+        let (mut members, mut leaving_targets) = (Vec::new(), Vec::new());
+        for name in names.collect::<BTreeSet<_>>() {
+            let member = self.members.get(name).map(|entry| entry.member.clone());
+            let target = self
+                .leaving_targets
+                .get(name)
+                .map(|incarnation| LeavingTarget { name: name.clone(), incarnation: *incarnation });
+            let size = member.as_ref().map_or(0, Member::size_bytes)
+                + target.as_ref().map_or(0, LeavingTarget::size_bytes);
             if size > left_bytes {
-                more = true;
-                break;
+                return (members, leaving_targets, true);
             }
             left_bytes -= size;
-            members.push(entry.member.clone());
+            members.extend(member);
+            leaving_targets.extend(target);
         }
-        let message = Message {
-            kind: Kind::Page { more },
-            seq,
-            sender: self.local.clone(),
-            members,
-            leaving_targets: Vec::new(),
-        };
-        self.outbox.push(Envelope { to, message });
+        (members, leaving_targets, false)
     }
 }
--- a/core/src/membership/message.rs
+++ b/core/src/membership/message.rs
@@ -28,12 +28,12 @@
     },
     /// Sends updates without requesting an answer.
     Spread,
-    /// Requests a page of the members whose names are greater than `after`.
+    /// Requests a page of the members and leaving targets whose names are greater than `after`.
     Sync {
         /// Last name of the previous page; empty for the first page.
         after: Name,
     },
-    /// A page of members in the order of their names.
+    /// A page of members and leaving targets in the order of their names.
     Page {
         /// Whether names greater than the last one of the page exist.
         more: bool,
@@ -52,6 +52,11 @@
 impl LeavingTarget {
     /// Upper estimate of the encoded size without the name.
     pub(super) const FIXED_BYTES: usize = 20;
+
+    /// Upper estimate of the encoded size in bytes.
+    pub(super) fn size_bytes(&self) -> usize {
+        LeavingTarget::FIXED_BYTES + self.name.len()
+    }
 }
 
 /// One datagram.
@@ -69,6 +74,14 @@
     pub leaving_targets: Vec<LeavingTarget>,
 }
 
+impl Message {
+    /// Greatest name of a page's members and leaving targets; `None` if there are none.
+    pub(super) fn last_name(&self) -> Option<&Name> {
+        let member = self.members.last().map(|member| &member.id.name);
+        member.max(self.leaving_targets.last().map(|target| &target.name))
+    }
+}
+
 /// A datagram with its destination.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Envelope {
--- a/core/src/membership/mod.rs
+++ b/core/src/membership/mod.rs
@@ -267,17 +267,24 @@
     ///
     /// The mark can't be removed. Only a greater incarnation of the target accepts new work again.
     pub fn add_leaving_target(&mut self, name: &Name, incarnation: u64) {
+        if self.insert_leaving_target(name, incarnation) {
+            self.push_update(Topic::Target(name.clone()), Urgency::Urgent);
+        }
+    }
+
+    /// Records a leaving target; returns whether that is new.
+    fn insert_leaving_target(&mut self, name: &Name, incarnation: u64) -> bool {
         let full = self.leaving_targets.len() >= MAX_LEAVING_TARGETS;
         match self.leaving_targets.get_mut(name) {
-            Some(last) if *last >= incarnation => return,
+            Some(last) if *last >= incarnation => return false,
             Some(last) => *last = incarnation,
-            None if full || name.len() > message::MAX_NAME_BYTES => return,
+            None if full || name.len() > message::MAX_NAME_BYTES => return false,
             None => {
                 self.leaving_targets.insert(name.clone(), incarnation);
             }
         }
         self.generation += 1;
-        self.push_update(Topic::Target(name.clone()), Urgency::Urgent);
+        true
     }
 
     /// Whether a target is leaving; an `incarnation` of 0 stands for an unknown one.
@@ -307,15 +314,18 @@
         if self.local.status == Status::Left || message.sender.id == self.local.id {
             return;
         }
-        for target in &message.leaving_targets {
-            self.add_leaving_target(&target.name, target.incarnation);
-        }
-        let sender = message.sender;
-        let last = message.members.last().map(|member| member.id.name.clone());
+        let last = message.last_name().cloned();
         let source = match message.kind {
             Kind::Page { .. } => Source::Page,
             _ => Source::Other,
         };
+        for LeavingTarget { name, incarnation } in &message.leaving_targets {
+            match source {
+                Source::Page => _ = self.insert_leaving_target(name, *incarnation),
+                _ => self.add_leaving_target(name, *incarnation),
+            }
+        }
+        let sender = message.sender;
         for member in message.members {
             self.merge(member, source, now);
         }
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -241,6 +241,19 @@
             assert!(!network.machine(i).is_target_leaving("target-1", 6));
         }
     },
+    a_router_that_joins_later_learns_all_leaving_targets: {
+        // More targets and members than one page holds.
+        let targets = (0..100).map(|i| format!("target-{i:03}").into()).collect::<Vec<Name>>();
+        let mut network = joined(20, 20);
+        for target in &targets {
+            network.machine(4).add_leaving_target(target, 5);
+        }
+        network.run(120 * S);
+        network.start(3, 2);
+        network.run_until(2 * S, |network| {
+            targets.iter().all(|target| network.machine(3).is_target_leaving(target, 5))
+        });
+    },
     the_same_seed_gives_the_same_run: {
         let run = |seed| {
             let mut network = joined(8, seed);
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -53,6 +53,14 @@
     async fn ready(&self) -> bool {
         support::send("GET", self.operators_addr, "/readyz", &[], "").await.status == 200
     }
+
+    async fn drain_target(&self, target: &str) {
+        let auth = format!("Bearer {}", support::OPERATOR_KEY);
+        let headers = [("authorization", auth.as_str())];
+        let path = format!("/targets/{target}/drain");
+        let response = support::send("POST", self.operators_addr, &path, &headers, "").await;
+        assert_eq!(response.status, 202);
+    }
 }
 
 impl Fleet {
@@ -229,11 +237,7 @@
         let mut fleet = Fleet::start().await;
         let dispatcher = fleet.dispatcher();
         let other = &fleet.routers[(dispatcher + 1) % NAMES.len()];
-        let auth = format!("Bearer {}", support::OPERATOR_KEY);
-        let headers = [("authorization", auth.as_str())];
-        let path = "/targets/m1/drain";
-        let response = support::send("POST", other.operators_addr, path, &headers, "").await;
-        assert_eq!(response.status, 202);
+        other.drain_target("m1").await;
         time::sleep(LEAVE_TIMEOUT).await;
         let before = run_count(fleet.engine_addrs[0]).await;
         // More requests than one engine has slots.
@@ -247,6 +251,18 @@
         }
         assert_eq!(run_count(fleet.engine_addrs[0]).await, before);
     },
+    a_drain_is_final_also_for_a_dispatcher_that_starts_later: {
+        let mut fleet = Fleet::start().await;
+        let dispatcher = fleet.dispatcher();
+        let other = (dispatcher + 1) % NAMES.len();
+        fleet.routers[other].drain_target("m1").await;
+        time::sleep(LEAVE_TIMEOUT).await;
+        let before = run_count(fleet.engine_addrs[0]).await;
+        fleet.restart(&[dispatcher]);
+        fleet.wait_until_stable().await;
+        request_all(&[fleet.routers[other].callers_addr; 12]).await;
+        assert_eq!(run_count(fleet.engine_addrs[0]).await, before);
+    },
     the_metrics_show_the_fleet: {
         let fleet = Fleet::start().await;
         let until = time::Instant::now() + FAILOVER_TIMEOUT;
