A target that runs only this dispatcher's requests gets as many slots as it runs

Seen in a trace of `rejoin_leaves_no_slot_idle` with seed 252: t3 had lost a slot in the partition, to the other group's queue. After the heal all 7 requests at it were the dispatcher's, adopted and long, and it ran 4 at once; but slots came back only with an empty queue, 4 s later, and for 0.27 s one of the 4 was idle.

A report in which a target runs more than its slots, and nothing beyond what the dispatcher has there, now restores the slots to what it runs. Where others send to the target as well, nothing changes.

`slots_that_run_adopted_requests_are_restored_before_their_queue_is_empty`: before, 2 slots, not 4.

--- a/core/src/slots.rs
+++ b/core/src/slots.rs
@@ -140,6 +140,13 @@
         // reason to lower the ceiling: the queue drains as they end. Some that the report counts
         // may have ended since.
         let reported_busy_count = self.peak_busy_count.max(self.last_peak_busy_count);
+        let is_shared = reported_busy_count < load.running_count.saturating_add(load.waiting_count);
+        if !is_shared && load.running_count > self.ceiling {
+            // The target runs more requests at once, and all of them are of this dispatcher.
+            self.ceiling = load.running_count.min(max_slots);
+            self.adjusted_at = Some(now);
+            return;
+        }
         let surplus = reported_busy_count.saturating_sub(self.ceiling);
         let excess = load.waiting_count.saturating_sub(self.lookahead().max(1).max(surplus));
         if excess > 0 {
--- a/core/tests/slots.rs
+++ b/core/tests/slots.rs
@@ -84,6 +84,21 @@
         }
         assert_eq!(fill(&mut targets), 4);
     },
+    slots_that_run_adopted_requests_are_restored_before_their_queue_is_empty: {
+        let mut targets = targets(&["t1"], 4);
+        targets.take(&"t1".into());
+        targets.set_load(&"t1".into(), load(4, 3), now());
+        // The dispatcher of the other group's requests is gone, and this one has adopted them.
+        for _ in 0..5 {
+            targets.take(&"t1".into());
+        }
+        time::advance(Duration::from_secs(1)).await;
+        targets.set_load(&"t1".into(), load(4, 2), now());
+        for _ in 0..6 {
+            targets.release(&"t1".into());
+        }
+        assert_eq!(fill(&mut targets), 4);
+    },
     a_reported_maximum_restores_all_slots_at_once: {
         let mut targets = targets(&["t1"], 16);
         fill(&mut targets);
--- a/scenario/tests/scenarios.rs
+++ b/scenario/tests/scenarios.rs
@@ -98,12 +98,13 @@
     whole_fleet_restarted,
 }
 
-/// Seeds with which many requests end between a load report and its arrival after the rejoin.
+/// Seeds with which a target loses slots in the partition, or requests end between a load report and
+/// its arrival.
 #[test]
 fn rejoin_leaves_no_slot_idle_with_other_seeds() {
     let name = "rejoin_leaves_no_slot_idle";
     let mut script = read(name);
-    for seed in [104, 105, 106, 111, 112, 124] {
+    for seed in [104, 105, 106, 111, 112, 124, 252] {
         script.setup.seed = seed;
         check_script(name, &script);
     }
