A router that starts sends few requests to a target whose limit it may not know

A router that had just started knew no limit until its first report or answer, and sent a target whatever came: 400 requests in 4 s in the new test, where no answer comes. Until it has heard from half of the registered routers, a target now gets at most 4 requests in 4 s from it before the target's first answer. A router that is alone isn't held.

The test fails without the check (400 requests) and passes with it.

--- a/core/src/target_limit.rs
+++ b/core/src/target_limit.rs
@@ -37,6 +37,10 @@
 /// Time after which a target without requests is forgotten.
 const LAPSE_TIME: Duration = Duration::from_secs(60);
 
+/// Requests that a router sends to a target within [`WINDOW`] before its first answer, while it hasn't
+/// heard of limits from other routers.
+const MAX_UNANSWERED_SENDS: u32 = 4;
+
 /// Factor on a limit up to which requests are sent within a window. Rates keep the mean at the limit;
 /// without the rest, requests that come unevenly couldn't use it.
 const MAX_SENT_FACTOR: f64 = 1.25;
@@ -197,6 +201,8 @@
 #[derive(Debug, Default)]
 struct State {
     sends: Sends,
+    /// Whether this router has had a response.
+    is_answered: bool,
     /// Latest statement, heard by any router.
     known: Option<Statement>,
     /// Latest statement in a response to this router.
@@ -247,6 +253,7 @@
 pub struct TargetLimits {
     targets: HashKeyed<State>,
     limited_count: usize,
+    has_heard: bool,
     rng: SmallRng,
 }
 
@@ -254,7 +261,7 @@
     /// Creates an empty set; routers need different seeds.
     pub fn new(seed: u64) -> TargetLimits {
         let rng = SmallRng::seed_from_u64(seed);
-        TargetLimits { targets: HashKeyed::default(), limited_count: 0, rng }
+        TargetLimits { targets: HashKeyed::default(), limited_count: 0, has_heard: true, rng }
     }
 
     /// Number of targets with a limit.
@@ -268,13 +275,23 @@
         Some((known.limit_per_s?, now.saturating_duration_since(known.at)))
     }
 
+    /// Sets whether this router has heard of limits from enough of the others. A router that starts
+    /// would otherwise send without limits to targets that have stated one.
+    pub fn set_heard(&mut self, has_heard: bool) {
+        self.has_heard = has_heard;
+    }
+
     /// Whether this router may send a request to a target now; `demand_part` is its part of the
     /// requests of the target's service.
     pub fn may_send(&mut self, target: Hash, demand_part: f64, now: Instant) -> bool {
-        if self.limited_count == 0 {
+        if self.limited_count == 0 && self.has_heard {
             return true;
         }
         let Some(state) = self.targets.get_mut(&target) else { return true };
+        let is_unknown = !self.has_heard && !state.is_answered;
+        if is_unknown && state.sends.count(WINDOW, now) >= MAX_UNANSWERED_SENDS {
+            return false;
+        }
         let Some(limit_per_s) = state.limit_per_s() else { return true };
         let openings = state.openings(limit_per_s, now);
         state.gate.check(openings, demand_part, now, &mut self.rng)
@@ -303,6 +320,7 @@
         now: Instant,
     ) -> Option<Change> {
         let state = self.targets.entry(target).or_default();
+        state.is_answered = true;
         let is_known_later = state.known.is_some_and(|known| known.at >= sent_at);
         if limit_per_s.is_none() && is_known_later {
             // The response may have been on its way when the target stated the limit.
--- a/core/tests/target_limits.rs
+++ b/core/tests/target_limits.rs
@@ -393,6 +393,30 @@
         assert_eq!(first.apply_report(&"second".into(), &second_lines, later(31)).len(), 1);
         assert_eq!(first.limit(TARGET, later(31)).unwrap().0, 3.0);
     },
+    a_router_that_starts_sends_few_requests_to_a_target_before_its_first_answer: {
+        let now = Instant::now();
+        let sends = |limits: &mut TargetLimits, from_s: u64| {
+            let steps = (0..400).map(|step| now + Duration::from_secs(from_s) + STEP * step);
+            steps.filter(|at| {
+                let may_send = limits.may_send(TARGET, 1.0, *at);
+                if may_send {
+                    limits.record_send(TARGET, *at);
+                }
+                may_send
+            }).count()
+        };
+        let mut limits = TargetLimits::new(1);
+        limits.set_heard(false);
+        let count = sends(&mut limits, 0);
+        assert!((1..=4).contains(&count), "{count}");
+        limits.record_answer(TARGET, None, now, now + WINDOW);
+        assert_eq!(sends(&mut limits, 10), 400);
+        let mut limits = TargetLimits::new(1);
+        limits.set_heard(false);
+        sends(&mut limits, 0);
+        limits.set_heard(true);
+        assert_eq!(sends(&mut limits, 10), 400);
+    },
     a_new_incarnation_has_no_limit: {
         let now = Instant::now();
         let mut limits = TargetLimits::new(1);
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -119,7 +119,9 @@
         self.shares_computed_at = Some(now);
         let capacity = self.table.as_ref().map_or(0.0, |table| table.limits.tokens_per_s);
         self.shares.recompute(capacity, now);
-        self.retries.set_router_count(self.load.router_count(now));
+        let router_count = self.load.router_count(now);
+        self.retries.set_router_count(router_count);
+        self.target_limits.set_heard(router_count * 2 > self.registered_routers.len());
     }
 
     /// Applies changed bounds of the retry budget; the windows keep their lengths.
