Evidence of a crash in an overtaken report is no longer dropped

A router ignores a load report that arrives after a later one of the same sender, as its loads are outdated. Evidence of crashes and of answers, most of which is told once, was dropped with it. Alerts follow each other at once when a target ends, and reports take rotating relays through other zones, so that one can overtake another. A request that ends its targets was then known to fewer routers until the next sums.

Evidence has no order, and is applied from each report.

evidence_of_a_crash_counts_also_in_a_report_that_was_overtaken failed before: 3 of 6 crashes counted.

--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -425,13 +425,15 @@
         self.waiting_request(spec).rank(&self.policy, now)
     }
 
-    /// Applies a load report of another router; outdated reports are ignored.
+    /// Applies a load report of another router; outdated reports are ignored but for their evidence of
+    /// crashes, most of which is told once.
     /// Returns what is new of targets' statements.
     pub fn apply_report(
         &mut self,
-        report: report::LoadReport,
+        mut report: report::LoadReport,
         now: Instant,
     ) -> statements::ReportedNews {
+        self.apply_evidence(&mut report, now);
         if !self.load.apply_report(&report, now) {
             return statements::ReportedNews::default();
         }
@@ -447,10 +449,6 @@
         if !report.services.is_empty() {
             self.retries.apply_report(&report.sender, report.services, now);
         }
-        let crashes = report.crashes.into_iter().filter_map(|line| crash::from_report(line, now));
-        self.quarantine.apply_report(crashes.collect(), &report.cleared_parts, now);
-        let ended = report.ended.into_iter().filter_map(|line| crash::ended_target(line, now));
-        self.quarantine.apply_ended(ended.collect(), &report.cleared_requests, now);
         let leaving = report.leaving.iter();
         statements::ReportedNews {
             leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
@@ -458,6 +456,15 @@
         }
     }
 
+    fn apply_evidence(&mut self, report: &mut report::LoadReport, now: Instant) {
+        let crashes = std::mem::take(&mut report.crashes).into_iter();
+        let crashes = crashes.filter_map(|line| crash::from_report(line, now)).collect();
+        self.quarantine.apply_report(crashes, &report.cleared_parts, now);
+        let ended = std::mem::take(&mut report.ended).into_iter();
+        let ended = ended.filter_map(|line| crash::ended_target(line, now)).collect();
+        self.quarantine.apply_ended(ended, &report.cleared_requests, now);
+    }
+
     /// Records what a target states in a response to a request that was sent at `sent_at`.
     pub fn record_statement(
         &mut self,
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::time::Duration;
 
-use gentianhinge_core::report::LoadReport;
+use gentianhinge_core::report::{EndedTarget, LoadReport};
 use gentianhinge_platform::peers;
 use gentianhinged::edge::lag::{self, LagMonitor};
 use gentianhinged::edge::load_reports::{self, Parts, Peers, Schedule};
@@ -12,6 +12,13 @@
 
 mod edge_context;
 
+/// Applies report `seq` of another router, of a target that ended then.
+fn hear_of_ended_target(state: &mut RouterState, seq: u64, request: u64, now: Instant) {
+    let ended = EndedTarget { target: seq, age_ms: 0, requests: vec![request] };
+    let report = LoadReport { seq, ended: vec![ended], ..empty_report() };
+    state.apply_report(report, now + Duration::from_millis(100 * seq));
+}
+
 macro_rules! cases {
     ($($name:ident: $body:block,)*) => {
         $(#[tokio::test(start_paused = true)] async fn $name() $body)*
@@ -195,6 +202,16 @@
         state.refresh_shares(now + Duration::from_secs(5));
         assert_eq!(state.shares.team_share(team).ratio, 0.0);
     },
+    evidence_of_a_crash_counts_also_in_a_report_that_was_overtaken: {
+        // Reports take different ways through other zones.
+        let (request, now) = (7, Instant::now());
+        let mut state = RouterState::new(&edge_context::bounds(), 1);
+        for seq in [2, 1, 4, 3, 6, 5] {
+            hear_of_ended_target(&mut state, seq, request, now);
+        }
+        let now = now + Duration::from_secs(1);
+        assert_eq!(state.quarantine.evidence(request, now).crash_count, 6);
+    },
     a_flood_of_connections_does_not_delay_streams: {
         let latency_target = Duration::from_millis(800);
         let paused = longest_event_wait(false);
