A server error no longer clears a request that ends its targets

Any complete response cleared the evidence against a request at all routers, a server error, too. A target that fails may not have begun to run the request, so a request that ends each target that does was sent to three more after each error.

An answer other than a server error still clears.

--- a/daemon/src/edge/crash.rs
+++ b/daemon/src/edge/crash.rs
@@ -75,7 +75,9 @@
     outcome: &Outcome,
 ) {
     match outcome {
-        Outcome::Buffered(_) => record_target_survived(traffic, spec),
+        // A target that fails may not have begun to run the request.
+        outcome if outcome.is_error() => {}
+        Outcome::Buffered(_) => record_request_answer(traffic, spec),
         // The caller needn't wait.
         Outcome::Unknown(_) if Instant::now() >= spec.deadline => {
             check_in_background(traffic, spec, placement.clone());
@@ -115,15 +117,15 @@
 
 /// Records that a request was answered completely, which clears it and the parts of its prompt.
 pub fn record_answer(traffic: &Rc<Traffic>, spec: &RequestSpec) {
-    record_target_survived(traffic, spec);
+    record_request_answer(traffic, spec);
     let parts = spec.shared_parts();
     if !parts.is_empty() {
         traffic.context.state().quarantine.record_answer(&parts, Instant::now());
     }
 }
 
-/// Records that a target responded to a request, if only with an error, which clears the request.
-pub fn record_target_survived(traffic: &Rc<Traffic>, spec: &RequestSpec) {
+/// Records that a request was answered, other than with a server error, which clears it.
+fn record_request_answer(traffic: &Rc<Traffic>, spec: &RequestSpec) {
     let quarantine = &mut traffic.context.state().quarantine;
     if !quarantine.is_empty() {
         quarantine.record_request_answer(spec.identity.key(), Instant::now());
--- a/daemon/tests/edge_budget.rs
+++ b/daemon/tests/edge_budget.rs
@@ -41,6 +41,9 @@
     AfterEvent,
     /// Before any byte of the answer; its connections stay open without a word.
     Silent,
+    /// Before any byte of the answer, each other time that it comes. Otherwise the target fails
+    /// before it runs the request.
+    BetweenErrors,
 }
 
 /// Starts a target that ends when it runs the deadly request. `ended_count` counts those that did.
@@ -85,10 +88,17 @@
         let last_id = header(&head, "last-event-id").map_or(0, |id| id.parse::<u64>().unwrap());
         let next_id = last_id + 1;
         let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        let attempt_id = header(&head, "attempt-id").unwrap().to_string();
         let head = match is_stream {
             true => format!("HTTP/1.1 200 OK\r\n{stamp}{framing}\r\n"),
             false => format!("HTTP/1.1 200 OK\r\n{stamp}Content-Length: 4\r\n\r\n"),
         };
+        if end == End::BetweenErrors && body == DEADLY_BODY && is_odd(&attempt_id) {
+            let error =
+                format!("HTTP/1.1 500 Internal Server Error\r\n{stamp}Content-Length: 0\r\n\r\n");
+            stream.write_all(error.as_bytes()).await.ok();
+            continue;
+        }
         if body == DEADLY_BODY {
             if matches!(end, End::AfterHead | End::AfterEvent) {
                 stream.write_all(head.as_bytes()).await.ok();
@@ -113,6 +123,10 @@
     }
 }
 
+fn is_odd(attempt_id: &str) -> bool {
+    attempt_id.bytes().last().is_some_and(|digit| digit % 2 == 1)
+}
+
 fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
     lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
@@ -197,5 +211,6 @@
     a_resumable_stream_that_ends_its_targets_after_events_is_held: "/brief/3", End::AfterEvent,
     a_stream_that_ends_its_targets_before_the_answer_is_held: "/note/1", End::BeforeHead,
     a_stream_that_ends_its_targets_after_events_is_held: "/note/3", End::AfterEvent,
+    a_request_that_is_answered_with_errors_between_is_held: "/look/5", End::BetweenErrors,
     a_request_whose_targets_are_found_gone_after_silence_is_held: "/look/4", End::Silent,
 }
