--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,9 +1,9 @@
 //! Quarantine of requests and prompt parts under which targets crash (queries of death).
 //!
-//! Load patterns: a request ends each target that runs it, and comes again to any router; or a shared
-//! part of some prompts ends each target that starts to answer them. The latter requests differ in
-//! everything else. In both cases each retry ends another target, until the service has none left.
-//! Sound requests run at the same targets, and share the other parts.
+//! Load patterns: a request ends each target that runs it, and comes again to any router; or a
+//! shared part of some prompts ends each target that starts to answer them. The latter requests
+//! differ in everything else. In both cases each retry ends another target, until the service has
+//! none left. Sound requests run at the same targets, and share the other parts.
 //!
 //! # Evidence
 //!
@@ -12,26 +12,26 @@
 //! An [`EndedTarget`] names the requests that a target was running when it ended, by
 //! [`request_key`]. A request that was at [`MIN_CRASHES`] targets that ended at different times is
 //! quarantined, unless other requests that were at as many account for all of these crashes; it is
-//! quarantined for [`MAX_AMBIGUOUS_CRASHES`] in any case. An answer clears the request, so that what
-//! was only beside the cause is soon set apart.
+//! quarantined for [`MAX_AMBIGUOUS_CRASHES`] in any case. An answer clears the request, so that
+//! what was only beside the cause is soon set apart.
 //!
 //! A [`Crash`] names the parts of a request whose answer a target had begun when it ended. Routers
 //! exchange crashes, and tell each other which of the parts were answered elsewhere: an answer that
-//! ran to its end clears the parts of its request. A part with crashes at [`MIN_CRASHES`] targets at
-//! different times is quarantined, but only in requests that have all uncleared parts which these
-//! crashes have in common. So a sound request that shares some of the parts is still sent, and clears
-//! them.
+//! ran to its end clears the parts of its request. A part with crashes at [`MIN_CRASHES`] targets
+//! at different times is quarantined, but only in requests that have all uncleared parts which
+//! these crashes have in common. So a sound request that shares some of the parts is still sent,
+//! and clears them.
 //!
 //! Crashes of targets that end for other reasons are unlikely to repeat for one part before any
 //! request with it is answered. Evidence lapses after [`EVIDENCE_TTL`].
 //!
 //! # Bounds
 //!
-//! Callers choose the ids of parts and the contents of requests. The key of a request depends on its
-//! team, so that no team can have the request of another quarantined or cleared; at most
-//! [`MAX_ENDED`] targets with [`MAX_RUNNING`] requests each are kept. Only parts of crashed targets are kept as evidence, at most
-//! [`MAX_CRASHES`]; it applies to the team that sent the requests, and to all teams once two teams
-//! have crashed targets with the part.
+//! Callers choose the ids of parts and the contents of requests. The key of a request depends on
+//! its team, so that no team can have the request of another quarantined or cleared; at most
+//! [`MAX_ENDED`] targets with [`MAX_RUNNING`] requests each are kept. Only parts of crashed targets
+//! are kept as evidence, at most [`MAX_CRASHES`]; it applies to the team that sent the requests,
+//! and to all teams once two teams have crashed targets with the part.
 
 mod requests;
 
@@ -72,8 +72,8 @@
 /// Maximum number of parts of a request that are kept as evidence.
 pub const MAX_PARTS: usize = 8;
 
-/// Number of requests that one target was answering when it ended, from which none of them counts as
-/// evidence.
+/// Number of requests that one target was answering when it ended, from which none of them counts
+/// as evidence.
 pub const MAX_SUSPECTS: usize = 4;
 
 /// Maximum number of answered parts that are tracked; beyond it, the oldest quarter is dropped.
@@ -98,8 +98,8 @@
     crashes: VecDeque<Crash>,
     /// When this router last saw a part answered.
     answered: HashKeyed<Instant>,
-    /// When another router last said that a part of the evidence was answered. It isn't passed on, so
-    /// that it ends [`ANSWERED_TTL`] after the last answer and report.
+    /// When another router last said that a part of the evidence was answered. It isn't passed on,
+    /// so that it ends [`ANSWERED_TTL`] after the last answer and report.
     answered_elsewhere: HashKeyed<Instant>,
     /// Parts of other routers' crashes that this router has seen answered, to be reported.
     cleared: SmallVec<[u64; 4]>,
@@ -193,9 +193,9 @@
         is_recent(&self.answered, part, now) || is_recent(&self.answered_elsewhere, part, now)
     }
 
-    /// Whether a request may be sent to another target after its target ended as it began to answer:
-    /// only if all its shared parts have been answered lately. Otherwise the retry may end that
-    /// target, too.
+    /// Whether a request may be sent to another target after its target ended as it began to
+    /// answer: only if all its shared parts have been answered lately. Otherwise the retry may end
+    /// that target, too.
     pub fn may_retry(&self, parts: &[u64], now: Instant) -> bool {
         parts.iter().all(|part| self.is_cleared(*part, now))
     }
@@ -232,8 +232,8 @@
         }
     }
 
-    /// Records that a target ended while it ran a request of this router; returns whether this is new
-    /// evidence.
+    /// Records that a target ended while it ran a request of this router; returns whether this is
+    /// new evidence.
     pub fn record_ended(&mut self, target: Hash, request: Hash, now: Instant) -> bool {
         self.requests.expire(now);
         self.requests.record_own(target, request, now)
@@ -254,8 +254,8 @@
         self.requests.evidence(request, now)
     }
 
-    /// Whether a router may send a request to another target by itself after the last one ended. Its
-    /// caller may still do so if others were at all of the same crashes.
+    /// Whether a router may send a request to another target by itself after the last one ended.
+    /// Its caller may still do so if others were at all of the same crashes.
     pub fn may_retry_request(&self, request: Hash, now: Instant) -> bool {
         self.evidence(request, now).crash_count < MIN_CRASHES
     }
--- a/core/src/quarantine/requests.rs
+++ b/core/src/quarantine/requests.rs
@@ -223,8 +223,8 @@
         lines.into_values().collect()
     }
 
-    /// Ended targets for this router's report: each in turn those with requests that were at several,
-    /// and one of the others.
+    /// Ended targets for this router's report: each in turn those with requests that were at
+    /// several, and one of the others.
     pub(super) fn report(&mut self, now: Instant) -> Vec<EndedTarget> {
         self.expire(now);
         let mut lines = self.lines_after(self.last_repeated, MAX_REPORTED_ENDED - 1, 2);
@@ -235,8 +235,8 @@
         lines
     }
 
-    /// The next ended targets with requests that were at `min_count` or more; of these, the ones that
-    /// were at most.
+    /// The next ended targets with requests that were at `min_count` or more; of these, the ones
+    /// that were at most.
     fn lines_after(&self, last: Hash, max_lines: usize, min_count: usize) -> Vec<EndedTarget> {
         let count = |request: &Hash| self.targets.get(request).map_or(0, SmallVec::len);
         let after = (Bound::Excluded(last), Bound::Unbounded);
