A request counts also at an ended target with more than 128 others

Of an ended target at most 128 requests were kept, over all routers, in the order in which they were told. Engines run up to 128 and queue twice as many, so that the one that ended its target could be left out, each time: more targets ended until it was held. An alert also left out what exceeded 256 requests.

Both bounds are 512 now. A report of 512 requests takes less than a quarter of the largest datagram.

a_request_is_evidence_also_at_a_target_with_a_full_queue failed before, at the first target.

--- a/core/src/quarantine/requests.rs
+++ b/core/src/quarantine/requests.rs
@@ -18,8 +18,11 @@
 /// those without a request that was at several.
 pub const MAX_ENDED: usize = 256;
 
-/// Maximum number of requests that are kept for an ended target.
-pub const MAX_RUNNING: usize = 128;
+/// Maximum number of requests that are kept for an ended target, more than engines run and queue.
+pub const MAX_RUNNING: usize = 512;
+
+/// Maximum number of requests at ended targets that wait to be told to the other routers.
+const MAX_UNREPORTED: usize = 512;
 
 /// Maximum number of ended targets in a report.
 pub const MAX_REPORTED_ENDED: usize = 8;
@@ -83,7 +86,7 @@
 impl Requests {
     pub(super) fn record_own(&mut self, target: Hash, request: Hash, now: Instant) -> bool {
         let is_new = self.record(target, now, request, now);
-        if is_new && self.unreported.len() < MAX_ENDED {
+        if is_new && self.unreported.len() < MAX_UNREPORTED {
             self.unreported.push((target, request));
         }
         is_new
--- a/core/tests/quarantine_requests.rs
+++ b/core/tests/quarantine_requests.rs
@@ -437,6 +437,20 @@
             assert!(restarted.is_request_quarantined(request, now), "{request}");
         }
     },
+    a_request_is_evidence_also_at_a_target_with_a_full_queue: {
+        // An engine of 128 slots with as many requests in its queue; the cause is told last.
+        let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
+        for target in 0..3 {
+            now += GAP;
+            for i in 0..256 {
+                quarantine.record_ended(target, INNOCENT + 1_000 * target + i, now);
+            }
+            quarantine.record_ended(target, CULPRIT, now);
+            let told = quarantine.take_unreported_ended();
+            assert!(told.iter().any(|line| line.requests.contains(&CULPRIT)), "{target}");
+        }
+        assert!(quarantine.is_request_quarantined(CULPRIT, now));
+    },
     eight_routers_hold_what_ends_engines: replay(ENGINES),
     eight_routers_hold_what_ends_plain_targets: replay(PLAIN),
     seventy_routers_hold_what_ends_engines: replay(
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -180,6 +180,18 @@
     assert_eq!(load::decode(&load::encode(&example_report())).unwrap(), example_report());
 }
 
+#[test]
+fn report_of_ended_engines_with_full_queues_decodes_unchanged() {
+    let mut report = example_report();
+    let requests = |target| (0..256).map(|i| report::hash("request", 256 * target + i)).collect();
+    let ended = |target| report::EndedTarget { target, age_ms: 80, requests: requests(target) };
+    report.ended = vec![ended(1), ended(2)];
+    report.cleared_requests = (0..128).map(|i| report::hash("cleared", i)).collect();
+    let datagram = load::encode(&report);
+    assert!(datagram.len() < load::MAX_DATAGRAM_BYTES / 4, "{}", datagram.len());
+    assert_eq!(load::decode(&datagram).unwrap(), report);
+}
+
 #[test]
 fn invalid_reports_do_not_panic() {
     let datagram = load::encode(&example_report());
