A router stops after two targets have ended under one attempt of a caller

Targets that end within 50 ms count as one crash, since those of a rack say little about what they ran. A request that ends its targets at once, on a route with three attempts, ended three within milliseconds each time that it came, and these counted as one: it reached four targets later than 3 s after its third crash.

Its router now sends it to no third target by itself once two of those that it tried have ended. Routes with one or two attempts aren't concerned.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -76,6 +76,10 @@
 /// as evidence.
 pub const MAX_SUSPECTS: usize = 4;
 
+/// Number of targets that end under one attempt of a caller, from which its router doesn't send it
+/// again.
+const MAX_ENDED_BY_ATTEMPT: usize = 2;
+
 /// Maximum number of answered parts that are tracked; beyond it, the oldest quarter is dropped.
 pub const MAX_ANSWERED: usize = 4096;
 
@@ -254,10 +258,15 @@
         self.requests.evidence(request, now)
     }
 
-    /// Whether a router may send a request to another target by itself after the last one ended.
-    /// Its caller may still do so if others were at all of the same crashes.
-    pub fn may_retry_request(&self, request: Hash, now: Instant) -> bool {
-        self.evidence(request, now).crash_count < MIN_CRASHES
+    /// Whether a router may send a request to another target by itself after the last one of the
+    /// `tried` ones ended. Its caller may still do so if others were at all of the same crashes.
+    ///
+    /// Targets that end within [`MIN_CRASH_GAP`] count as one crash, also if they end one after the
+    /// other by retries.
+    pub fn may_retry_request(&self, request: Hash, tried: &[Hash], now: Instant) -> bool {
+        let evidence = self.evidence(request, now);
+        let ended_count = evidence.targets.iter().filter(|target| tried.contains(target)).count();
+        evidence.crash_count < MIN_CRASHES && ended_count < MAX_ENDED_BY_ATTEMPT
     }
 
     /// Ended targets that the other routers haven't been told of.
--- a/core/tests/quarantine_requests.rs
+++ b/core/tests/quarantine_requests.rs
@@ -222,7 +222,7 @@
                 }
                 self.running.push(Running { key, router, target, since: self.step });
                 self.end_target(target);
-                may_send = self.routers[router].may_retry_request(key, self.now);
+                may_send = self.routers[router].may_retry_request(key, &[], self.now);
                 self.now += Duration::from_millis(60);
             }
         }
@@ -242,7 +242,7 @@
         self.tell_all();
         for run in cut.into_iter().filter(|run| run.key >= INNOCENT) {
             self.outcome.hit_count += 1;
-            let may_retry = self.routers[run.router].may_retry_request(run.key, self.now);
+            let may_retry = self.routers[run.router].may_retry_request(run.key, &[], self.now);
             match self.live_target().filter(|_| may_retry) {
                 Some(target) => self.running.push(Running { target, since: self.step, ..run }),
                 None => {
@@ -314,6 +314,38 @@
 
 const PLAIN: Settings = Settings { target_count: 8, running_count: 6, ..ENGINES };
 
+/// Sends a request that ends its targets at once, from some callers at the same time, as often as
+/// one router may. Returns the number of sends later than [`STABLE_WINDOW`] after the third crash.
+fn late_sends(interval: Duration, duration: Duration, callers: usize, max_attempts: usize) -> u32 {
+    let (mut quarantine, begun_at) = (Quarantine::default(), Instant::now());
+    let (mut target, mut late_count) = (0, 0);
+    let (mut arrives_at, mut third_at) = (begun_at, None);
+    while arrives_at < begun_at + duration {
+        let mut now = arrives_at;
+        let is_held = quarantine.is_request_quarantined(CULPRIT, now);
+        let mut tried = vec![Vec::new(); if is_held { 0 } else { callers }];
+        while !tried.is_empty() {
+            if third_at.is_some_and(|at| now > at + STABLE_WINDOW) {
+                late_count += tried.len() as u32;
+            }
+            now += Duration::from_millis(5);
+            for tried in &mut tried {
+                quarantine.record_ended(target, CULPRIT, now);
+                tried.push(target);
+                target += 1;
+                if target == 3 {
+                    third_at = Some(now);
+                }
+            }
+            tried.retain(|tried| {
+                tried.len() < max_attempts && quarantine.may_retry_request(CULPRIT, tried, now)
+            });
+        }
+        arrives_at += interval;
+    }
+    late_count
+}
+
 macro_rules! cases {
     ($($name:ident: $body:expr,)*) => { $(
         #[test]
@@ -325,10 +357,10 @@
     three_crashes_quarantine_a_request: {
         let (quarantine, now) = crashes(&[&[CULPRIT], &[CULPRIT]]);
         assert!(!quarantine.is_request_quarantined(CULPRIT, now));
-        assert!(quarantine.may_retry_request(CULPRIT, now));
+        assert!(quarantine.may_retry_request(CULPRIT, &[], now));
         let (quarantine, now) = crashes(&[&[CULPRIT], &[CULPRIT], &[CULPRIT]]);
         assert!(quarantine.is_request_quarantined(CULPRIT, now));
-        assert!(!quarantine.may_retry_request(CULPRIT, now));
+        assert!(!quarantine.may_retry_request(CULPRIT, &[], now));
         assert!(!quarantine.is_request_quarantined(INNOCENT, now));
         assert!(!quarantine.is_request_quarantined(CULPRIT, now + quarantine::EVIDENCE_TTL));
     },
@@ -354,10 +386,10 @@
         let both = [CULPRIT, INNOCENT];
         let (mut quarantine, now) = crashes(&[&both, &both, &both]);
         assert!(!quarantine.is_request_quarantined(INNOCENT, now));
-        assert!(!quarantine.may_retry_request(CULPRIT, now));
+        assert!(!quarantine.may_retry_request(CULPRIT, &[], now));
         quarantine.record_request_answer(INNOCENT, now);
         assert!(quarantine.is_request_quarantined(CULPRIT, now));
-        assert!(quarantine.may_retry_request(INNOCENT, now));
+        assert!(quarantine.may_retry_request(INNOCENT, &[], now));
         // Without an answer, the next crash decides.
         let (quarantine, now) = crashes(&[&both, &both, &both, &both]);
         assert!(quarantine.is_request_quarantined(CULPRIT, now));
@@ -437,6 +469,14 @@
             assert!(restarted.is_request_quarantined(request, now), "{request}");
         }
     },
+    a_request_that_ends_targets_at_once_is_held_with_two_attempts: {
+        let late = late_sends(Duration::from_secs(5), Duration::from_secs(60), 1, 2);
+        assert!(late <= MAX_LATE_SENDS, "{late}");
+    },
+    a_request_that_ends_targets_at_once_is_held_with_three_attempts: {
+        let late = late_sends(Duration::from_secs(5), Duration::from_secs(60), 1, 3);
+        assert!(late <= MAX_LATE_SENDS, "{late}");
+    },
     a_request_is_evidence_also_at_a_target_with_a_full_queue: {
         // An engine of 128 slots with as many requests in its queue; the cause is told last.
         let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
--- a/daemon/src/edge/crash.rs
+++ b/daemon/src/edge/crash.rs
@@ -43,7 +43,7 @@
     let mut state = traffic.context.state();
     let quarantine = &mut state.quarantine;
     let mut is_new = quarantine.record_ended(hash, request, now);
-    let mut may_retry = quarantine.may_retry_request(request, now);
+    let mut may_retry = quarantine.may_retry_request(request, &spec.tried, now);
     if is_at_start {
         let crash = Crash { target: hash, team: spec.team, at: now, parts: parts.clone() };
         is_new |= quarantine.record_crash(crash, now);
@@ -112,7 +112,8 @@
 /// Whether a router may send a request to another target by itself.
 pub fn may_send_again(traffic: &Rc<Traffic>, spec: &RequestSpec) -> bool {
     let quarantine = &traffic.context.state().quarantine;
-    quarantine.is_empty() || quarantine.may_retry_request(spec.identity.key(), Instant::now())
+    let now = Instant::now();
+    quarantine.is_empty() || quarantine.may_retry_request(spec.identity.key(), &spec.tried, now)
 }
 
 /// Records that a request was answered completely, which clears it and the parts of its prompt.
