--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -156,6 +156,8 @@
         };
         let mut has_begun = false;
         let mut last_at = Instant::now();
+        // Since the last event, or since the target went on after a silence.
+        let mut sending_since = last_at;
         loop {
             let silent_at = stream_timeouts.deadline(last_at, has_begun);
             let frame = match self.next_frame(stream, attempt, silent_at).await {
@@ -172,6 +174,7 @@
             };
             if Instant::now() >= silent_at {
                 self.record_success(attempt);
+                sending_since = Instant::now();
             }
             let events = self.splitter.push(&bytes);
             if self.splitter.has_gap || self.splitter.is_event_too_long() {
@@ -179,6 +182,10 @@
                 return StreamEnd::Broken { cause, is_at_start: !has_begun };
             }
             last_at = Instant::now();
+            if events.is_empty() && last_at >= stream_timeouts.deadline(sending_since, has_begun) {
+                let cause = "bytes without an event".to_string();
+                return StreamEnd::Broken { cause, is_at_start: !has_begun };
+            }
             if events.is_empty() {
                 continue;
             }
@@ -191,6 +198,7 @@
             if self.chunks.send(Chunk::Events(events)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
+            sending_since = Instant::now();
         }
     }
 
@@ -211,6 +219,10 @@
         silent_at: Instant,
     ) -> Result<FrameResult, StreamEnd> {
         let deadline = self.active.request.deadline;
+        // A stream whose bytes are always there would keep the timers from being polled.
+        if Instant::now() >= deadline {
+            return Err(StreamEnd::Timeout);
+        }
         tokio::select! {
             biased;
             frame = stream.frame() => return Ok(frame),
--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -11,8 +11,9 @@
 use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Maximum size of a response head, including interim responses.
-const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Maximum size of a response head, including interim responses. Decoding them takes time from other
+/// requests, up to the deadline of a request if its target never comes to an answer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Size up to which a response needs no reservation: far above the usual size, so that large
 /// responses don't block usual ones.
