--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -16,7 +16,7 @@
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
 //! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on; [`crash`]
-//!   notices targets that end as they begin to answer.
+//!   notices targets that end while they run a request.
 //! - [`active`] tries targets until one answers a request.
 //! - [`handle`] processes a request from arrival to response.
 //! - [`request_record`] logs the outcome of a request, [`team_counts`] the totals of each team.
