--- /dev/null
+++ b/review/case.rs
@@ -0,0 +1,177 @@
+//! The scripts of the cases.
+
+use std::collections::{HashMap, HashSet};
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use crate::{Attempt, Ended, Handler, Message, Record, Server, Stage, call, ms};
+
+/// Plays a case; returns whether the rule was broken.
+pub fn run(name: &str, stage: &Stage) -> io::Result<bool> {
+    match name {
+        "hang" => hang(stage),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
+
+/// Reads nothing more and sends nothing more until the peer closes the channel.
+fn fall_silent(stream: &mut TcpStream) -> io::Result<()> {
+    let mut byte = [0; 1];
+    let _ = io::Read::read(stream, &mut byte);
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
+
+/// Sends a stream of `count` events, each of which holds the id of the request.
+fn send_stream(server: &Server, request: &Message, stream: &mut TcpStream, count: u64) -> io::Result<()> {
+    send_stream_head(server, request, stream)?;
+    thread::sleep(ms(150));
+    let after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+    for number in after + 1..=count {
+        let id = request.header("attempt-id").unwrap_or_default();
+        let event = format!("id: {number}\ndata: {id} {number}\n\n");
+        write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        thread::sleep(ms(30));
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+fn send_stream_head(server: &Server, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
+    let headers = server.answer_headers(request);
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+fn write_attempts(record: &Record, attempts: &[Attempt]) {
+    for attempt in attempts {
+        let Attempt { id, router, sent_s, ended_s, ended, has_head, .. } = attempt;
+        record.line(&format!(
+            "request {id} to {router}: sent {sent_s:.3}, ended {ended_s:.3}, {ended:?}, head {has_head}"
+        ));
+    }
+}
+
+/// A number from 0 to 99 that follows from a text.
+fn draw(text: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in text.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+    }
+    (hash ^ (hash >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32 & 0xffff_ffff
+}
+
+/// A part of the requests hangs at two of eight model servers.
+fn hang(stage: &Stage) -> io::Result<bool> {
+    const TIMEOUT_S: f64 = 5.0;
+    const EVENTS: u64 = 10;
+    const RATE: u64 = 60;
+    const COUNT: u64 = 12 * RATE;
+    let record = &stage.record;
+    stage.store.put(
+        "keyed.op",
+        "config",
+        "{\"version\":3,\"routes\":[{\"name\":\"brief\",\"host\":\"desk.example\",\"path_prefix\":\"/brief/\",\
+         \"route_kind\":\"streaming\",\"timeout_ms\":5000,\"target_latency_ms\":1500,\"priority\":1,\
+         \"service\":\"model\",\"max_attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,\
+         \"gap_aim_ms\":250}],\"services\":[{\"name\":\"model\",\"health_path\":\"/healthz\",\
+         \"max_conns\":370,\"engine\":{\"slots\":64,\"kv_capacity\":542899}}],\
+         \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000,\"tokens_per_s\":530000},\
+         \"tenants\":[{\"name\":\"clubs\",\"api_keys\":[\"key-of-clubs\"],\"priority\":1}]}",
+    );
+    // Servers by id: how many requests came, and what they do with a part of the requests.
+    let arrivals = Arc::new(Mutex::new(HashMap::<String, u32>::new()));
+    let grey = Arc::new(Mutex::new(HashMap::<String, &'static str>::new()));
+    let hung = Mutex::new(HashSet::<String>::new());
+    let (counted, modes, log) = (arrivals.clone(), grey.clone(), record.clone());
+    let handler: Arc<Handler> = Arc::new(move |server, request, stream| {
+        *counted.lock().unwrap().entry(server.id.clone()).or_default() += 1;
+        let id = request.header("attempt-id").unwrap_or_default();
+        let mut modes = modes.lock().unwrap();
+        let hangs_elsewhere = hung.lock().unwrap().contains(id);
+        if modes.len() == 1 && hangs_elsewhere {
+            log.line(&format!("trouble: server {} falls mute on 45 in 100 requests", server.id));
+            modes.insert(server.id.clone(), "falls mute on");
+        }
+        let mode = modes.get(&server.id).copied();
+        drop(modes);
+        let mode = mode.filter(|_| draw(&format!("{id} {}", server.id)) % 100 < 45).unwrap_or("serves");
+        log.line(&format!("server {} {mode} {id}", server.id));
+        match mode {
+            "hangs on" => {
+                hung.lock().unwrap().insert(id.to_string());
+                fall_silent(stream)
+            }
+            "falls mute on" => {
+                send_stream_head(server, request, stream)?;
+                fall_silent(stream)
+            }
+            _ => send_stream(server, request, stream, EVENTS),
+        }
+    });
+    let servers = (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
+    let servers = servers.collect::<io::Result<Vec<_>>>()?;
+    let routers = stage.start_routers(3)?;
+    let fronts = routers.iter().map(|router| (router.name.clone(), router.front)).collect::<Vec<_>>();
+    let attempts = Arc::new(Mutex::new(Vec::<Attempt>::new()));
+    let begin_s = record.now();
+    let mut clients = Vec::new();
+    // Requests at an even rate, which share a long part of their prompts.
+    for number in 0..COUNT {
+        record.sleep_until(begin_s + number as f64 / RATE as f64);
+        if number == 5 * RATE && stage.has_trouble {
+            let counts = arrivals.lock().unwrap().clone();
+            let hanging = counts.iter().max_by_key(|(_, count)| **count).map(|(id, _)| id.clone());
+            let hanging = hanging.unwrap_or_default();
+            record.line(&format!("trouble: server {hanging} hangs on 45 in 100 requests"));
+            grey.lock().unwrap().insert(hanging, "hangs on");
+        }
+        if number == 7 * RATE && stage.has_trouble {
+            // What hangs, hangs; new requests are served.
+            for mode in grey.lock().unwrap().values_mut() {
+                *mode = "serves";
+            }
+            record.line("trouble: new requests are served again there");
+        }
+        if number == 5 * RATE + 13 * RATE / 2 {
+            // 6.5 s later.
+            grey.lock().unwrap().clear();
+            record.line("trouble ends");
+        }
+        let (attempts, record) = (attempts.clone(), record.clone());
+        let (router, front) = fronts[number as usize % fronts.len()].clone();
+        clients.push(thread::spawn(move || {
+            let id = format!("r{number:04}");
+            let headers = format!(
+                "Authorization: Bearer key-of-clubs\r\nModel: m\r\nToken-Counts: 13800,80\r\n\
+                 Prefix-Hash: 5c1e07a2:13300,{:x}:500\r\n",
+                0xaa00_0000 + number
+            );
+            // The client leaves after four times the objective without an event.
+            let (limit, patience) = (ms(12_000), ms(6000));
+            let attempt =
+                call(&record, &router, front, &id, "POST /brief/2f", &headers, b"a prompt", limit, patience);
+            attempts.lock().unwrap().push(attempt);
+        }));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    drop(servers);
+    let mut attempts = attempts.lock().unwrap().clone();
+    attempts.sort_by(|a, b| a.id.cmp(&b.id));
+    write_attempts(record, &attempts);
+    let lasts = |attempt: &&Attempt, time_s: f64| attempt.ended_s - attempt.sent_s > time_s;
+    let long = attempts.iter().filter(|a| lasts(a, TIMEOUT_S)).count();
+    let late = attempts.iter().filter(|a| lasts(a, TIMEOUT_S + 0.5)).count();
+    let never = attempts.iter().filter(|a| a.ended == Ended::GaveUp).count();
+    record.line(&format!(
+        "CONFIG: of {} requests, {long} were unfinished at timeout_ms, {late} of them half a second later \
+         ({never} had no answer when their client left after 6 s)",
+        attempts.len()
+    ));
+    Ok(late >= 8 && late * 4 > long)
+}
