--- a/review/case.rs
+++ b/review/case.rs
@@ -1,17 +1,18 @@
 //! The scripts of the cases.
 
 use std::collections::{HashMap, HashSet};
-use std::io::{self, Write};
-use std::net::TcpStream;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::{Attempt, Ended, Handler, Message, Record, Server, Stage, call, ms};
+use crate::{Attempt, Ended, Handler, Message, Record, Server, Stage, call, ms, read_message, respond};
 
 /// Plays a case; returns whether the rule was broken.
 pub fn run(name: &str, stage: &Stage) -> io::Result<bool> {
     match name {
         "hang" => hang(stage),
+        "uploads" => uploads(stage),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -175,3 +176,142 @@
     ));
     Ok(late >= 8 && late * 4 > long)
 }
+
+/// Clients upload drawings, and for 3 s 1.67 times as many of them come.
+fn uploads(stage: &Stage) -> io::Result<bool> {
+    // 260 MiB, the larger reading of `memory_mb`.
+    const MEMORY_MB: f64 = 272.6;
+    const CLIENTS: usize = 18;
+    const BURST_CLIENTS: usize = 12;
+    const BYTES: usize = 4_190_000;
+    let record = &stage.record;
+    stage.store.put(
+        "keyed.op",
+        "config",
+        "{\"version\":3,\"routes\":[{\"name\":\"order\",\"host\":\"desk.example\",\"path_prefix\":\"/order/\",\
+         \"route_kind\":\"non_idempotent\",\"timeout_ms\":12000,\"target_latency_ms\":1500,\"priority\":1,\
+         \"service\":\"desk\",\"max_attempts\":2,\"public\":false,\"sticky\":false}],\
+         \"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":370}],\
+         \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000},\
+         \"tenants\":[{\"name\":\"clubs\",\"api_keys\":[\"key-of-clubs\"],\"priority\":1}]}",
+    );
+    let run = Arc::new(Mutex::new(HashSet::<String>::new()));
+    let (log, begun) = (record.clone(), run.clone());
+    let handler: Arc<Handler> = Arc::new(move |server, request, stream| {
+        let id = request.header("attempt-id").unwrap_or_default();
+        log.line(&format!("server {} runs {id}, {} bytes", server.id, request.body.len()));
+        begun.lock().unwrap().insert(id.to_string());
+        thread::sleep(ms(1500));
+        respond(stream, "200 OK", &server.answer_headers(request), b"done")
+    });
+    let servers = (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
+    let _servers = servers.collect::<io::Result<Vec<_>>>()?;
+    let mut routers = stage.start_routers(2)?;
+    let begin_s = record.now();
+    let body = Arc::new(vec![b'x'; BYTES]);
+    let lost = Arc::new(Mutex::new(Vec::<String>::new()));
+    let mut clients = Vec::new();
+    for (at, router) in routers.iter().enumerate() {
+        let burst = if stage.has_trouble { BURST_CLIENTS } else { 0 };
+        for number in 0..CLIENTS + burst {
+            let (from_s, until_s) = if number < CLIENTS { (0.0, 16.0) } else { (8.0, 11.0) };
+            // Clients don't come in step.
+            let from_s = begin_s + from_s + (number * 2 + at) as f64 * 0.02;
+            let (record, body, lost) = (record.clone(), body.clone(), lost.clone());
+            let (front, router) = (router.front, router.name.clone());
+            clients.push(thread::spawn(move || {
+                let name = format!("c{at}{number:02}");
+                upload_until(&record, front, &name, &router, from_s, begin_s + until_s, &body, &lost)
+            }));
+        }
+    }
+    // The platform kills a process that exceeds its memory, and starts it again.
+    let mut kills = 0;
+    let mut most_mb = 0.0_f64;
+    while record.now() < begin_s + 20.0 {
+        for router in &mut routers {
+            let memory_mb = router.memory_mb();
+            most_mb = most_mb.max(memory_mb);
+            if memory_mb > MEMORY_MB {
+                kills += 1;
+                record.line(&format!("platform: {} has {memory_mb:.0} MB and is killed", router.name));
+                router.signal("KILL");
+                router.wait();
+                thread::sleep(ms(300));
+                router.spawn()?;
+            }
+        }
+        thread::sleep(ms(20));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let run = run.lock().unwrap();
+    let mut lost = lost.lock().unwrap();
+    lost.retain(|id| run.contains(id));
+    record.line(&format!(
+        "LOST: {kills} processes exceeded {MEMORY_MB} MB (most {most_mb:.0} MB); {} requests on kept channels were \
+         passed on to a server and their channel was closed without an answer",
+        lost.len()
+    ));
+    Ok(kills > 0 && lost.len() > 3)
+}
+
+/// Sends one upload after the other on a kept channel.
+#[allow(clippy::too_many_arguments)]
+fn upload_until(
+    record: &Record,
+    front: SocketAddr,
+    name: &str,
+    router: &str,
+    from_s: f64,
+    until_s: f64,
+    body: &[u8],
+    lost: &Mutex<Vec<String>>,
+) {
+    record.sleep_until(from_s);
+    let mut channel: Option<(TcpStream, BufReader<TcpStream>)> = None;
+    let mut count = 0;
+    while record.now() < until_s {
+        let is_kept = channel.is_some();
+        let id = format!("{name}-{count}");
+        count += 1;
+        record.line(&format!("client {name} sends {id} to {router}"));
+        let mut is_sent = false;
+        let result = (|| -> io::Result<Message> {
+            let (mut stream, mut reader) = match channel.take() {
+                Some(kept) => kept,
+                None => {
+                    let stream = TcpStream::connect_timeout(&front, ms(1000))?;
+                    stream.set_nodelay(true)?;
+                    stream.set_read_timeout(Some(ms(12_000)))?;
+                    (stream.try_clone()?, BufReader::new(stream))
+                }
+            };
+            write!(
+                stream,
+                "POST /order/2f HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 12000\r\n\
+                 Authorization: Bearer key-of-clubs\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            )?;
+            stream.write_all(body)?;
+            is_sent = true;
+            let answer = read_message(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            if answer.header("connection") != Some("close") {
+                channel = Some((stream, reader));
+            }
+            Ok(answer)
+        })();
+        match result {
+            Ok(answer) => record.line(&format!("client {name}: {id} answered {}", answer.status())),
+            Err(err) => {
+                record.line(&format!("client {name}: {id} cut, {} (kept {is_kept}, sent {is_sent})", err.kind()));
+                if is_kept && is_sent {
+                    lost.lock().unwrap().push(id);
+                }
+                thread::sleep(ms(500));
+            }
+        }
+    }
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -444,6 +444,21 @@
         }
     }
 
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+        }
+    }
+
+    /// Memory in use, in MB.
+    pub fn memory_mb(&self) -> f64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        line.trim().trim_end_matches(" kB").trim().parse::<f64>().map_or(0.0, |kb| kb * 1024.0 / 1e6)
+    }
+
     pub fn log(&self) -> String {
         fs::read_to_string(self.folder.join(format!("{}.out", self.name))).unwrap_or_default()
     }
