--- a/review/case.rs
+++ b/review/case.rs
@@ -13,6 +13,7 @@
     match name {
         "hang" => hang(stage),
         "uploads" => uploads(stage),
+        "late" => late_write(stage),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -315,3 +316,77 @@
         }
     }
 }
+
+/// A liveness report of a server is executed by the store 6 s late, after the server's entry was removed.
+fn late_write(stage: &Stage) -> io::Result<bool> {
+    let record = &stage.record;
+    stage.store.put(
+        "keyed.op",
+        "config",
+        "{\"version\":3,\"routes\":[{\"name\":\"order\",\"host\":\"desk.example\",\"path_prefix\":\"/order/\",\
+         \"route_kind\":\"non_idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":100,\"priority\":1,\
+         \"service\":\"desk\",\"max_attempts\":2,\"public\":false,\"sticky\":false}],\
+         \"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":110}],\
+         \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000},\
+         \"tenants\":[{\"name\":\"clubs\",\"api_keys\":[\"key-of-clubs\"],\"priority\":1}]}",
+    );
+    let runs = Arc::new(Mutex::new(Vec::<(f64, String, String)>::new()));
+    let (log, noted) = (record.clone(), runs.clone());
+    let handler: Arc<Handler> = Arc::new(move |server, request, stream| {
+        let id = request.header("attempt-id").unwrap_or_default();
+        log.line(&format!("server {} runs {id}", server.id));
+        noted.lock().unwrap().push((log.now(), server.id.clone(), id.to_string()));
+        thread::sleep(ms(15));
+        respond(stream, "200 OK", &server.answer_headers(request), b"done")
+    });
+    let servers = (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
+    let servers = servers.collect::<io::Result<Vec<_>>>()?;
+    let routers = stage.start_routers(2)?;
+    let begin_s = record.now();
+    let leaving = servers[0].clone();
+    let (store, has_trouble, log) = (stage.store.clone(), stage.has_trouble, record.clone());
+    let removed_s = begin_s + 6.5;
+    let plan = thread::spawn(move || {
+        log.sleep_until(begin_s + 3.0);
+        let report = leaving.entry("ready");
+        log.line("the store gives no answer to a liveness report of i-1");
+        log.sleep_until(removed_s);
+        leaving.stop_reporting();
+        log.line("the entry of i-1 is removed; it serves on for a while");
+        store.put("keyed.servers", "i-1", "");
+        log.sleep_until(begin_s + 9.0);
+        if has_trouble {
+            log.line("trouble: the store executes the report 6 s late");
+            store.put("keyed.servers", "i-1", &report);
+        }
+        log.sleep_until(begin_s + 12.6);
+        store.put("keyed.servers", "i-1", "");
+        log.line("after three silent intervals the entry is removed again");
+    });
+    let mut clients = Vec::new();
+    let attempts = Arc::new(Mutex::new(Vec::<Attempt>::new()));
+    for number in 0..14 * 60_u64 {
+        record.sleep_until(begin_s + number as f64 / 60.0);
+        let (record, attempts) = (record.clone(), attempts.clone());
+        let router = &routers[number as usize % 2];
+        let (front, name) = (router.front, router.name.clone());
+        clients.push(thread::spawn(move || {
+            let id = format!("r{number:04}");
+            let headers = "Authorization: Bearer key-of-clubs\r\n";
+            let limit = ms(1500);
+            let attempt = call(&record, &name, front, &id, "POST /order/2f", headers, b"an order", limit, limit);
+            attempts.lock().unwrap().push(attempt);
+        }));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let _ = plan.join();
+    write_attempts(record, &attempts.lock().unwrap());
+    let runs = runs.lock().unwrap();
+    let late = runs.iter().filter(|(at, id, _)| id == "i-1" && *at > removed_s + 2.0 + 0.1).collect::<Vec<_>>();
+    let last_s = late.iter().map(|(at, _, _)| at - removed_s).fold(0.0, f64::max);
+    record.line(&format!("DRAIN: {} requests reached i-1 later than drain_ms after its removal, the last {last_s:.1} s after", late.len()));
+    Ok(!late.is_empty())
+}
