--- a/review/case.rs
+++ b/review/case.rs
@@ -14,6 +14,7 @@
         "hang" => hang(stage),
         "uploads" => uploads(stage),
         "late" => late_write(stage),
+        "slow" => slow(stage),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -390,3 +391,152 @@
     record.line(&format!("DRAIN: {} requests reached i-1 later than drain_ms after its removal, the last {last_s:.1} s after", late.len()));
     Ok(!late.is_empty())
 }
+
+/// A model server turns slow; it sends each token as it is made.
+fn slow(stage: &Stage) -> io::Result<bool> {
+    const CLIENTS: usize = 60;
+    const EVENTS: u64 = 8;
+    const TOKENS: usize = 3;
+    const TOKEN_MS: u64 = 83;
+    const SLOW_FACTOR: u64 = 8;
+    let record = &stage.record;
+    stage.store.put(
+        "keyed.op",
+        "config",
+        "{\"version\":3,\"routes\":[{\"name\":\"quote\",\"host\":\"desk.example\",\"path_prefix\":\"/quote/\",\
+         \"route_kind\":\"streaming\",\"timeout_ms\":30000,\"target_latency_ms\":800,\"priority\":1,\
+         \"service\":\"model\",\"max_attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":false,\
+         \"gap_aim_ms\":250}],\"services\":[{\"name\":\"model\",\"health_path\":\"/healthz\",\
+         \"max_conns\":370,\"engine\":{\"slots\":64,\"kv_capacity\":542899}}],\
+         \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000,\"tokens_per_s\":530000},\
+         \"tenants\":[{\"name\":\"clubs\",\"api_keys\":[\"key-of-clubs\"],\"priority\":1}]}",
+    );
+    let running = Arc::new(Mutex::new(HashMap::<String, i64>::new()));
+    let slow_server = Arc::new(Mutex::new(String::new()));
+    let cut = Arc::new(Mutex::new(HashSet::<String>::new()));
+    let (counts, slow_one, noted, log) = (running.clone(), slow_server.clone(), cut.clone(), record.clone());
+    let handler: Arc<Handler> = Arc::new(move |server, request, stream| {
+        let id = request.header("attempt-id").unwrap_or_default().to_string();
+        log.line(&format!("server {} runs {id}", server.id));
+        *counts.lock().unwrap().entry(server.id.clone()).or_default() += 1;
+        let send = |stream: &mut TcpStream| -> io::Result<()> {
+            send_stream_head(server, request, stream)?;
+            thread::sleep(ms(100));
+            for number in 1..=EVENTS {
+                for token in 0..TOKENS {
+                    let is_slow = *slow_one.lock().unwrap() == server.id;
+                    thread::sleep(ms(TOKEN_MS * if is_slow { SLOW_FACTOR } else { 1 }));
+                    let mut text = format!(" token{token}");
+                    if token == 0 {
+                        text = format!("id: {number}\ndata:{text}");
+                    }
+                    if token + 1 == TOKENS {
+                        text.push_str("\n\n");
+                    }
+                    write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+                }
+            }
+            stream.write_all(b"0\r\n\r\n")
+        };
+        let result = send(stream);
+        *counts.lock().unwrap().entry(server.id.clone()).or_default() -= 1;
+        if let Err(err) = &result {
+            log.line(&format!("server {}: its channel was closed while it ran {id} ({})", server.id, err.kind()));
+            noted.lock().unwrap().insert(id);
+        }
+        result
+    });
+    let servers = (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
+    let _servers = servers.collect::<io::Result<Vec<_>>>()?;
+    let routers = stage.start_routers(2)?;
+    let begin_s = record.now();
+    let lost = Arc::new(Mutex::new(Vec::<String>::new()));
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let router = &routers[number % 2];
+        let (front, router) = (router.front, router.name.clone());
+        let (record, lost) = (record.clone(), lost.clone());
+        clients.push(thread::spawn(move || {
+            record.sleep_until(begin_s + number as f64 * 0.04);
+            stream_until(&record, front, &format!("c{number:02}"), &router, begin_s + 18.0, EVENTS, &lost)
+        }));
+    }
+    record.sleep_until(begin_s + 6.0);
+    if stage.has_trouble {
+        let counts = running.lock().unwrap().clone();
+        let busiest = counts.into_iter().max_by_key(|(_, count)| *count).map(|(id, _)| id).unwrap_or_default();
+        record.line(&format!("trouble: server {busiest} takes {SLOW_FACTOR} times as long"));
+        *slow_server.lock().unwrap() = busiest;
+    }
+    record.sleep_until(begin_s + 12.5);
+    slow_server.lock().unwrap().clear();
+    record.line("trouble ends");
+    for client in clients {
+        let _ = client.join();
+    }
+    thread::sleep(ms(1000));
+    let (cut, lost) = (cut.lock().unwrap(), lost.lock().unwrap());
+    let both = lost.iter().filter(|id| cut.contains(*id)).count();
+    record.line(&format!(
+        "LOST: {} streams from kept channels ended without a whole answer, {both} of them while their server was \
+         sending on",
+        lost.len()
+    ));
+    Ok(both > 3)
+}
+
+/// Asks for one stream after the other on a kept channel. The client leaves after 3.2 s without a byte, four
+/// times the objective.
+fn stream_until(
+    record: &Record,
+    front: SocketAddr,
+    name: &str,
+    router: &str,
+    until_s: f64,
+    events: u64,
+    lost: &Mutex<Vec<String>>,
+) {
+    let mut channel: Option<(TcpStream, BufReader<TcpStream>)> = None;
+    let mut count = 0;
+    while record.now() < until_s {
+        let is_kept = channel.is_some();
+        let id = format!("{name}-{count}");
+        count += 1;
+        record.line(&format!("client {name} sends {id} to {router}"));
+        let result = (|| -> io::Result<u16> {
+            let (mut stream, mut reader) = match channel.take() {
+                Some(kept) => kept,
+                None => {
+                    let stream = TcpStream::connect_timeout(&front, ms(1000))?;
+                    stream.set_nodelay(true)?;
+                    stream.set_read_timeout(Some(ms(3200)))?;
+                    (stream.try_clone()?, BufReader::new(stream))
+                }
+            };
+            let part = draw(&id);
+            let head = format!(
+                "POST /quote/2f HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 30000\r\n\
+                 Authorization: Bearer key-of-clubs\r\nModel: m\r\nToken-Counts: 500,24\r\n\
+                 Prefix-Hash: {part:x}:500\r\nContent-Length: 8\r\n\r\na prompt"
+            );
+            stream.write_all(head.as_bytes())?;
+            let answer = read_message(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            let text = String::from_utf8_lossy(&answer.body).to_string();
+            if answer.status() == 200 && text.matches("\n\n").count() as u64 != events {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            channel = Some((stream, reader));
+            Ok(answer.status())
+        })();
+        match result {
+            Ok(status) => record.line(&format!("client {name}: {id} answered {status}")),
+            Err(err) => {
+                record.line(&format!("client {name}: {id} cut, {} (kept {is_kept})", err.kind()));
+                if is_kept && err.kind() == io::ErrorKind::UnexpectedEof {
+                    lost.lock().unwrap().push(id);
+                }
+            }
+        }
+    }
+}
