--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standin review/standin.rs
+rustc --edition 2024 -O -o target/review/standin review/tests/standin.rs
--- a/review/case.rs
+++ b/review/tests/case.rs
@@ -6,7 +6,9 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::{Attempt, Ended, Handler, Message, Record, Server, Stage, call, ms, read_message, respond};
+use crate::{
+    Attempt, Ended, Handler, Message, Record, Server, Stage, call, ms, read_message, respond,
+};
 
 /// Plays a case; returns whether the rule was broken.
 pub fn run(name: &str, stage: &Stage) -> io::Result<bool> {
@@ -27,7 +29,12 @@
 }
 
 /// Sends a stream of `count` events, each of which holds the id of the request.
-fn send_stream(server: &Server, request: &Message, stream: &mut TcpStream, count: u64) -> io::Result<()> {
+fn send_stream(
+    server: &Server,
+    request: &Message,
+    stream: &mut TcpStream,
+    count: u64,
+) -> io::Result<()> {
     send_stream_head(server, request, stream)?;
     thread::sleep(ms(150));
     let after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
@@ -101,7 +108,8 @@
         }
         let mode = modes.get(&server.id).copied();
         drop(modes);
-        let mode = mode.filter(|_| draw(&format!("{id} {}", server.id)) % 100 < 45).unwrap_or("serves");
+        let mode =
+            mode.filter(|_| draw(&format!("{id} {}", server.id)) % 100 < 45).unwrap_or("serves");
         log.line(&format!("server {} {mode} {id}", server.id));
         match mode {
             "hangs on" => {
@@ -115,10 +123,12 @@
             _ => send_stream(server, request, stream, EVENTS),
         }
     });
-    let servers = (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
+    let servers =
+        (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
     let servers = servers.collect::<io::Result<Vec<_>>>()?;
     let routers = stage.start_routers(3)?;
-    let fronts = routers.iter().map(|router| (router.name.clone(), router.front)).collect::<Vec<_>>();
+    let fronts =
+        routers.iter().map(|router| (router.name.clone(), router.front)).collect::<Vec<_>>();
     let attempts = Arc::new(Mutex::new(Vec::<Attempt>::new()));
     let begin_s = record.now();
     let mut clients = Vec::new();
@@ -155,8 +165,17 @@
             );
             // The client leaves after four times the objective without an event.
             let (limit, patience) = (ms(12_000), ms(6000));
-            let attempt =
-                call(&record, &router, front, &id, "POST /brief/2f", &headers, b"a prompt", limit, patience);
+            let attempt = call(
+                &record,
+                &router,
+                front,
+                &id,
+                "POST /brief/2f",
+                &headers,
+                b"a prompt",
+                limit,
+                patience,
+            );
             attempts.lock().unwrap().push(attempt);
         }));
     }
@@ -207,7 +226,8 @@
         thread::sleep(ms(1500));
         respond(stream, "200 OK", &server.answer_headers(request), b"done")
     });
-    let servers = (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
+    let servers =
+        (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
     let _servers = servers.collect::<io::Result<Vec<_>>>()?;
     let mut routers = stage.start_routers(2)?;
     let begin_s = record.now();
@@ -224,7 +244,16 @@
             let (front, router) = (router.front, router.name.clone());
             clients.push(thread::spawn(move || {
                 let name = format!("c{at}{number:02}");
-                upload_until(&record, front, &name, &router, from_s, begin_s + until_s, &body, &lost)
+                upload_until(
+                    &record,
+                    front,
+                    &name,
+                    &router,
+                    from_s,
+                    begin_s + until_s,
+                    &body,
+                    &lost,
+                )
             }));
         }
     }
@@ -237,9 +266,11 @@
             most_mb = most_mb.max(memory_mb);
             if memory_mb > MEMORY_MB {
                 kills += 1;
-                record.line(&format!("platform: {} has {memory_mb:.0} MB and is killed", router.name));
-                router.signal("KILL");
-                router.wait();
+                record.line(&format!(
+                    "platform: {} has {memory_mb:.0} MB and is killed",
+                    router.name
+                ));
+                router.kill();
                 thread::sleep(ms(300));
                 router.spawn()?;
             }
@@ -308,7 +339,10 @@
         match result {
             Ok(answer) => record.line(&format!("client {name}: {id} answered {}", answer.status())),
             Err(err) => {
-                record.line(&format!("client {name}: {id} cut, {} (kept {is_kept}, sent {is_sent})", err.kind()));
+                record.line(&format!(
+                    "client {name}: {id} cut, {} (kept {is_kept}, sent {is_sent})",
+                    err.kind()
+                ));
                 if is_kept && is_sent {
                     lost.lock().unwrap().push(id);
                 }
@@ -341,7 +375,8 @@
         thread::sleep(ms(15));
         respond(stream, "200 OK", &server.answer_headers(request), b"done")
     });
-    let servers = (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
+    let servers =
+        (1..=3).map(|i| Server::start(&format!("i-{i}"), "desk", &stage.store, handler.clone()));
     let servers = servers.collect::<io::Result<Vec<_>>>()?;
     let routers = stage.start_routers(2)?;
     let begin_s = record.now();
@@ -376,7 +411,17 @@
             let id = format!("r{number:04}");
             let headers = "Authorization: Bearer key-of-clubs\r\n";
             let limit = ms(1500);
-            let attempt = call(&record, &name, front, &id, "POST /order/2f", headers, b"an order", limit, limit);
+            let attempt = call(
+                &record,
+                &name,
+                front,
+                &id,
+                "POST /order/2f",
+                headers,
+                b"an order",
+                limit,
+                limit,
+            );
             attempts.lock().unwrap().push(attempt);
         }));
     }
@@ -386,7 +431,10 @@
     let _ = plan.join();
     write_attempts(record, &attempts.lock().unwrap());
     let runs = runs.lock().unwrap();
-    let late = runs.iter().filter(|(at, id, _)| id == "i-1" && *at > removed_s + 2.0 + 0.1).collect::<Vec<_>>();
+    let late = runs
+        .iter()
+        .filter(|(at, id, _)| id == "i-1" && *at > removed_s + 2.0 + 0.1)
+        .collect::<Vec<_>>();
     let last_s = late.iter().map(|(at, _, _)| at - removed_s).fold(0.0, f64::max);
     record.line(&format!("DRAIN: {} requests reached i-1 later than drain_ms after its removal, the last {last_s:.1} s after", late.len()));
     Ok(!late.is_empty())
@@ -415,7 +463,8 @@
     let running = Arc::new(Mutex::new(HashMap::<String, i64>::new()));
     let slow_server = Arc::new(Mutex::new(String::new()));
     let cut = Arc::new(Mutex::new(HashSet::<String>::new()));
-    let (counts, slow_one, noted, log) = (running.clone(), slow_server.clone(), cut.clone(), record.clone());
+    let (counts, slow_one, noted, log) =
+        (running.clone(), slow_server.clone(), cut.clone(), record.clone());
     let handler: Arc<Handler> = Arc::new(move |server, request, stream| {
         let id = request.header("attempt-id").unwrap_or_default().to_string();
         log.line(&format!("server {} runs {id}", server.id));
@@ -442,12 +491,17 @@
         let result = send(stream);
         *counts.lock().unwrap().entry(server.id.clone()).or_default() -= 1;
         if let Err(err) = &result {
-            log.line(&format!("server {}: its channel was closed while it ran {id} ({})", server.id, err.kind()));
+            log.line(&format!(
+                "server {}: its channel was closed while it ran {id} ({})",
+                server.id,
+                err.kind()
+            ));
             noted.lock().unwrap().insert(id);
         }
         result
     });
-    let servers = (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
+    let servers =
+        (1..=8).map(|i| Server::start(&format!("i-{i}"), "model", &stage.store, handler.clone()));
     let _servers = servers.collect::<io::Result<Vec<_>>>()?;
     let routers = stage.start_routers(2)?;
     let begin_s = record.now();
@@ -459,13 +513,25 @@
         let (record, lost) = (record.clone(), lost.clone());
         clients.push(thread::spawn(move || {
             record.sleep_until(begin_s + number as f64 * 0.04);
-            stream_until(&record, front, &format!("c{number:02}"), &router, begin_s + 18.0, EVENTS, &lost)
+            stream_until(
+                &record,
+                front,
+                &format!("c{number:02}"),
+                &router,
+                begin_s + 18.0,
+                EVENTS,
+                &lost,
+            )
         }));
     }
     record.sleep_until(begin_s + 6.0);
     if stage.has_trouble {
         let counts = running.lock().unwrap().clone();
-        let busiest = counts.into_iter().max_by_key(|(_, count)| *count).map(|(id, _)| id).unwrap_or_default();
+        let busiest = counts
+            .into_iter()
+            .max_by_key(|(_, count)| *count)
+            .map(|(id, _)| id)
+            .unwrap_or_default();
         record.line(&format!("trouble: server {busiest} takes {SLOW_FACTOR} times as long"));
         *slow_server.lock().unwrap() = busiest;
     }
--- a/review/standin.rs
+++ b/review/tests/standin.rs
@@ -115,7 +115,8 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
     let size = line.trim().split(';').next().unwrap_or_default();
-    let size = usize::from_str_radix(size, 16).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+    let size =
+        usize::from_str_radix(size, 16).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
     let mut chunk = vec![0; size];
     reader.read_exact(&mut chunk)?;
     let mut end = [0; 2];
@@ -147,7 +148,8 @@
 
 fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
     let length = body.len();
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)
 }
@@ -205,7 +207,12 @@
                 }
                 "/log-newest" => {
                     let body = self.newest(&topic);
-                    respond(&mut stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())?;
+                    respond(
+                        &mut stream,
+                        "200 OK",
+                        "Content-Type: application/json\r\n",
+                        body.as_bytes(),
+                    )?;
                 }
                 "/log-append" => {
                     let key_len = usize::from(call.body[4]);
@@ -214,7 +221,12 @@
                     self.put(&topic, &key, &value);
                     let end = self.topics.0.lock().unwrap()[&topic].len();
                     let body = format!("{{\"offset\":{},\"end_offset\":{end}}}", end - 1);
-                    respond(&mut stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())?;
+                    respond(
+                        &mut stream,
+                        "200 OK",
+                        "Content-Type: application/json\r\n",
+                        body.as_bytes(),
+                    )?;
                 }
                 _ => respond(&mut stream, "404 Not Found", "", b"")?,
             }
@@ -223,7 +235,8 @@
     }
 
     fn read(&self, call: &Message, topic: &str) -> Vec<u8> {
-        let number = |name: &str| call.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let number =
+            |name: &str| call.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let (from, ends_at) = (number("from") as usize, Instant::now() + ms(number("wait_ms")));
         let (topics, changed) = &*self.topics;
         let mut guard = topics.lock().unwrap();
@@ -265,7 +278,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for three in bytes.chunks(3) {
-        let all = three.iter().fold(0_u32, |all, byte| (all << 8) | u32::from(*byte)) << (8 * (3 - three.len()));
+        let all = three.iter().fold(0_u32, |all, byte| (all << 8) | u32::from(*byte))
+            << (8 * (3 - three.len()));
         for i in 0..4 {
             let digit = char::from(DIGITS[((all >> (18 - 6 * i)) & 63) as usize]);
             text.push(if i <= three.len() { digit } else { '=' });
@@ -292,7 +306,12 @@
 pub const HEARTBEAT_MS: u64 = 1200;
 
 impl Server {
-    pub fn start(id: &str, service: &str, store: &Store, handler: Arc<Handler>) -> io::Result<Server> {
+    pub fn start(
+        id: &str,
+        service: &str,
+        store: &Store,
+        handler: Arc<Handler>,
+    ) -> io::Result<Server> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let server = Server {
             id: id.to_string(),
@@ -372,19 +391,24 @@
 
 pub const BOUNDS: Bounds = Bounds { drain_ms: 2000, config_apply_ms: 2000, grace_s: 8 };
 
+/// An address whose port is free for TCP and UDP, and isn't one of those that outgoing channels get.
 fn free_addr() -> io::Result<SocketAddr> {
-    // The number is free for TCP and for UDP.
-    loop {
-        let addr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        if UdpSocket::bind(addr).is_ok() {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..1000 {
+        let number = unix_ms() * 13 + u64::from(std::process::id()) * 101;
+        let number = number + NEXT.fetch_add(1, Ordering::Relaxed) * 7;
+        let addr = SocketAddr::from(([127, 0, 0, 1], 20_000 + (number % 12_000) as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
     }
+    Err(io::Error::other("no free port"))
 }
 
 impl Router {
     pub fn start(name: &str, store: SocketAddr, folder: &PathBuf) -> io::Result<Router> {
-        let (front, ready, operators, peers) = (free_addr()?, free_addr()?, free_addr()?, free_addr()?);
+        let (front, ready, operators, peers) =
+            (free_addr()?, free_addr()?, free_addr()?, free_addr()?);
         let settings = folder.join(format!("{name}.jsonc"));
         let text = format!(
             "{{ \"router\": {{ \"name\": \"{name}\", \"region\": \"here\", \"zone\": \"a\" }},
@@ -427,26 +451,17 @@
         let ask = || -> io::Result<u16> {
             let mut stream = TcpStream::connect_timeout(&self.ready, ms(500))?;
             stream.set_read_timeout(Some(ms(500)))?;
-            stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")?;
+            stream
+                .write_all(b"GET /readyz HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")?;
             Ok(read_head(&mut BufReader::new(stream))?.map_or(0, |head| head.status()))
         };
         ask().is_ok_and(|status| status == 200)
     }
 
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_none()))
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
-        }
-    }
-
-    /// Waits for the end of the process.
-    pub fn wait(&mut self) {
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
             let _ = child.wait();
         }
     }
@@ -456,20 +471,17 @@
         let id = self.child.as_ref().map_or(0, Child::id);
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
-        line.trim().trim_end_matches(" kB").trim().parse::<f64>().map_or(0.0, |kb| kb * 1024.0 / 1e6)
-    }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.join(format!("{}.out", self.name))).unwrap_or_default()
+        line.trim()
+            .trim_end_matches(" kB")
+            .trim()
+            .parse::<f64>()
+            .map_or(0.0, |kb| kb * 1024.0 / 1e6)
     }
 }
 
 impl Drop for Router {
     fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
 
@@ -524,7 +536,11 @@
     let result = (|| -> io::Result<u16> {
         let mut stream = TcpStream::connect_timeout(&front, ms(1000))?;
         stream.set_nodelay(true)?;
-        let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
         let head = format!(
             "{first} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n{headers}{length}\r\n",
             limit.as_millis()
@@ -545,7 +561,9 @@
     attempt.ended_s = record.now();
     attempt.ended = match result {
         Ok(status) => Ended::Answered(status),
-        Err(err) if matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Ended::GaveUp,
+        Err(err) if matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+            Ended::GaveUp
+        }
         Err(err) => Ended::Cut(err.kind().to_string()),
     };
     attempt
@@ -582,14 +600,16 @@
         let record = Record::new(folder)?;
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let (store, store_addr) = Store::start()?;
-        let temporary = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
+        let temporary =
+            std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&temporary)?;
         Ok(Stage { record, has_trouble, store, store_addr, folder: temporary })
     }
 
     /// Starts routers and waits until all are ready.
     pub fn start_routers(&self, count: usize) -> io::Result<Vec<Router>> {
-        let routers = (1..=count).map(|i| Router::start(&format!("edge-{i}"), self.store_addr, &self.folder));
+        let routers =
+            (1..=count).map(|i| Router::start(&format!("edge-{i}"), self.store_addr, &self.folder));
         let routers = routers.collect::<io::Result<Vec<_>>>()?;
         let ends_at = Instant::now() + ms(10_000);
         while !routers.iter().all(Router::is_ready) {
