Log when the head of a stream arrives, and requests that outlive their deadline

Cause: the line of a request couldn't tell a hedge without a head from one whose head has arrived without an event, nor a request that ended late from one that ended in time.

Change: head_ms in each entry of sends, overdue_ms in the line of a request that ends 250 ms or more after its deadline, and the counter gentianhinge_overdue_requests_total. No decision changes.

--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -279,7 +279,10 @@
     fn finish(&mut self, outcome: Outcome, attempt: Attempt) -> Result<TargetAnswer, Reason> {
         let number = attempt.number;
         match outcome {
-            Outcome::Events(stream) => Ok(TargetAnswer::Events(stream, attempt)),
+            Outcome::Events(stream) => {
+                self.record.set_head(number);
+                Ok(TargetAnswer::Events(stream, attempt))
+            }
             Outcome::NotSent { cause, .. } => {
                 self.run_count -= 1;
                 self.record.set_attempt_result(number, &cause);
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -138,6 +138,7 @@
         matched.record(record);
     }
     let deadline = matched.deadline(arrived_at, caller_deadline);
+    record.set_deadline(deadline);
     if Instant::now() >= deadline {
         return Err(Reason::TooLate.into());
     }
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -16,6 +16,8 @@
     telemetry: telemetry::Telemetry,
     histograms_by_team: Mutex<HashMap<Name, HashMap<Name, Arc<RouteHistograms>>>>,
     outcomes: Mutex<HashMap<&'static str, metrics::Counter>>,
+    /// Requests that ended later than their deadline allows.
+    pub overdue_requests: metrics::Counter,
     /// Calls to the store.
     pub store_calls: metrics::Counter,
     /// Failed calls to the store.
@@ -63,6 +65,7 @@
     pub fn new() -> Metrics {
         let telemetry = telemetry::Telemetry::new();
         Metrics {
+            overdue_requests: telemetry.counter("gentianhinge_overdue_requests_total"),
             store_calls: telemetry.counter("gentianhinge_store_calls_total"),
             store_failures: telemetry.counter("gentianhinge_store_failures_total"),
             unreadable_records: telemetry.counter("gentianhinge_unreadable_records_total"),
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -14,6 +14,9 @@
 use super::spec::Refused;
 use super::{Context, decisions, operators, team_counts};
 
+/// Time after the deadline from which a request that hasn't ended counts as overdue.
+const OVERDUE_TIME: Duration = Duration::from_millis(250);
+
 /// Collects the decisions on a request. Dropping it writes one log line and updates the metrics.
 pub struct RequestRecord {
     context: Arc<Context>,
@@ -24,6 +27,7 @@
     config_version: u64,
     tokens: u32,
     due_at: Option<Instant>,
+    deadline: Option<Instant>,
     histograms: Option<Arc<operators::RouteHistograms>>,
     sends: Vec<Value>,
     refused: Option<Refused>,
@@ -49,6 +53,7 @@
             config_version: 0,
             tokens: 0,
             due_at: None,
+            deadline: None,
             histograms: None,
             sends: Vec::new(),
             refused: None,
@@ -85,6 +90,16 @@
         }
     }
 
+    /// Sets the deadline of the caller or the route, whichever is earlier.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+    }
+
+    /// Time since the deadline if the request is overdue.
+    fn overdue_time(&self) -> Option<Duration> {
+        self.deadline.map(|deadline| deadline.elapsed()).filter(|time| *time >= OVERDUE_TIME)
+    }
+
     /// The team, if the request counts toward its share.
     fn metered_team(&self) -> Option<&Name> {
         self.team.as_ref().filter(|_| self.tokens > 0)
@@ -130,6 +145,12 @@
         self.set_attempt_field(number, "silent_ms", silent_ms.into());
     }
 
+    /// Records that the head of an event stream has arrived, which may be long before an event.
+    pub fn set_head(&mut self, number: usize) {
+        let head_ms = self.arrived_at.elapsed().as_millis() as u64;
+        self.set_attempt_field(number, "head_ms", head_ms.into());
+    }
+
     /// Records that later attempts were given up, as the target of attempt `number` has answered.
     pub fn cancel_after(&mut self, number: usize) {
         for later in number + 1..self.sends.len() {
@@ -181,6 +202,10 @@
             histograms.total.record(total_time.as_secs_f64());
         }
         self.context.metrics.count_outcome(self.outcome);
+        let overdue_time = self.overdue_time();
+        if overdue_time.is_some() {
+            self.context.metrics.overdue_requests.increment(1);
+        }
         if let Some(team) = self.metered_team().filter(|_| self.first_ms.is_none()) {
             let is_crowded_out = self.refused.is_some_and(|refused| refused.is_crowded_out);
             self.context.team_counts.count_refusal(team, is_crowded_out);
@@ -206,6 +231,9 @@
             if config_end.is_some_and(|version| version != self.config_version) {
                 line["config_end"] = config_end.into();
             }
+            if let Some(overdue_time) = overdue_time {
+                line["overdue_ms"] = (overdue_time.as_millis() as u64).into();
+            }
             if self.waited_before_ms > 0 {
                 line["waited_before_ms"] = self.waited_before_ms.into();
             }
