End a request at its deadline wherever it waits

Cause: the deadline was enforced around single waits, and two waits had none: the first event of a hedged stream, and the caller of a stream that doesn't read. The class is a wait on the way of a request that nothing ends.

Change: one place enforces the deadline until a target has answered, one from then on, around all that a request does; the limits at single waits are gone. What the deadline ends is recorded there, and the caller gets what is known: the last error of a target, else 504 if a target may have run the request. The body of a refusal is read in the background, so that a target that hangs in it doesn't delay the next attempt.

--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -5,8 +5,16 @@
 //! A target that doesn't answer in the expected time may be gone, or only slow. Its attempt goes on
 //! while another target is tried, and the first answer counts (a hedged request). Where another
 //! attempt isn't allowed, or none succeeds, only the deadline ends the wait for the first one.
+//!
+//! # Deadlines
+//!
+//! The deadline ends a request wherever it waits. [`ActiveRequest::answer`] enforces it until a target
+//! has answered, and [`Relay`](super::relay::Relay) from then on; nothing called by them has to. The
+//! attempts that it ends are recorded by [`ActiveRequest::expire_attempts`].
 
+use std::cell::RefCell;
 use std::future::Future;
+use std::mem;
 use std::pin::{self, Pin};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +23,7 @@
 use gentianhinge_core::routing::Idempotency;
 use http::StatusCode;
 use rand::Rng;
+use smallvec::SmallVec;
 use tokio::time::{self, Instant};
 
 use super::attempt::{self, EventStream, Outcome, Request};
@@ -48,6 +57,20 @@
     run_count: u32,
     /// Number of attempts since the last answer.
     attempt_count: usize,
+    /// Attempts without a result in the record.
+    open: SmallVec<[OpenAttempt; 2]>,
+    /// The last error response of a target, for a request that is at its deadline.
+    last_error: Rc<RefCell<Option<BufferedResponse>>>,
+}
+
+/// An attempt without a result in the record.
+struct OpenAttempt {
+    number: usize,
+    placement: Placement,
+    /// Whether the target has sent an event.
+    has_event: bool,
+    /// How the attempt ended, if it has while another one goes on.
+    ended: Rc<RefCell<Option<String>>>,
 }
 
 /// An attempt whose target has answered.
@@ -96,8 +119,8 @@
 struct Sending {
     number: usize,
     placement: Placement,
-    /// When the target counts as silent.
-    silent_at: Instant,
+    /// When the target counts as silent; `None` if no other may be tried then.
+    silent_at: Option<Instant>,
     result: SendResult,
 }
 
@@ -118,19 +141,79 @@
             last_event_id,
             run_count: 0,
             attempt_count: 0,
+            open: SmallVec::new(),
+            last_error: Rc::default(),
         }
     }
 
-    /// Tries targets until one answers.
+    /// Tries targets until one answers or the deadline passes.
     ///
     /// # Errors
     ///
     /// No target has answered and no other may be tried.
     pub async fn answer(&mut self) -> Result<TargetAnswer, Refusal> {
-        self.try_targets(None, Purpose::Answer).await
+        let deadline = self.request.deadline;
+        let answering = self.try_targets(None, Purpose::Answer);
+        match time::timeout_at(deadline, answering).await {
+            Ok(result) => result,
+            Err(_) => self.expire(),
+        }
+    }
+
+    /// What is known of the request at its deadline.
+    fn expire(&mut self) -> Result<TargetAnswer, Refusal> {
+        self.expire_attempts();
+        let last_error = self.last_error.take().filter(|response| !means_not_run(response.status));
+        if let Some(response) = last_error {
+            return Ok(TargetAnswer::Buffered(response));
+        }
+        let reason = if self.run_count > 0 { Reason::Timeout } else { Reason::TooLate };
+        Err(Refusal { reason, retry_after: None })
+    }
+
+    /// Records the attempts that the deadline has ended, with the health of their targets.
+    pub fn expire_attempts(&mut self) {
+        for attempt in mem::take(&mut self.open) {
+            if let Some(result) = attempt.ended.take() {
+                self.record.set_attempt_result(attempt.number, &result);
+                continue;
+            }
+            self.record.set_attempt_result(attempt.number, "time limit");
+            let placement = attempt.placement;
+            if !attempt.has_event {
+                attempt::record_silence(&self.traffic, &placement.target, placement.hash);
+            }
+            crash::check_in_background(&self.traffic, &self.spec, placement);
+        }
+    }
+
+    /// Records that the caller has left, which ends all attempts.
+    pub fn record_caller_left(&mut self) {
+        for attempt in mem::take(&mut self.open) {
+            self.record.set_attempt_result(attempt.number, "caller disconnected");
+        }
+    }
+
+    /// Records how an attempt ended.
+    pub fn end_attempt(&mut self, number: usize, result: &str) {
+        self.open.retain(|attempt| attempt.number != number);
+        self.record.set_attempt_result(number, result);
+    }
+
+    /// Records that attempts after `number` were given up, as its target goes on.
+    pub fn cancel_after(&mut self, number: usize) {
+        self.open.retain(|attempt| attempt.number <= number);
+        self.record.cancel_after(number);
+    }
+
+    /// Records that the target of an attempt has sent an event.
+    pub fn set_has_event(&mut self, number: usize) {
+        if let Some(attempt) = self.open.iter_mut().find(|attempt| attempt.number == number) {
+            attempt.has_event = true;
+        }
     }
 
-    /// Tries other targets after one has failed.
+    /// Tries other targets after one has failed. The caller enforces the deadline.
     ///
     /// # Errors
     ///
@@ -140,7 +223,7 @@
         self.try_targets(Some(Reason::Unknown), Purpose::Answer).await
     }
 
-    /// The same beside a silent target: a stream must have begun.
+    /// The same beside a silent target: a stream must have begun. The caller enforces the deadline.
     ///
     /// # Errors
     ///
@@ -171,16 +254,14 @@
 
     /// Waits until a target is chosen.
     async fn admit(&mut self, failed: Option<Reason>) -> Result<InFlight, Refusal> {
-        let admission = self.traffic.queue.admit(self.spec.clone());
-        match time::timeout_at(self.request.deadline, admission).await {
-            Ok(Admission::Send(in_flight)) => Ok(in_flight),
-            Ok(Admission::Refuse(refused)) => {
+        match self.traffic.queue.admit(self.spec.clone()).await {
+            Admission::Send(in_flight) => Ok(in_flight),
+            Admission::Refuse(refused) => {
                 self.record.set_refusal(&refused);
                 let retry_after = refused.retry_after_with_jitter();
                 let retry_after = Some(retry_after).filter(|_| !refused.is_quarantined);
                 Err(self.refusal(failed.unwrap_or(refusal_reason(&refused)), retry_after))
             }
-            Err(_) => Err(self.refusal(failed.unwrap_or(Reason::TooLate), None)),
         }
     }
 
@@ -213,8 +294,23 @@
         let (traffic, request) = (self.traffic.clone(), self.request.clone());
         let spec = self.spec.clone();
         let last_event_id = self.last_event_id;
+        let ended = Rc::new(RefCell::new(None));
+        let open = OpenAttempt {
+            number,
+            placement: placement.clone(),
+            has_event: false,
+            ended: ended.clone(),
+        };
+        self.open.push(open);
+        let last_error = self.last_error.clone();
         let result = Box::pin(async move {
             let outcome = attempt::send(&traffic, &request, &in_flight, last_event_id).await;
+            if let Outcome::Buffered(response) = &outcome
+                && outcome.is_error()
+            {
+                last_error.replace(Some(response.clone()));
+            }
+            ended.replace(outcome.end().map(str::to_string));
             crash::record_outcome(&traffic, &spec, &in_flight.placement, &outcome).await;
             (outcome, in_flight)
         });
@@ -245,7 +341,7 @@
                         let _ = self.finish(outcome, Attempt { number, in_flight });
                     }
                     None => {
-                        self.record.set_attempt_result(number, "silence");
+                        self.end_attempt(number, "silence");
                         crash::check_in_background(&self.traffic, &self.spec, sending.placement);
                     }
                 }
@@ -255,7 +351,7 @@
             return self.finish(outcome, Attempt { number, in_flight }).or(Ok(answer));
         }
         let (outcome, in_flight) = first_or_wait(first, &mut sending.result).await;
-        self.record.cancel_after(number);
+        self.cancel_after(number);
         self.finish(outcome, Attempt { number, in_flight })
     }
 
@@ -265,7 +361,7 @@
             TargetAnswer::Events(mut stream, attempt) => match stream.begin().await {
                 Ok(()) => Ok(TargetAnswer::Events(stream, attempt)),
                 Err(cause) => {
-                    self.record.set_attempt_result(attempt.number, &cause);
+                    self.end_attempt(attempt.number, &cause);
                     let placement = &attempt.in_flight.placement;
                     crash::may_retry(&self.traffic, &self.spec, placement, true).await;
                     Err(self.refusal(Reason::Unknown, None))
@@ -278,43 +374,35 @@
     /// Records the outcome of an attempt. The error is why another target may be tried.
     fn finish(&mut self, outcome: Outcome, attempt: Attempt) -> Result<TargetAnswer, Reason> {
         let number = attempt.number;
+        if let Some(result) = outcome.end() {
+            self.end_attempt(number, result);
+        }
         match outcome {
             Outcome::Events(stream) => {
                 self.record.set_head(number);
                 Ok(TargetAnswer::Events(stream, attempt))
             }
-            Outcome::NotSent { cause, .. } => {
+            Outcome::NotSent { .. } => {
                 self.run_count -= 1;
-                self.record.set_attempt_result(number, &cause);
                 Err(Reason::NotSent)
             }
-            Outcome::NotRun { cause, .. } => {
+            Outcome::NotRun { .. } => {
                 self.run_count -= 1;
-                self.record.set_attempt_result(number, &cause);
                 Err(Reason::NotRun)
             }
-            Outcome::Unknown(cause) => {
-                self.record.set_attempt_result(number, &cause);
+            Outcome::Unknown(_) => {
                 let is_expired = Instant::now() >= self.request.deadline;
                 Err(if is_expired { Reason::Timeout } else { Reason::Unknown })
             }
-            Outcome::Buffered(response) => {
-                self.record.set_attempt_result(number, response.status.as_str());
-                self.finish_buffered(response)
-            }
+            Outcome::Buffered(response) => self.finish_buffered(response),
         }
     }
 
     /// A complete response is the answer, unless it is an error and the request may be retried.
     fn finish_buffered(&mut self, response: BufferedResponse) -> Result<TargetAnswer, Reason> {
-        let means_not_run = matches!(
-            response.status,
-            StatusCode::REQUEST_TIMEOUT
-                | StatusCode::MISDIRECTED_REQUEST
-                | StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::SERVICE_UNAVAILABLE
-        );
-        if means_not_run && self.request.route.idempotency == Idempotency::NonIdempotent {
+        if means_not_run(response.status)
+            && self.request.route.idempotency == Idempotency::NonIdempotent
+        {
             // To callers these statuses mean "not run", which this target doesn't state.
             return Err(Reason::Unknown);
         }
@@ -383,6 +471,17 @@
     }
 }
 
+/// Whether the status means to callers that the request hasn't run and won't.
+fn means_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn refusal_reason(refused: &Refused) -> Reason {
     if refused.is_quarantined {
         Reason::Quarantined
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to run a request at one target.
 
+use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, Incoming};
 use serde_json::json;
+use tokio::task;
 use tokio::time::{self, Instant};
 
 use super::buffered::{self, BufferedResponse};
@@ -21,6 +23,9 @@
 use super::serve::Traffic;
 use super::upstream::{Lease, SendError};
 
+/// Time for reading the body of a refusal so that its connection can be reused.
+const DISCARD_TIME: Duration = Duration::from_millis(300);
+
 /// A caller's request with its body, ready to be sent to targets.
 pub struct Request {
     /// Head as the caller sent it.
@@ -133,10 +138,21 @@
     pub fn is_answer(&self) -> bool {
         matches!(self, Outcome::Buffered(_) | Outcome::Events(_)) && !self.is_error()
     }
+
+    /// How the attempt ended, for the log; `None` if its events are still to be read.
+    pub fn end(&self) -> Option<&str> {
+        match self {
+            Outcome::NotSent { cause, .. }
+            | Outcome::NotRun { cause, .. }
+            | Outcome::Unknown(cause) => Some(cause),
+            Outcome::Buffered(response) => Some(response.status.as_str()),
+            Outcome::Events(_) => None,
+        }
+    }
 }
 
-/// Sends a request to its chosen target, until the request's deadline, and updates the target's
-/// health.
+/// Sends a request to its chosen target and updates the target's health. The caller enforces the
+/// deadline.
 pub async fn send(
     traffic: &Rc<Traffic>,
     request: &Request,
@@ -145,15 +161,7 @@
 ) -> Outcome {
     let (target, hash) = (&in_flight.placement.target, in_flight.placement.hash);
     let sent_at = Instant::now();
-    let outcome = match time::timeout_at(
-        request.deadline,
-        send_request(traffic, request, target, hash, last_event_id),
-    )
-    .await
-    {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::Unknown("attempt timed out".to_string()),
-    };
+    let outcome = send_request(traffic, request, target, hash, last_event_id).await;
     record_health(traffic, target, hash, &outcome);
     if let Outcome::Buffered(response) = &outcome
         && response.status.is_success()
@@ -209,13 +217,7 @@
     let is_not_run = answer_head.is_not_run;
     let status = response.status();
     if is_not_run {
-        // The body isn't needed, but reading it lets the connection be reused.
-        if response_limits::discard(response.into_body()).await
-            && !answer_head.is_closing
-            && !answer_head.is_mismatched
-        {
-            lease.release(&traffic.upstream, answer_head.idle_timeout);
-        }
+        release_refused(traffic, response.into_body(), lease, &answer_head);
         let is_unreachable = status == http::StatusCode::MISDIRECTED_REQUEST;
         return Outcome::NotRun {
             cause: format!("target responded {status}, request not run"),
@@ -228,6 +230,26 @@
     }
 }
 
+/// Returns the connection of a refusal to the pool once its body has been read, which nobody needs
+/// and no request waits for.
+fn release_refused(
+    traffic: &Rc<Traffic>,
+    body: Incoming,
+    lease: Lease,
+    answer_head: &answer::AnswerHead,
+) {
+    if answer_head.is_closing || answer_head.is_mismatched {
+        return;
+    }
+    let (traffic, idle_timeout) = (traffic.clone(), answer_head.idle_timeout);
+    task::spawn_local(async move {
+        let discarding = time::timeout(DISCARD_TIME, response_limits::discard(body));
+        if discarding.await.unwrap_or(false) {
+            lease.release(&traffic.upstream, idle_timeout);
+        }
+    });
+}
+
 /// Records what a target states about itself in a response, if the response is the target's.
 fn record_statement(
     traffic: &Rc<Traffic>,
@@ -307,18 +329,15 @@
 }
 
 /// When the target of an attempt counts as silent: early enough that another one can still serve the
-/// request. For a request that may not be repeated, this is its deadline.
-pub fn silent_at(request: &Request, in_flight: &InFlight, now: Instant) -> Instant {
-    if !request.is_repeatable() {
-        return request.deadline;
-    }
+/// request. `None` if the deadline comes first, or the request may not be repeated.
+pub fn silent_at(request: &Request, in_flight: &InFlight, now: Instant) -> Option<Instant> {
     let time_left = request.deadline.saturating_duration_since(now);
     let timeout = if request.expects_events() {
         first_event_time(request, in_flight)
     } else {
         time_left.mul_f64(FIRST_ATTEMPT_PART).max(MIN_ATTEMPT_TIME)
     };
-    (now + timeout).min(request.deadline)
+    Some(now + timeout).filter(|_| request.is_repeatable() && timeout < time_left)
 }
 
 /// Delay of this thread from which on a target's bytes may have arrived without having been read.
@@ -328,8 +347,9 @@
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
 /// Waits until a target that hasn't sent anything counts as silent. After a delay of this thread
-/// itself, its connections are read first.
-pub async fn silence(silent_at: Instant) {
+/// itself, its connections are read first. Never returns without a time.
+pub async fn silence(silent_at: Option<Instant>) {
+    let Some(silent_at) = silent_at else { return future::pending().await };
     time::sleep_until(silent_at).await;
     if silent_at.elapsed() >= MAX_DELAY {
         time::sleep(CATCH_UP_TIME).await;
@@ -364,14 +384,7 @@
         }
     };
     drop(state);
-    let cause = match outcome {
-        Outcome::NotSent { cause, .. }
-        | Outcome::NotRun { cause, .. }
-        | Outcome::Unknown(cause) => cause.as_str(),
-        Outcome::Buffered(response) => response.status.as_str(),
-        Outcome::Events(_) => "",
-    };
-    log_health(traffic, target, change, cause);
+    log_health(traffic, target, change, outcome.end().unwrap_or_default());
 }
 
 /// Logs that a target was ejected or restored.
--- a/daemon/src/edge/buffered.rs
+++ b/daemon/src/edge/buffered.rs
@@ -8,7 +8,7 @@
 use super::upstream::Lease;
 
 /// A complete response of a target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct BufferedResponse {
     /// Status code.
     pub status: http::StatusCode,
--- a/daemon/src/edge/crash.rs
+++ b/daemon/src/edge/crash.rs
@@ -78,12 +78,9 @@
         // A target that fails may not have begun to run the request.
         outcome if outcome.is_error() => {}
         Outcome::Buffered(_) => record_request_answer(traffic, spec),
-        // The caller needn't wait.
-        Outcome::Unknown(_) if Instant::now() >= spec.deadline => {
-            check_in_background(traffic, spec, placement.clone());
-        }
         Outcome::Unknown(_) => {
-            may_retry(traffic, spec, placement, false).await;
+            // The check goes on if the request ends meanwhile.
+            let _ = check_in_background(traffic, spec, placement.clone()).await;
         }
         Outcome::Events(_) | Outcome::NotSent { .. } | Outcome::NotRun { .. } => {}
     }
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -63,14 +63,22 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Why forwarding to the caller ended.
+enum Forwarded {
+    /// The stream is complete.
+    Complete,
+    /// The caller disconnected.
+    CallerLeft,
+    /// The stream failed, and no other target continues it.
+    Interrupted,
+}
+
 /// Why forwarding from a target ended.
 enum StreamEnd {
     /// The stream is complete.
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The deadline of the request has passed.
-    Timeout,
     /// The target was silent, and another one continues the stream.
     Replaced(Source),
     /// The stream failed.
@@ -98,8 +106,28 @@
         response
     }
 
+    /// Forwards until the stream ends, the deadline passes or the caller disconnects.
     async fn run(mut self, first_stream: Box<EventStream>, attempt: Attempt) {
-        let mut source = Some((first_stream, attempt));
+        let deadline = self.active.request.deadline;
+        let caller = self.chunks.clone();
+        let forwarded = tokio::select! {
+            biased;
+            forwarded = time::timeout_at(deadline, self.forward_all((first_stream, attempt))) => forwarded,
+            () = caller.closed() => Ok(Forwarded::CallerLeft),
+        };
+        match forwarded {
+            Ok(Forwarded::Complete) => return,
+            Ok(Forwarded::CallerLeft) => return self.active.record_caller_left(),
+            Ok(Forwarded::Interrupted) => {}
+            Err(_) => self.active.expire_attempts(),
+        }
+        self.active.record.set_outcome("stream-cut", 200, false);
+        // Without the end, dropping the chunks closes the connection before the end of the body.
+    }
+
+    /// Forwards from one target after the other.
+    async fn forward_all(&mut self, first: Source) -> Forwarded {
+        let mut source = Some(first);
         while let Some((mut stream, mut attempt)) = source.take() {
             let (number, status) = (attempt.number, stream.head.status.as_u16());
             match self.forward(&mut stream, &mut attempt).await {
@@ -107,29 +135,20 @@
                     self.release(stream);
                     return self.complete(number, status).await;
                 }
-                StreamEnd::CallerLeft => {
-                    self.active.record.set_attempt_result(number, "caller disconnected");
-                    return;
-                }
-                StreamEnd::Timeout => {
-                    self.active.record.set_attempt_result(number, "time limit");
-                    self.check_in_background(&attempt);
-                }
+                StreamEnd::CallerLeft => return Forwarded::CallerLeft,
                 StreamEnd::Replaced(other) => {
-                    self.active.record.set_attempt_result(number, "silence");
+                    self.active.end_attempt(number, "silence");
                     self.check_in_background(&attempt);
                     self.splitter = EventSplitter::new(self.splitter.last_id);
                     source = Some(other);
                 }
                 StreamEnd::Broken { cause, is_at_start } => {
-                    self.active.record.set_attempt_result(number, &cause);
+                    self.active.end_attempt(number, &cause);
                     source = self.replace_broken(attempt.in_flight, is_at_start).await;
                 }
             }
         }
-        self.active.record.set_outcome("stream-cut", 200, false);
-        // Without the end, the connection is closed before the end of the body.
-        drop(self.chunks);
+        Forwarded::Interrupted
     }
 
     /// Returns the connection of a complete stream to the pool if it can be reused.
@@ -139,12 +158,13 @@
         }
     }
 
-    async fn complete(&mut self, number: usize, status: u16) {
+    async fn complete(&mut self, number: usize, status: u16) -> Forwarded {
         crash::record_answer(&self.active.traffic, &self.active.spec);
-        self.active.record.set_attempt_result(number, "complete");
+        self.active.end_attempt(number, "complete");
         self.active.record.set_outcome("served", status, true);
         // The caller may have left meanwhile.
         let _ = self.chunks.send(Chunk::End).await;
+        Forwarded::Complete
     }
 
     /// Forwards events until the stream ends, or is silent while another target continues it.
@@ -193,6 +213,7 @@
                 has_begun = true;
                 attempt.in_flight.first_event();
                 self.record_success(attempt);
+                self.active.set_has_event(attempt.number);
                 self.active.record.set_first_event();
             }
             if self.chunks.send(Chunk::Events(events)).await.is_err() {
@@ -218,30 +239,17 @@
         attempt: &Attempt,
         silent_at: Instant,
     ) -> Result<FrameResult, StreamEnd> {
-        let deadline = self.active.request.deadline;
-        // A stream whose bytes are always there would keep the timers from being polled.
-        if Instant::now() >= deadline {
-            return Err(StreamEnd::Timeout);
-        }
         tokio::select! {
             biased;
             frame = stream.frame() => return Ok(frame),
-            () = self.chunks.closed() => return Err(StreamEnd::CallerLeft),
-            () = time::sleep_until(deadline) => return Err(StreamEnd::Timeout),
-            () = attempt::silence(silent_at) => {}
+            () = attempt::silence(Some(silent_at)) => {}
         }
         self.active.record.set_silent(attempt.number);
         let placement = &attempt.in_flight.placement;
         attempt::record_silence(&self.active.traffic, &placement.target, placement.hash);
         crash::check_silent(&self.active.traffic, &self.active.spec, placement).await;
-        let replacing = replace_silent(&mut self.active, stream, &self.splitter);
-        let replaced = tokio::select! {
-            biased;
-            replaced = replacing => replaced,
-            () = self.chunks.closed() => return Err(StreamEnd::CallerLeft),
-            () = time::sleep_until(deadline) => return Err(StreamEnd::Timeout),
-        };
-        self.active.record.cancel_after(attempt.number);
+        let replaced = replace_silent(&mut self.active, stream, &self.splitter).await;
+        self.active.cancel_after(attempt.number);
         match replaced {
             Replacement::Source(source) => Err(StreamEnd::Replaced(source)),
             Replacement::Frame(frame) => Ok(frame),
@@ -271,10 +279,7 @@
         }
         let last_id = self.splitter.last_id;
         self.splitter = EventSplitter::new(last_id);
-        tokio::select! {
-            source = resume(&mut self.active, last_id) => source,
-            () = self.chunks.closed() => None,
-        }
+        resume(&mut self.active, last_id).await
     }
 }
 
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -123,7 +123,13 @@
     }
 }
 
-async fn serve(
+/// Serves callers and readiness probes until the process shuts down; runs on a
+/// [`LocalSet`](task::LocalSet). The listeners must be nonblocking.
+///
+/// # Errors
+///
+/// A listener can't be registered with the runtime.
+pub async fn serve(
     context: Arc<Context>,
     callers: net::TcpListener,
     readiness: net::TcpListener,
