Ignore records of targets that the store carries out late

Cause: single records were put in force without a look at the target's heartbeat number; only listings after a restore asked whether a record was old. The class is a message older than what is known, taken as news: a late record also took back address, zone and slots, stopped a delayed removal, and was news to a router that started later.

An older one counts only if it says leaving. Routers that know a record to be late tell the others. The test a_record_of_an_earlier_incarnation_changes_nothing took any earlier start for an old one; it now holds the same for one that was seen before.

--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -3,7 +3,12 @@
 //! # Incarnations
 //!
 //! Each start of a target is a new incarnation. Once a target is leaving, it stays so for the rest
-//! of its incarnation; a record that contradicts this is stale.
+//! of its incarnation; a record that contradicts this is stale. A record that is older than what is
+//! known, by [`incarnations`], only counts if it says that its target is leaving.
+//!
+//! A late record of a target that has gone stays in the registry until the target's silence removes
+//! it. A router that started later can't tell that it is old, so the others tell it; see
+//! [`Registry::late_records`].
 //!
 //! # Outages
 //!
@@ -17,7 +22,7 @@
 //! have gone since the copy reappear in its listing; they stay gone until a record shows a later
 //! heartbeat. Removals are delayed as after an outage.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,16 +30,14 @@
 use tokio::time::Instant;
 
 use crate::ids::Name;
+use crate::incarnations::{self, Age, Incarnation, Incarnations, Source};
 use crate::polling::Position;
+use crate::recent::RecentSet;
 use crate::report;
 
 /// Time after an outage within which live targets register again.
 pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
 
-/// Maximum number of removed targets, and of those that said that they are leaving, that are
-/// remembered.
-const MAX_REMOVED: usize = 1000;
-
 /// A target as described by its registry record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -61,6 +64,14 @@
     pub fn hash(&self) -> report::Hash {
         report::hash(&self.id, self.started_ms)
     }
+
+    fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            started_ms: self.started_ms,
+            heartbeat: self.heartbeat,
+            is_leaving: self.is_leaving,
+        }
+    }
 }
 
 /// Effect of a registry record on a target.
@@ -68,6 +79,8 @@
 pub enum Change {
     /// No change that the caller has to act on.
     None,
+    /// The record is older than what is known, and was ignored.
+    Late,
     /// The target is new or has a new incarnation.
     Added,
     /// The target accepts no new work from now on.
@@ -77,20 +90,37 @@
 }
 
 /// All known targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     targets: BTreeMap<Name, Arc<Target>>,
     /// Position after the last record that was applied.
     next: Position,
     /// Hashes of incarnations that said themselves that they are leaving.
-    leaving: HashSet<report::Hash>,
-    /// Removed targets, which an old copy of the registry may bring back.
-    removed: BTreeMap<Name, Arc<Target>>,
+    leaving: RecentSet<report::Hash>,
+    /// Incarnations that are no longer registered.
+    past: Incarnations,
+    /// Late records of past incarnations that lie in the registry, by id.
+    late: BTreeMap<Name, report::LateRecord>,
     delayed_removals: BTreeMap<Name, Instant>,
     grace_until: Option<Instant>,
     revision: u64,
 }
 
+impl Default for Registry {
+    fn default() -> Registry {
+        Registry {
+            targets: BTreeMap::new(),
+            next: Position::default(),
+            leaving: RecentSet::new(incarnations::MAX_IDS),
+            past: Incarnations::default(),
+            late: BTreeMap::new(),
+            delayed_removals: BTreeMap::new(),
+            grace_until: None,
+            revision: 0,
+        }
+    }
+}
+
 impl Registry {
     /// All targets in the order of their ids, including leaving ones.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
@@ -131,8 +161,9 @@
             return Change::None;
         }
         self.next = Position { offset: at.offset + 1, ..at };
+        self.late.remove(key);
         match target {
-            Some(target) => self.put(target),
+            Some(target) => self.put(target, Source::Record),
             None => self.remove(key, now),
         }
     }
@@ -143,15 +174,17 @@
     /// [`position`](Registry::position) and was ignored as stale.
     pub fn replace(
         &mut self,
-        mut listing: Vec<Target>,
+        listing: Vec<Target>,
         end: Position,
         now: Instant,
     ) -> Option<Vec<(Name, Change)>> {
         if end < self.next {
             return None;
         }
-        listing.retain(|target| !self.is_from_copy(target));
+        let is_copy = self.next.era != 0 && end.era > self.next.era;
+        let source = if is_copy { Source::Copy } else { Source::Listing };
         self.next = end;
+        self.late.clear();
         let absent = self.targets.keys().filter(|id| !listing.iter().any(|t| t.id == **id));
         let absent = absent.cloned().collect::<Vec<_>>();
         let mut changes = Vec::new();
@@ -161,24 +194,20 @@
         }
         for target in listing {
             let id = target.id.clone();
-            let change = self.put(target);
+            let change = self.put(target, source);
             changes.push((id, change));
         }
-        changes.retain(|(_, change)| *change != Change::None);
+        changes.retain(|(_, change)| !matches!(change, Change::None | Change::Late));
         Some(changes)
     }
 
     /// Records that an incarnation is leaving, as it says itself, whatever its record states; returns
     /// the id of the target if it is registered and that is news.
     pub fn mark_leaving(&mut self, hash: report::Hash) -> Option<Name> {
-        if self.leaving.contains(&hash) {
+        if !self.leaving.insert(hash) {
             // Reports repeat it, and hashing all targets each time is expensive.
             return None;
         }
-        if self.leaving.len() >= MAX_REMOVED {
-            self.leaving.clear();
-        }
-        self.leaving.insert(hash);
         let known = self.targets.values_mut().find(|target| target.hash() == hash);
         let known = known.filter(|target| !target.is_leaving)?;
         *known = Arc::new(Target { is_leaving: true, ..Target::clone(known) });
@@ -186,6 +215,23 @@
         Some(known.id.clone())
     }
 
+    /// Late records of targets that have gone, for other routers, which may not know that these have.
+    pub fn late_records(&self) -> impl Iterator<Item = report::LateRecord> {
+        self.late.values().copied()
+    }
+
+    /// Records that the records of an incarnation up to a heartbeat are late, as another router tells;
+    /// returns the id of the target if this removes it.
+    pub fn hear_late(&mut self, late: report::LateRecord) -> Option<Name> {
+        let is_meant = |target: &&Arc<Target>| {
+            (1..=late.heartbeat).contains(&target.heartbeat) && target.hash() == late.target
+        };
+        let id = self.targets.values().find(is_meant)?.id.clone();
+        self.drop_target(&id);
+        self.late.insert(id.clone(), late);
+        Some(id)
+    }
+
     /// Time at which the next delayed removal is due.
     pub fn next_removal(&self) -> Option<Instant> {
         self.delayed_removals.values().min().copied()
@@ -201,45 +247,72 @@
         due
     }
 
-    /// Whether a listed target is one that was removed before, as an old copy has it.
-    fn is_from_copy(&self, target: &Target) -> bool {
-        self.removed.get(&target.id).is_some_and(|removed| {
-            target.started_ms <= removed.started_ms && target.heartbeat <= removed.heartbeat
-        })
-    }
-
     fn drop_target(&mut self, id: &Name) {
         self.delayed_removals.remove(id);
         self.revision += 1;
         if let Some(target) = self.targets.remove(id) {
-            if self.removed.len() >= MAX_REMOVED {
-                self.removed.pop_first();
-            }
-            self.removed.insert(id.clone(), target);
+            self.past.retire(id, target.incarnation(), None);
         }
     }
 
-    fn put(&mut self, mut target: Target) -> Change {
+    fn put(&mut self, mut target: Target, source: Source) -> Change {
+        let known = self.targets.get(&target.id).cloned();
+        let registered = known.as_ref().map(|known| known.incarnation());
+        let record = target.incarnation();
+        if self.past.age(&target.id, &record, registered.as_ref(), source) == Age::Older {
+            return self.put_late(&target, known.as_deref());
+        }
         self.delayed_removals.remove(&target.id);
-        self.removed.remove(&target.id);
-        target.is_leaving |= !self.leaving.is_empty() && self.leaving.contains(&target.hash());
-        let Some(known) = self.targets.get(&target.id) else {
-            return self.insert(target);
-        };
-        if target.started_ms < known.started_ms {
-            return Change::None;
+        target.is_leaving |= self.leaving.contains(&target.hash());
+        match known {
+            Some(known) if known.started_ms == target.started_ms => self.update(target, &known),
+            known => {
+                let past = self.past.get(&target.id, target.started_ms);
+                target.is_leaving |= past.is_some_and(|past| past.is_leaving);
+                if let Some(known) = known {
+                    self.past.retire(&target.id, known.incarnation(), Some(&record));
+                }
+                self.insert(target)
+            }
         }
-        if target.started_ms > known.started_ms {
-            return self.insert(target);
+    }
+
+    /// Ignores a record that is older than what is known, unless it says that the registered target
+    /// is leaving.
+    fn put_late(&mut self, target: &Target, known: Option<&Target>) -> Change {
+        let known = known.filter(|known| known.started_ms == target.started_ms);
+        let Some(known) = known else {
+            self.remember_late(target);
+            return Change::Late;
+        };
+        if !target.is_leaving || known.is_leaving {
+            return Change::Late;
         }
+        self.revision += 1;
+        let leaving = Target { is_leaving: true, ..known.clone() };
+        self.targets.insert(target.id.clone(), Arc::new(leaving));
+        Change::Leaving
+    }
+
+    /// Remembers a record of an incarnation that has gone.
+    fn remember_late(&mut self, target: &Target) {
+        let past = self.past.get(&target.id, target.started_ms);
+        let heartbeat = past.map_or(target.heartbeat, |past| past.heartbeat.max(target.heartbeat));
+        let late = report::LateRecord { target: target.hash(), heartbeat };
+        self.late.insert(target.id.clone(), late);
+    }
+
+    /// Replaces the record of a registered incarnation by a newer one.
+    fn update(&mut self, mut target: Target, known: &Target) -> Change {
         target.is_leaving |= known.is_leaving;
-        if target == (Target { heartbeat: target.heartbeat, ..Target::clone(known) }) {
-            // Only the heartbeat has changed, which concerns no decision.
-            self.targets.insert(target.id.clone(), Arc::new(target));
-            return Change::None;
-        }
+        // A record may lack the number.
+        target.heartbeat = target.heartbeat.max(known.heartbeat);
+        let has_changed = target != Target { heartbeat: target.heartbeat, ..known.clone() };
         let starts_leaving = target.is_leaving && !known.is_leaving;
-        self.revision += 1;
+        if has_changed {
+            // The heartbeat alone concerns no decision.
+            self.revision += 1;
+        }
         self.targets.insert(target.id.clone(), Arc::new(target));
         if starts_leaving { Change::Leaving } else { Change::None }
     }
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -89,6 +89,21 @@
     pub limits: Vec<TargetLimit>,
     /// Hashes of incarnations that said to the sender that they are leaving.
     pub leaving: Vec<Hash>,
+    /// Some of the late records in the registry of targets.
+    pub late_records: Vec<LateRecord>,
+}
+
+/// Maximum number of late records in a report.
+pub const MAX_LATE_RECORDS: usize = 32;
+
+/// A record of a target that has gone, which lies in the registry because it was written late; see
+/// [`crate::incarnations`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateRecord {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Number of the heartbeat up to which its records are late.
+    pub heartbeat: u64,
 }
 
 /// What one router knows of a target's limit; see [`crate::target_limit`].
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -74,6 +74,7 @@
         cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        late_records: Vec::new(),
     }
 }
 
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -55,9 +55,11 @@
     },
     a_record_of_an_earlier_incarnation_changes_nothing: {
         let now = Instant::now();
-        let mut registry = registry_of(vec![target("t1", 2, false)], 5, now);
-        assert_eq!(registry.apply("t1", at(5), Some(target("t1", 1, true)), now), Change::None);
+        let mut registry = registry_of(vec![target("t1", 1, false)], 5, now);
+        registry.apply("t1", at(5), Some(target("t1", 2, false)), now);
+        assert_eq!(registry.apply("t1", at(6), Some(target("t1", 1, true)), now), Change::Late);
         assert!(!registry.get("t1").unwrap().is_leaving);
+        assert_eq!(registry.get("t1").unwrap().started_ms, 2);
     },
     an_old_offset_changes_nothing: {
         let now = Instant::now();
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -170,6 +170,7 @@
         cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        late_records: Vec::new(),
     };
     for (at, router) in routers.iter_mut().enumerate() {
         if at != from {
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
 
+use super::state::RouterState;
 use super::{Context, crash, polls, statements};
 
 /// Minimum interval between two reports: about the time in which a target processes a prompt.
@@ -144,6 +145,11 @@
     for target in &news.leaving {
         super::log_leaving(context, target, "router");
     }
+    for target in &news.gone {
+        context.log.state_change(json!({
+            "event": "target", "target": &**target, "outcome": "gone", "source": "router",
+        }));
+    }
     for (target, change) in &news.limits {
         let state = context.state();
         let id = state.target_id(*target);
@@ -325,9 +331,14 @@
     report.ended = crash::unreported(&mut state.quarantine, now);
     report.limits = state.target_limits.own_report(false, now);
     report.leaving = state.statements.leaving(now);
+    report.late_records = late_records(&state);
     report
 }
 
+fn late_records(state: &RouterState) -> Vec<report::LateRecord> {
+    state.registry.late_records().take(report::MAX_LATE_RECORDS).collect()
+}
+
 fn compose(context: &Context, seq: u64, parts: Parts) -> (report::LoadReport, usize) {
     let now = Instant::now();
     let mut state = context.state();
@@ -367,6 +378,7 @@
         },
         cleared_requests: state.quarantine.take_cleared_requests(),
         leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
+        late_records: if parts.has_sums { late_records(&state) } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -449,10 +449,19 @@
         if !report.services.is_empty() {
             self.retries.apply_report(&report.sender, report.services, now);
         }
+        let gone = report.late_records.iter().filter_map(|late| {
+            let id = self.registry.hear_late(*late)?;
+            Some((id, late.target))
+        });
+        let gone = gone.collect::<Vec<_>>();
+        for (_, hash) in &gone {
+            self.forget(*hash);
+        }
         let leaving = report.leaving.iter();
         statements::ReportedNews {
             leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
             limits: self.target_limits.apply_report(&report.sender, &report.limits, now),
+            gone: gone.into_iter().map(|(id, _)| id).collect(),
         }
     }
 
--- a/daemon/src/edge/statements.rs
+++ b/daemon/src/edge/statements.rs
@@ -27,11 +27,13 @@
     pub is_unreadable: bool,
 }
 
-/// What is new in another router's report of targets' statements.
+/// What is new in another router's report of targets.
 #[derive(Clone, Debug, Default)]
 pub struct ReportedNews {
     /// Ids of targets that are leaving.
     pub leaving: Vec<Name>,
+    /// Ids of targets whose records in the registry are late.
+    pub gone: Vec<Name>,
     /// Changes of limits.
     pub limits: Vec<(Hash, target_limit::Change)>,
 }
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -114,9 +114,19 @@
         record_unreadable(context, unreadable, entry, target.is_none());
         let mut state = context.state();
         let before = state.registry.get(&entry.key).cloned();
+        let heartbeat = target.as_ref().map(|target| target.heartbeat);
         let at = polling::Position { era: read.era, offset: entry.offset };
         let change = state.registry.apply(&entry.key, at, target, now);
         drop(state);
+        if change == Change::Late {
+            // Other routers may not know that the record is late.
+            context.alert.notify_one();
+            context.log.state_change(json!({
+                "event": "target", "target": entry.key, "outcome": "late record ignored",
+                "offset": entry.offset, "heartbeat": heartbeat,
+                "known": before.as_ref().map(|before| before.heartbeat),
+            }));
+        }
         record_change(context, &entry.key, change, before.as_deref());
     }
 }
@@ -180,7 +190,7 @@
     before: Option<&gentianhinge_core::registry::Target>,
 ) {
     let outcome = match change {
-        Change::None => return,
+        Change::None | Change::Late => return,
         Change::Added => "added",
         Change::Leaving => "leaving",
         Change::Removed => "gone",
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -137,6 +137,7 @@
         cleared_requests: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        late_records: Vec::new(),
     }
 }
 
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -23,6 +23,12 @@
   leaving @17 :List(UInt64);        # incarnations that said to the sender that they are leaving
   ended @18 :List(EndedTarget);
   clearedRequests @19 :List(UInt64); # requests of ended targets that the sender has seen answered
+  lateRecords @20 :List(LateRecord); # records of targets that have gone, which lie in the registry
+}
+
+struct LateRecord {
+  target @0 :UInt64;                # hash of the target's incarnation
+  heartbeat @1 :UInt64;             # number of the heartbeat up to which its records are late
 }
 
 struct TargetLoad {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -106,6 +106,12 @@
     let _ = builder.reborrow().set_cleared_requests(report.cleared_requests.as_slice());
     let _ = builder.reborrow().set_cleared_parts(report.cleared_parts.as_slice());
     let _ = builder.reborrow().set_leaving(report.leaving.as_slice());
+    let mut late_records = builder.reborrow().init_late_records(report.late_records.len() as u32);
+    for (i, line) in report.late_records.iter().enumerate() {
+        let mut late = late_records.reborrow().get(i as u32);
+        late.set_target(line.target);
+        late.set_heartbeat(line.heartbeat);
+    }
     let mut limits = builder.reborrow().init_limits(report.limits.len() as u32);
     for (i, line) in report.limits.iter().enumerate() {
         write_limit(limits.reborrow().get(i as u32), line);
@@ -220,6 +226,11 @@
     let ended = ended.collect::<Result<_, _>>()?;
     let cleared_requests = reader.get_cleared_requests()?.iter();
     let cleared_requests = cleared_requests.take(quarantine::MAX_REPORTED_CLEARED).collect();
+    let late_records = reader.get_late_records()?.iter().take(report::MAX_LATE_RECORDS);
+    let late_records = late_records.map(|line| report::LateRecord {
+        target: line.get_target(),
+        heartbeat: line.get_heartbeat(),
+    });
     let cleared_parts = reader.get_cleared_parts()?.iter().collect();
     let cached_parts = reader.get_kept()?.iter();
     let cached_parts = cached_parts
@@ -247,5 +258,6 @@
         cleared_requests,
         limits: reader.get_limits()?.iter().map(read_limit).collect(),
         leaving: reader.get_leaving()?.iter().collect(),
+        late_records: late_records.collect(),
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -159,6 +159,7 @@
         ended: vec![report::EndedTarget { target: 5, age_ms: 80, requests: vec![10, 11] }],
         cleared_requests: vec![10],
         leaving: vec![3, 4],
+        late_records: vec![report::LateRecord { target: 12, heartbeat: 13 }],
         limits: vec![
             TargetLimit {
                 target: 5,
