Wait for the rest of an event, however slowly it arrives

Cause: a part of an event that arrived later than a silence after the last whole event was taken for bytes without end, and the stream was cut. The class is suspicion acted on as if it were failure: the rest of the event was on its way.

Change: event_reader reads whole events. The number of bytes, which now counts toward the budget for buffered answers, and the deadline end a stream without end. A target is silent while no event becomes complete; a part of one no longer cancels the attempt at another target.

--- a/daemon/src/edge/events.rs
+++ b/daemon/src/edge/events.rs
@@ -42,9 +42,9 @@
         self.last_id.is_some()
     }
 
-    /// Whether the bytes so far end in the middle of an event.
-    pub fn has_partial_event(&self) -> bool {
-        !self.partial.is_empty()
+    /// Number of bytes of the incomplete event at the end.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
     }
 
     /// Whether the incomplete event is longer than any event may be.
@@ -76,7 +76,7 @@
     at.max(crlf.map(|at| from + at + 4))
 }
 
-/// Timeouts of an event stream.
+/// Times without an event after which the target of a stream counts as silent.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamTimeouts {
     /// Timeout for the first event.
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -15,7 +15,7 @@
 //!   [`topic_reader`] reads the store's topics, or hears through [`polls`] what another router reads.
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
-//! - [`attempt`], [`buffered`], [`events`] and [`relay`] read responses and pass them on; [`crash`]
+//! - [`attempt`], [`buffered`], [`events`], [`event_reader`] and [`relay`] read responses and pass them on; [`crash`]
 //!   notices targets that end while they run a request.
 //! - [`active`] tries targets until one answers a request.
 //! - [`handle`] processes a request from arrival to response.
@@ -47,6 +47,7 @@
 pub mod buffered;
 pub mod crash;
 pub mod decisions;
+pub mod event_reader;
 pub mod events;
 pub mod handle;
 pub mod idle;
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards an event stream to its caller, and resumes it at another target if it is interrupted.
 //!
-//! A silent target keeps its stream until another one has begun to continue it.
+//! A target is silent while no event becomes complete, also if bytes of one arrive. It keeps its stream
+//! until another target has begun to continue it.
 
 use std::pin;
 use std::time::Duration;
@@ -15,9 +16,10 @@
 use tokio::time::{self, Instant};
 
 use super::active::{ActiveRequest, Attempt, Refusal, TargetAnswer};
-use super::attempt::{self, EventStream, FrameResult};
+use super::attempt::{self, EventStream};
 use super::crash;
-use super::events::{EventSplitter, StreamTimeouts};
+use super::event_reader::{EventReader, Read};
+use super::events::StreamTimeouts;
 use super::queue::InFlight;
 use super::reply::{Body, BodyError};
 
@@ -33,7 +35,7 @@
 /// An event stream being forwarded to its caller.
 pub struct Relay {
     active: ActiveRequest,
-    splitter: EventSplitter,
+    reader: EventReader,
     chunks: mpsc::Sender<Chunk>,
 }
 
@@ -101,8 +103,8 @@
         let mut response = http::Response::new(body(receiver));
         *response.status_mut() = stream.head.status;
         *response.headers_mut() = answer::head_for_caller(&stream.head.headers);
-        let splitter = EventSplitter::new(active.last_event_id);
-        task::spawn_local(Relay { active, splitter, chunks }.run(stream, attempt));
+        let reader = EventReader::new(active.last_event_id, &active.traffic.response_buffers);
+        task::spawn_local(Relay { active, reader, chunks }.run(stream, attempt));
         response
     }
 
@@ -139,7 +141,7 @@
                 StreamEnd::Replaced(other) => {
                     self.active.end_attempt(number, "silence");
                     self.check_in_background(&attempt);
-                    self.splitter = EventSplitter::new(self.splitter.last_id);
+                    self.reader.restart();
                     source = Some(other);
                 }
                 StreamEnd::Broken { cause, is_at_start } => {
@@ -176,84 +178,59 @@
         };
         let mut has_begun = false;
         let mut last_at = Instant::now();
-        // Since the last event, or since the target went on after a silence.
-        let mut sending_since = last_at;
         loop {
             let silent_at = stream_timeouts.deadline(last_at, has_begun);
-            let frame = match self.next_frame(stream, attempt, silent_at).await {
-                Ok(frame) => frame,
-                Err(end) => return end,
+            let read = match self.read_or_replace(stream, attempt, silent_at).await {
+                Replacement::Read(read) => read,
+                Replacement::Source(other) => return StreamEnd::Replaced(other),
             };
-            let bytes = match self.check(stream, frame) {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) => {
+            let events = match read {
+                Read::Events(events) => events,
+                Read::End => {
                     self.record_success(attempt);
                     return StreamEnd::Complete;
                 }
-                Err(cause) => return StreamEnd::Broken { cause, is_at_start: !has_begun },
+                Read::Broken(cause) => {
+                    return StreamEnd::Broken { cause, is_at_start: !has_begun };
+                }
             };
-            if Instant::now() >= silent_at {
-                self.record_success(attempt);
-                sending_since = Instant::now();
-            }
-            let events = self.splitter.push(&bytes);
-            if self.splitter.has_gap || self.splitter.is_event_too_long() {
-                let cause = "an event is missing or too long".to_string();
-                return StreamEnd::Broken { cause, is_at_start: !has_begun };
-            }
             last_at = Instant::now();
-            if events.is_empty() && last_at >= stream_timeouts.deadline(sending_since, has_begun) {
-                let cause = "bytes without an event".to_string();
-                return StreamEnd::Broken { cause, is_at_start: !has_begun };
-            }
-            if events.is_empty() {
-                continue;
+            if last_at >= silent_at || !has_begun {
+                self.record_success(attempt);
             }
             if !has_begun {
                 has_begun = true;
                 attempt.in_flight.first_event();
-                self.record_success(attempt);
                 self.active.set_has_event(attempt.number);
                 self.active.record.set_first_event();
             }
             if self.chunks.send(Chunk::Events(events)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
-            sending_since = Instant::now();
-        }
-    }
-
-    /// The bytes of a frame; `None` if the stream is complete.
-    fn check(&self, stream: &EventStream, frame: FrameResult) -> Result<Option<Bytes>, String> {
-        if let Some(cause) = break_cause(stream, &self.splitter, &frame) {
-            return Err(cause);
+            // The time for which the caller didn't read is no silence of the target.
+            last_at = Instant::now();
         }
-        let frame = frame.and_then(Result::ok);
-        Ok(frame.map(|frame| frame.into_data().unwrap_or_default()))
     }
 
-    /// Reads the next frame. If the target is silent, another one may continue the stream first.
-    async fn next_frame(
+    /// Reads the next events. If the target is silent, another one may continue the stream first.
+    async fn read_or_replace(
         &mut self,
         stream: &mut EventStream,
         attempt: &Attempt,
         silent_at: Instant,
-    ) -> Result<FrameResult, StreamEnd> {
+    ) -> Replacement {
         tokio::select! {
             biased;
-            frame = stream.frame() => return Ok(frame),
+            read = self.reader.next(stream) => return Replacement::Read(read),
             () = attempt::silence(Some(silent_at)) => {}
         }
         self.active.record.set_silent(attempt.number);
         let placement = &attempt.in_flight.placement;
         attempt::record_silence(&self.active.traffic, &placement.target, placement.hash);
         crash::check_silent(&self.active.traffic, &self.active.spec, placement).await;
-        let replaced = replace_silent(&mut self.active, stream, &self.splitter).await;
+        let replacement = replace_silent(&mut self.active, stream, &mut self.reader).await;
         self.active.cancel_after(attempt.number);
-        match replaced {
-            Replacement::Source(source) => Err(StreamEnd::Replaced(source)),
-            Replacement::Frame(frame) => Ok(frame),
-        }
+        replacement
     }
 
     fn check_in_background(&self, attempt: &Attempt) {
@@ -277,33 +254,15 @@
             self.active.record.set_detail("the target ended as it ran the request".to_string());
             return None;
         }
-        let last_id = self.splitter.last_id;
-        self.splitter = EventSplitter::new(last_id);
-        resume(&mut self.active, last_id).await
-    }
-}
-
-/// Why a stream is broken after `frame`, if it is.
-fn break_cause(
-    stream: &EventStream,
-    splitter: &EventSplitter,
-    frame: &FrameResult,
-) -> Option<String> {
-    match frame {
-        Some(Ok(_)) => None,
-        Some(Err(err)) => Some(err.to_string()),
-        None if splitter.has_partial_event() => Some("stream ended within an event".to_string()),
-        None if stream.answer_head.ends_with_connection && !splitter.has_events() => {
-            Some("stream ended without an event".to_string())
-        }
-        None => None,
+        self.reader.restart();
+        resume(&mut self.active, self.reader.last_id()).await
     }
 }
 
-/// What came first after a target was silent.
+/// What came first while a target was silent.
 enum Replacement {
-    /// A frame of the silent target's stream, or its end.
-    Frame(FrameResult),
+    /// Events of the silent target's stream, or its end.
+    Read(Read),
     /// Another target's stream that has begun.
     Source(Source),
 }
@@ -312,23 +271,23 @@
 async fn replace_silent(
     active: &mut ActiveRequest,
     stream: &mut EventStream,
-    splitter: &EventSplitter,
+    reader: &mut EventReader,
 ) -> Replacement {
-    let mut resuming = pin::pin!(resume_with_event(active, splitter.last_id));
-    let frame = tokio::select! {
+    let mut resuming = pin::pin!(resume_with_event(active, reader.last_id()));
+    let read = tokio::select! {
         biased;
-        frame = stream.frame() => frame,
+        read = reader.next(stream) => read,
         source = &mut resuming => match source {
             Some(source) => return Replacement::Source(source),
-            None => return Replacement::Frame(stream.frame().await),
+            None => return Replacement::Read(reader.next(stream).await),
         },
     };
-    if break_cause(stream, splitter, &frame).is_some()
+    if matches!(read, Read::Broken(_))
         && let Some(source) = resuming.await
     {
         return Replacement::Source(source);
     }
-    Replacement::Frame(frame)
+    Replacement::Read(read)
 }
 
 /// Finds a target that continues the stream, and waits until it does: a head alone is no progress.
--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -89,10 +89,10 @@
     }
 }
 
-/// Memory budget for responses that are buffered completely.
+/// Memory budget for what is buffered of responses.
 #[derive(Debug)]
 pub struct BufferBudget {
-    free_bytes: Cell<usize>,
+    free_bytes: Rc<Cell<usize>>,
 }
 
 impl BufferBudget {
@@ -100,7 +100,12 @@
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Far below 2^52 bytes.
     pub fn new(memory_mb: f64) -> BufferBudget {
         let bytes = memory_mb * 1e6 * MEMORY_PART;
-        BufferBudget { free_bytes: Cell::new(bytes as usize) }
+        BufferBudget { free_bytes: Rc::new(Cell::new(bytes as usize)) }
+    }
+
+    /// An empty reservation.
+    pub fn reservation(&self) -> Reservation {
+        Reservation { free_bytes: self.free_bytes.clone(), bytes: 0 }
     }
 
     /// Reads a complete body.
@@ -109,36 +114,53 @@
     ///
     /// Describes why the body can't be read: the connection failed, or the budget is exhausted.
     pub async fn read(&self, mut body: Incoming) -> Result<Bytes, String> {
-        let mut reservation = Reservation { budget: self, bytes: 0 };
+        let mut reservation = self.reservation();
         let mut body_bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|err| err.to_string())?.into_data() else { continue };
             body_bytes.extend_from_slice(&data);
-            reservation.grow(body_bytes.len().saturating_sub(UNRESERVED_BYTES))?;
+            reservation.resize(reserved_bytes(body_bytes.len()))?;
         }
         Ok(body_bytes.freeze())
     }
 }
 
+/// Bytes to be reserved for `len` buffered bytes of a response.
+pub fn reserved_bytes(len: usize) -> usize {
+    len.saturating_sub(UNRESERVED_BYTES)
+}
+
 /// Part of a budget reserved for one response; released when dropped.
-struct Reservation<'a> {
-    budget: &'a BufferBudget,
+#[derive(Debug)]
+pub struct Reservation {
+    free_bytes: Rc<Cell<usize>>,
     bytes: usize,
 }
 
-impl Reservation<'_> {
-    fn grow(&mut self, to_len: usize) -> Result<(), String> {
-        let added_bytes = to_len.saturating_sub(self.bytes);
-        let remaining = self.budget.free_bytes.get().checked_sub(added_bytes);
-        self.budget.free_bytes.set(remaining.ok_or("no memory left for a response of this size")?);
-        self.bytes += added_bytes;
+impl Reservation {
+    /// Sets the number of reserved bytes.
+    ///
+    /// # Errors
+    ///
+    /// The budget is exhausted; the reservation is unchanged.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), String> {
+        let available_bytes = self.free_bytes.get() + self.bytes;
+        let remaining = available_bytes.checked_sub(bytes);
+        self.free_bytes.set(remaining.ok_or("no memory left for a response of this size")?);
+        self.bytes = bytes;
         Ok(())
     }
+
+    /// Gives all reserved bytes back.
+    pub fn release(&mut self) {
+        self.free_bytes.set(self.free_bytes.get() + self.bytes);
+        self.bytes = 0;
+    }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.free_bytes.set(self.budget.free_bytes.get() + self.bytes);
+        self.release();
     }
 }
 
