Limit the memory of all request bodies together

Cause: each body had a limit, all of them together none, and each lay in memory more than twice. The class is memory that callers decide on without a bound for all.

Change: bodies of requests have a budget of a third of the process's memory, reserved before a body with a length is read; a request beyond it is refused at once (no-memory, 503 with Retry-After, not run). Bodies are read into one piece and sent without a copy. Answers, incomplete events and requests share one kind of budget.

--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -19,6 +19,7 @@
 
 use super::buffered::{self, BufferedResponse};
 use super::queue::InFlight;
+use super::request_body::RequestBody;
 use super::response_limits;
 use super::serve::Traffic;
 use super::upstream::{Lease, SendError};
@@ -31,7 +32,7 @@
     /// Head as the caller sent it.
     pub head: http::request::Parts,
     /// Complete body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Request id.
     pub id: Name,
     /// Route that matches the request.
@@ -301,7 +302,7 @@
     let mut outgoing = http::Request::builder()
         .method(request.head.method.clone())
         .uri(request.head.uri.path_and_query().map_or("/", |path| path.as_str()))
-        .body(Full::new(request.body.clone()))?;
+        .body(Full::new(request.body.bytes.clone()))?;
     *outgoing.headers_mut() = caller::head_for_target(&request.head.headers, &router_headers);
     Ok(outgoing)
 }
--- a/daemon/src/edge/buffered.rs
+++ b/daemon/src/edge/buffered.rs
@@ -4,6 +4,7 @@
 use gentianhinge_platform::answer;
 use hyper::body::Incoming;
 
+use super::response_limits;
 use super::serve::Traffic;
 use super::upstream::Lease;
 
@@ -32,7 +33,7 @@
     traffic: &Traffic,
 ) -> Result<BufferedResponse, String> {
     let (head, body) = response.into_parts();
-    let body = traffic.response_buffers.read(body).await?;
+    let body = response_limits::read(body, &traffic.response_buffers).await?;
     if !answer_head.is_closing && !answer_head.is_mismatched {
         lease.release(&traffic.upstream, answer_head.idle_timeout);
     }
--- a/daemon/src/edge/event_reader.rs
+++ b/daemon/src/edge/event_reader.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 
 use super::attempt::EventStream;
+use super::buffers::{BufferBudget, Reservation};
 use super::events::EventSplitter;
-use super::response_limits::{self, BufferBudget, Reservation};
 
 /// What a stream has brought.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
         if self.splitter.has_gap || self.splitter.is_event_too_long() {
             return Err("an event is missing or too long".to_string());
         }
-        self.partial.resize(response_limits::reserved_bytes(self.splitter.partial_len()))
+        self.partial.resize(self.splitter.partial_len()).map_err(|err| err.to_string())
     }
 
     /// What the end of the stream means.
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::report;
 use gentianhinge_core::routing::{Route, RouteTable, Team};
+use gentianhinge_core::{admission, report};
 use gentianhinge_platform::{answer, caller};
 use http::header;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
+use rand::Rng;
 use tokio::time::{self, Instant};
 
 use super::active::{ActiveRequest, TargetAnswer};
@@ -19,14 +18,18 @@
 use super::buffered::BufferedResponse;
 use super::relay::Relay;
 use super::reply::{self, Body, Reason};
+use super::request_body::{BodyReadError, RequestBody};
 use super::request_record::RequestRecord;
 use super::serve::Traffic;
 use super::spec::{Identity, RequestSpec};
-use super::{Context, Phase, panics, response_limits};
+use super::{Context, Phase, panics, request_body, response_limits};
 
 /// `Retry-After` of a request that arrives before a configuration has been read.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// `Retry-After` of a request for whose body there is no memory: about the time that a request takes.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(700);
+
 /// Time for which the body of a refused request is read before the refusal is sent.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -132,7 +135,8 @@
     matched.record(record);
     let max_bytes = matched.table.limits.max_body_bytes;
     let caller_deadline = caller_head.time_left.map(|time| arrived_at + time);
-    let body = read_body(body, max_bytes, matched.deadline(arrived_at, caller_deadline)).await?;
+    let body =
+        read_body(traffic, body, max_bytes, matched.deadline(arrived_at, caller_deadline)).await?;
     if traffic.context.config_version() != Some(matched.table.version) {
         matched = find(traffic, &head, caller_head)?;
         matched.record(record);
@@ -155,7 +159,7 @@
         request_id: caller_head.request_id.as_str().into(),
         prompt: caller_head.prompt.clone().filter(|_| route.has_prompt),
         team: team_hash,
-        identity: Arc::new(Identity::new(team_hash, &head, &body)),
+        identity: Arc::new(Identity::new(team_hash, &head, &body.bytes)),
         arrived_at,
         due_at: arrived_at + due_in,
         deadline,
@@ -218,19 +222,29 @@
     if ratio > 1.0 { ratio.log2().ceil() as u32 } else { 0 }
 }
 
+/// Reads the body of a request. What is left of one that can't be read closes the connection.
 async fn read_body(
+    traffic: &Traffic,
     body: Incoming,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, Rejection> {
-    let reading = time::timeout_at(deadline, Limited::new(body, max_bytes).collect()).await;
-    let reason = match reading {
-        Ok(Ok(body)) => return Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Reason::BodyTooLarge,
-        Ok(Err(_)) => Reason::BodyBroken,
-        Err(_) => Reason::TooLate,
+) -> Result<RequestBody, Rejection> {
+    let budget = &traffic.request_buffers;
+    let err = match request_body::read(body, max_bytes, deadline, budget).await {
+        Ok(body) => return Ok(body),
+        Err(err) => err,
+    };
+    let (reason, retry_after) = match err {
+        BodyReadError::TooLarge => (Reason::BodyTooLarge, None),
+        BodyReadError::Broken => (Reason::BodyBroken, None),
+        BodyReadError::TooLate => (Reason::TooLate, None),
+        BodyReadError::NoMemory => {
+            let draw = rand::rng().random();
+            let retry_after = admission::add_jitter(NO_MEMORY_RETRY_AFTER, Duration::ZERO, draw);
+            (Reason::NoMemory, Some(retry_after))
+        }
     };
-    Err(Rejection { leaves_body: true, ..reason.into() })
+    Err(Rejection { reason, retry_after, leaves_body: true })
 }
 
 /// Reads and drops the body of a refused request, so that the connection can be kept; returns
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -14,6 +14,7 @@
 //! - [`state`] holds the router's view of the fleet; [`store_sync`] and [`load_reports`] update it.
 //!   [`topic_reader`] reads the store's topics, or hears through [`polls`] what another router reads.
 //! - [`queue`] decides which waiting request is sent next.
+//! - [`buffers`] limits the memory for messages; [`request_body`] reads what callers send.
 //! - [`upstream`] sends a request to a target; [`response_limits`] bounds the response.
 //! - [`attempt`], [`buffered`], [`events`], [`event_reader`] and [`relay`] read responses and pass them on; [`crash`]
 //!   notices targets that end while they run a request.
@@ -45,6 +46,7 @@
 pub mod active;
 pub mod attempt;
 pub mod buffered;
+pub mod buffers;
 pub mod crash;
 pub mod decisions;
 pub mod event_reader;
@@ -60,6 +62,7 @@
 pub mod queue;
 pub mod relay;
 pub mod reply;
+pub mod request_body;
 pub mod request_record;
 pub mod response_limits;
 pub mod serve;
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -36,6 +36,8 @@
     BodyTooLarge,
     /// The request body is incomplete.
     BodyBroken,
+    /// This router has no memory left for the request body.
+    NoMemory,
     /// The service has no usable target.
     NoTarget,
     /// The targets are too busy to serve the request in time.
@@ -63,6 +65,7 @@
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::BodyBroken => StatusCode::BAD_REQUEST,
             Reason::NoConfig
+            | Reason::NoMemory
             | Reason::NoTarget
             | Reason::Overload
             | Reason::Quarantined
@@ -82,6 +85,7 @@
             Reason::UnknownKey => "unknown-key",
             Reason::BodyTooLarge => "body-too-large",
             Reason::BodyBroken => "body-broken",
+            Reason::NoMemory => "no-memory",
             Reason::NoTarget => "no-target",
             Reason::Overload => "overload",
             Reason::Quarantined => "quarantined",
@@ -103,6 +107,7 @@
         "unknown-key" => "not run: no team of the configuration has this key",
         "body-too-large" => "not run: the request body is larger than the configuration allows",
         "body-broken" => "not run: the caller's request body was incomplete",
+        "no-memory" => "not run: this router had no memory left for its body",
         "no-target" => "not run: the service had no usable target",
         "overload" => "not run: every target was too busy to serve it in time",
         "not-sent" => "not run: the chosen targets couldn't be reached",
--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -11,16 +11,14 @@
 use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::buffers::BufferBudget;
+
 /// Maximum size of a response head, including interim responses. Decoding them takes time from other
 /// requests, up to the deadline of a request if its target never comes to an answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Size up to which a response needs no reservation: far above the usual size, so that large
-/// responses don't block usual ones.
-const UNRESERVED_BYTES: usize = 64 << 10;
-
-/// Part of the memory of the process that reservations may use.
-const MEMORY_PART: f64 = 1.0 / 16.0;
+/// Maximum size of a body that is read only so that its connection can be reused.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
 /// Number of bytes that may still be read from a connection. Clones share the count.
 #[derive(Clone, Debug, Default)]
@@ -80,88 +78,42 @@
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
-
-/// Memory budget for what is buffered of responses.
-#[derive(Debug)]
-pub struct BufferBudget {
-    free_bytes: Rc<Cell<usize>>,
-}
-
-impl BufferBudget {
-    /// Creates the budget of a process with `memory_mb` MB of memory.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Far below 2^52 bytes.
-    pub fn new(memory_mb: f64) -> BufferBudget {
-        let bytes = memory_mb * 1e6 * MEMORY_PART;
-        BufferBudget { free_bytes: Rc::new(Cell::new(bytes as usize)) }
-    }
-
-    /// An empty reservation.
-    pub fn reservation(&self) -> Reservation {
-        Reservation { free_bytes: self.free_bytes.clone(), bytes: 0 }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
     }
 
-    /// Reads a complete body.
-    ///
-    /// # Errors
-    ///
-    /// Describes why the body can't be read: the connection failed, or the budget is exhausted.
-    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, String> {
-        let mut reservation = self.reservation();
-        let mut body_bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|err| err.to_string())?.into_data() else { continue };
-            body_bytes.extend_from_slice(&data);
-            reservation.resize(reserved_bytes(body_bytes.len()))?;
-        }
-        Ok(body_bytes.freeze())
+    // Without this, the body of each request is copied.
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
     }
-}
-
-/// Bytes to be reserved for `len` buffered bytes of a response.
-pub fn reserved_bytes(len: usize) -> usize {
-    len.saturating_sub(UNRESERVED_BYTES)
-}
 
-/// Part of a budget reserved for one response; released when dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    free_bytes: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl Reservation {
-    /// Sets the number of reserved bytes.
-    ///
-    /// # Errors
-    ///
-    /// The budget is exhausted; the reservation is unchanged.
-    pub fn resize(&mut self, bytes: usize) -> Result<(), String> {
-        let available_bytes = self.free_bytes.get() + self.bytes;
-        let remaining = available_bytes.checked_sub(bytes);
-        self.free_bytes.set(remaining.ok_or("no memory left for a response of this size")?);
-        self.bytes = bytes;
-        Ok(())
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
-    /// Gives all reserved bytes back.
-    pub fn release(&mut self) {
-        self.free_bytes.set(self.free_bytes.get() + self.bytes);
-        self.bytes = 0;
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
 
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.release();
+/// Reads a complete body.
+///
+/// # Errors
+///
+/// Describes why the body can't be read: the connection failed, or the budget is exhausted.
+pub async fn read(mut body: Incoming, budget: &BufferBudget) -> Result<Bytes, String> {
+    let mut reservation = budget.reservation();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|err| err.to_string())?.into_data() else { continue };
+        bytes.extend_from_slice(&data);
+        reservation.resize(bytes.len()).map_err(|err| err.to_string())?;
     }
+    Ok(bytes.freeze())
 }
 
 /// Reads and drops a body; returns `false` if it is incomplete or too long, so that the connection
@@ -171,7 +123,7 @@
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
         bytes += frame.data_ref().map_or(0, Bytes::len);
-        if bytes > UNRESERVED_BYTES {
+        if bytes > MAX_DISCARDED_BYTES {
             return false;
         }
     }
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -22,11 +22,12 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use super::buffers::BufferBudget;
 use super::idle::IdleTimer;
 use super::linger::LingeringStream;
 use super::queue::Queue;
 use super::upstream::Upstream;
-use super::{Context, Phase, handle, lag, response_limits};
+use super::{Context, Phase, handle, lag};
 
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -35,6 +36,12 @@
 /// the last responses to be written.
 const CLOSE_TIME: Duration = Duration::from_millis(100);
 
+/// Part of the memory of the process for bodies of requests.
+const REQUEST_MEMORY_PART: f64 = 1.0 / 3.0;
+
+/// Part of the memory of the process for buffered responses.
+const RESPONSE_MEMORY_PART: f64 = 1.0 / 16.0;
+
 /// Resource limits of the traffic thread.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -52,8 +59,10 @@
     pub queue: Rc<Queue>,
     /// Connection pool for targets.
     pub upstream: Upstream,
+    /// Memory budget for bodies of requests.
+    pub request_buffers: BufferBudget,
     /// Memory budget for buffered responses.
-    pub response_buffers: response_limits::BufferBudget,
+    pub response_buffers: BufferBudget,
     inherits_options: OnceCell<bool>,
     /// Permits for callers' connections.
     pub permits: Rc<Semaphore>,
@@ -145,7 +154,8 @@
         context: context.clone(),
         queue,
         upstream,
-        response_buffers: response_limits::BufferBudget::new(bounds.memory_mb),
+        request_buffers: BufferBudget::new(bounds.memory_mb, REQUEST_MEMORY_PART),
+        response_buffers: BufferBudget::new(bounds.memory_mb, RESPONSE_MEMORY_PART),
         inherits_options: OnceCell::new(),
         permits,
         max_connections,
