Leave the retry budget's share to routers that aren't heard

Cause: a router's share followed the routers heard within 1.5 s, so one that hears nobody counted as the only one. The class is silence taken for absence. Besides, a bucket of the window left as a whole when its start was a window old, so that retries counted for nine tenths of it.

Change: a router that isn't heard keeps its share for 60 s, with the requests that it reported last; one that is registered and hasn't reported counts with the mean of the others. Retries count for a bucket longer.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -6,6 +6,12 @@
 //! Load pattern: hundreds of routers see a target fail in the same second, and the last reports of
 //! the others still show an unused budget. Each router therefore has a share of it, half by its
 //! requests and half evenly.
+//!
+//! # Partitions
+//!
+//! A router that isn't heard may be cut off, and go on to serve its callers. It keeps its share for
+//! [`MAX_SILENCE`], with the requests that it reported last, and so does one that is registered and
+//! hasn't been heard yet. Only after that its share passes to the others.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -26,6 +32,9 @@
 /// Requests that each router is taken to have besides those it has reported.
 const PRIOR_REQUESTS: f64 = 0.5;
 
+/// Time for which a router that isn't heard is taken to serve its callers behind a partition.
+pub const MAX_SILENCE: Duration = Duration::from_secs(60);
+
 /// Buckets of the sliding window.
 const BUCKET_COUNT: u32 = 10;
 
@@ -41,15 +50,40 @@
     services: HashMap<Hash, Count>,
 }
 
+/// What is known of another router.
+#[derive(Debug)]
+struct Peer {
+    /// Time of the last report, or of the registration.
+    known_at: Instant,
+    /// Whether it has reported within the window.
+    is_current: bool,
+    /// Whether it has reported at all.
+    has_reported: bool,
+    services: Vec<report::ServiceUse>,
+}
+
+impl Peer {
+    /// Counts for a service. The retries of a router that has been silent for longer have left the
+    /// window; its requests are taken to go on.
+    fn counts(&self, service: Hash) -> Count {
+        let line = self.services.iter().find(|line| line.service == service);
+        line.map_or(Count::default(), |line| Count {
+            requests: line.request_count,
+            retries: if self.is_current { line.retry_count } else { 0 },
+        })
+    }
+}
+
 /// Retry budget of all services: own counts, reports of other routers, and bounds.
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
     extra_retries: f64,
     window: Duration,
+    /// Number of routers heard lately, including this one.
     router_count: f64,
     buckets: VecDeque<Bucket>,
-    peers: HashMap<Name, (Instant, Vec<report::ServiceUse>)>,
+    peers: HashMap<Name, Peer>,
     /// Requests in this router's last report.
     reported: HashMap<Hash, u32>,
 }
@@ -106,24 +140,35 @@
     fn has_room_of(&mut self, service: Hash, ratio: f64, now: Instant) -> bool {
         let own = self.own_counts(now).get(&service).copied().unwrap_or_default();
         let window = self.window;
-        self.peers.retain(|_, (received_at, _)| now.duration_since(*received_at) < window);
-        let lines = self.peers.values().flat_map(|(_, lines)| lines);
-        let lines = lines.filter(|line| line.service == service);
+        self.peers.retain(|_, peer| {
+            let silence = now.duration_since(peer.known_at);
+            peer.is_current &= silence < window;
+            silence < MAX_SILENCE
+        });
         let (mut requests, mut retries) = (f64::from(own.requests), f64::from(own.retries));
-        for line in lines {
-            requests += f64::from(line.request_count);
-            retries += f64::from(line.retry_count);
+        for count in self.peers.values().map(|peer| peer.counts(service)) {
+            requests += f64::from(count.requests);
+            retries += f64::from(count.retries);
         }
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
+        let known_count = self.router_count.max(1.0 + self.peers.len() as f64);
+        let unreported_count = self.peers.values().filter(|peer| !peer.has_reported).count() as f64;
+        let reported_count = 1.0 + self.peers.len() as f64 - unreported_count;
+        // Routers that haven't reported are taken to have as many requests as the others at the mean.
+        let all_requests = requests * (1.0 + unreported_count / reported_count);
         let own_requests = f64::from(own.requests);
-        let share_of_requests = if requests > 0.0 { own_requests / requests } else { 0.0 };
-        let share = (share_of_requests + 1.0 / self.router_count) / 2.0;
+        let share_of_requests = if all_requests > 0.0 { own_requests / all_requests } else { 0.0 };
+        let mut share = (share_of_requests + 1.0 / known_count) / 2.0;
+        if known_count > self.router_count {
+            // What the silent ones do isn't known.
+            share *= USABLE_RATIO;
+        }
         // Each router can use up the remaining room before the others receive its report, so none
         // takes more than its share: the shares of all routers add up to the budget.
         retries + 1.0 <= allowed * USABLE_RATIO && f64::from(own.retries) + 1.0 <= allowed * share
     }
 
-    /// Sets the number of routers that share the budget, including this one.
+    /// Sets the number of routers that were heard lately, including this one.
     pub fn set_router_count(&mut self, router_count: usize) {
         self.router_count = router_count.max(1) as f64;
     }
@@ -131,9 +176,8 @@
     /// Requests per second for a service by all routers, without retries.
     pub fn requests_per_s(&mut self, service: Hash, now: Instant) -> f64 {
         let own = self.own_counts(now).get(&service).map_or(0, |count| count.requests);
-        let lines = self.peers.values().flat_map(|(_, lines)| lines);
-        let lines = lines.filter(|line| line.service == service);
-        let others = lines.map(|line| f64::from(line.request_count)).sum::<f64>();
+        let current = self.current_peers().map(|peer| peer.counts(service));
+        let others = current.map(|count| f64::from(count.requests)).sum::<f64>();
         (f64::from(own) + others) / self.window.as_secs_f64()
     }
 
@@ -142,14 +186,19 @@
     /// parts of routers that get requests at the same time add up to one.
     pub fn demand_part(&self, service: Hash) -> f64 {
         let own = f64::from(self.reported.get(&service).copied().unwrap_or_default());
-        let lines = self.peers.values().flat_map(|(_, lines)| lines);
-        let lines = lines.filter(|line| line.service == service);
-        let known = own + lines.map(|line| f64::from(line.request_count)).sum::<f64>();
-        let known_count = 1.0 + self.peers.len() as f64;
+        let current = self.current_peers().map(|peer| peer.counts(service));
+        let requests = current.map(|count| f64::from(count.requests));
+        let (known_count, known) =
+            requests.fold((1.0, own), |(count, sum), requests| (count + 1.0, sum + requests));
         let all = known * (self.router_count / known_count).max(1.0);
         (own + PRIOR_REQUESTS) / (all + PRIOR_REQUESTS * self.router_count)
     }
 
+    /// The routers that have reported within the window.
+    fn current_peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.is_current)
+    }
+
     fn current_bucket(&mut self, now: Instant) -> &mut HashMap<Hash, Count> {
         let span = self.window / BUCKET_COUNT;
         if self.buckets.back().is_none_or(|last| now.duration_since(last.started_at) >= span) {
@@ -159,21 +208,41 @@
         &mut self.buckets[at].services
     }
 
+    /// This router's counts. A bucket's retries may all be from its end, and its requests from its
+    /// start, so that retries count for the length of a bucket longer.
     fn own_counts(&mut self, now: Instant) -> HashMap<Hash, Count> {
-        let window = self.window;
-        self.buckets.retain(|bucket| now.duration_since(bucket.started_at) < window);
+        let (window, span) = (self.window, self.window / BUCKET_COUNT);
+        self.buckets.retain(|bucket| now.duration_since(bucket.started_at) < window + span);
         let mut sums = HashMap::<Hash, Count>::new();
-        for (service, count) in self.buckets.iter().flat_map(|bucket| &bucket.services) {
-            let sum = sums.entry(*service).or_default();
-            sum.requests += count.requests;
-            sum.retries += count.retries;
+        for bucket in &self.buckets {
+            let has_requests = now.duration_since(bucket.started_at) < window;
+            for (service, count) in &bucket.services {
+                let sum = sums.entry(*service).or_default();
+                sum.requests += if has_requests { count.requests } else { 0 };
+                sum.retries += count.retries;
+            }
         }
         sums
     }
 
     /// Replaces the counts of another router by those of its latest report.
     pub fn apply_report(&mut self, sender: &Name, services: Vec<report::ServiceUse>, now: Instant) {
-        self.peers.insert(sender.clone(), (now, services));
+        self.peers.insert(
+            sender.clone(),
+            Peer { known_at: now, is_current: true, has_reported: true, services },
+        );
+    }
+
+    /// Records that another router is registered, in case it can't be heard.
+    pub fn hear_registered(&mut self, name: &Name, now: Instant) {
+        let silent =
+            || Peer { known_at: now, is_current: false, has_reported: false, services: Vec::new() };
+        self.peers.entry(name.clone()).or_insert_with(silent);
+    }
+
+    /// Records that another router has deregistered.
+    pub fn forget_router(&mut self, name: &str) {
+        self.peers.remove(name);
     }
 
     /// This router's counts within the window, for its report.
--- /dev/null
+++ b/core/tests/retry_budget.rs
@@ -0,0 +1,167 @@
+//! The retry budget of a fleet whose routers don't all hear each other.
+
+use std::time::Duration;
+
+use gentianhinge_core::ids::Name;
+use gentianhinge_core::report;
+use gentianhinge_core::retry_budget::RetryBudget;
+use tokio::time::Instant;
+
+const SERVICE: report::Hash = 1;
+const RATIO: f64 = 0.2;
+const EXTRA_RETRIES: f64 = 56.0;
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Step of the simulation.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Interval between two reports of a router, in steps.
+const REPORT_STEPS: u32 = 4;
+
+/// Time without a report after which a router isn't heard, in steps.
+const PEER_STEPS: u32 = 15;
+
+struct Router {
+    name: Name,
+    budget: RetryBudget,
+    /// Step of the last report heard of each router.
+    heard: Vec<Option<u32>>,
+}
+
+/// A fleet whose callers send evenly and whose targets turn nearly half of all arrivals away.
+struct Fleet {
+    routers: Vec<Router>,
+    start: Instant,
+    step: u32,
+    /// Requests and retries by step.
+    requests: Vec<u32>,
+    retries: Vec<u32>,
+}
+
+impl Fleet {
+    /// All routers are registered; none has heard of another.
+    fn new(count: usize) -> Fleet {
+        let names = (0..count).map(|i| Name::from(format!("r{i}").as_str())).collect::<Vec<_>>();
+        let start = Instant::now();
+        let routers = names.iter().map(|name| {
+            let mut budget = RetryBudget::new(RATIO, EXTRA_RETRIES, WINDOW);
+            for other in names.iter().filter(|other| *other != name) {
+                budget.hear_registered(other, start);
+            }
+            Router { name: name.clone(), budget, heard: vec![None; count] }
+        });
+        let routers = routers.collect();
+        Fleet { routers, start, step: 0, requests: Vec::new(), retries: Vec::new() }
+    }
+
+    /// Plays `time`; routers of different groups don't hear each other. Routers in `lost` are gone,
+    /// and their callers at the others.
+    fn play(&mut self, time: Duration, group_of: impl Fn(usize) -> usize, lost: &[usize]) {
+        let ends_at = self.step + (time.as_millis() / STEP.as_millis()) as u32;
+        while self.step < ends_at {
+            let now = self.start + STEP * self.step;
+            let live = (0..self.routers.len()).filter(|i| !lost.contains(i)).collect::<Vec<_>>();
+            if self.step % REPORT_STEPS == 0 {
+                self.report(&live, &group_of, now);
+            }
+            let (mut requests, mut retries) = (0, 0);
+            // Eight requests in a step, dealt in turn.
+            for n in 0..8 {
+                let at = live[((self.step * 8 + n) as usize) % live.len()];
+                let router = &mut self.routers[at];
+                router.budget.count_request(SERVICE, now);
+                requests += 1;
+                // Arrivals are turned away, and so are their retries.
+                for _ in 0..3 {
+                    retries += u32::from(router.budget.try_take(SERVICE, now));
+                }
+            }
+            self.requests.push(requests);
+            self.retries.push(retries);
+            self.step += 1;
+        }
+    }
+
+    fn report(&mut self, live: &[usize], group_of: &impl Fn(usize) -> usize, now: Instant) {
+        for from in live {
+            let lines = self.routers[*from].budget.own_report(now);
+            let name = self.routers[*from].name.clone();
+            for to in live.iter().filter(|to| *to != from && group_of(**to) == group_of(*from)) {
+                self.routers[*to].budget.apply_report(&name, lines.clone(), now);
+                self.routers[*to].heard[*from] = Some(self.step);
+            }
+        }
+        for router in &mut self.routers {
+            let is_heard = |at: &&Option<u32>| at.is_some_and(|at| self.step < at + PEER_STEPS);
+            router.budget.set_router_count(1 + router.heard.iter().filter(is_heard).count());
+        }
+    }
+
+    /// Greatest number of retries in a window beyond what the requests allow: those of that window,
+    /// the one before it or the one half a window before it, whichever has most.
+    fn excess(&self) -> f64 {
+        let len = (WINDOW.as_millis() / STEP.as_millis()) as usize;
+        let sum = |counts: &[u32], from: usize| {
+            counts[from.min(counts.len())..(from + len).min(counts.len())].iter().sum::<u32>()
+        };
+        let excess = (0..self.retries.len()).map(|from| {
+            let starts = [from, from.saturating_sub(len / 2), from.saturating_sub(len)];
+            let requests = starts.map(|from| sum(&self.requests, from)).into_iter().max();
+            let allowed = RATIO * f64::from(requests.unwrap_or_default()) + EXTRA_RETRIES;
+            f64::from(sum(&self.retries, from)) - allowed
+        });
+        excess.fold(f64::MIN, f64::max)
+    }
+
+    fn retries_in(&self, steps: std::ops::Range<usize>) -> u32 {
+        self.retries[steps].iter().sum()
+    }
+}
+
+const WHOLE: fn(usize) -> usize = |_| 0;
+
+/// Three routers are cut off, each from all others.
+const THREE_CUT: fn(usize) -> usize = |router| router.min(3);
+
+macro_rules! cases {
+    ($($name:ident: $body:expr,)*) => { $(
+        #[test]
+        fn $name() { $body }
+    )* };
+}
+
+// Guards against routers that hear no others and each use the whole fleet's budget.
+cases! {
+    routers_that_are_cut_off_keep_to_the_budget_of_the_fleet: {
+        for cut_s in [3, 12, 40] {
+            let mut fleet = Fleet::new(8);
+            fleet.play(Duration::from_secs(15), WHOLE, &[]);
+            fleet.play(Duration::from_secs(cut_s), THREE_CUT, &[]);
+            fleet.play(Duration::from_secs(15), WHOLE, &[]);
+            assert!(fleet.excess() <= 0.0, "{} over in a cut of {cut_s} s", fleet.excess());
+        }
+    },
+    routers_that_have_heard_of_no_others_yet_keep_to_the_budget_of_the_fleet: {
+        let mut fleet = Fleet::new(8);
+        fleet.play(Duration::from_secs(12), |router| router, &[]);
+        assert!(fleet.excess() <= 0.0, "{} over", fleet.excess());
+    },
+    routers_that_are_lost_for_good_leave_their_part_to_the_others: {
+        let mut fleet = Fleet::new(8);
+        fleet.play(Duration::from_secs(15), WHOLE, &[]);
+        fleet.play(Duration::from_secs(90), WHOLE, &[0, 1, 2, 3]);
+        assert!(fleet.excess() <= 0.0, "{} over", fleet.excess());
+        let (before, after) = (fleet.retries_in(50..150), fleet.retries_in(900..1000));
+        assert!(f64::from(after) >= 0.95 * f64::from(before), "{after} after {before}");
+    },
+    a_router_that_has_deregistered_leaves_its_part_at_once: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        budget.hear_registered(&"r2".into(), now);
+        let alone = (0..40).filter(|_| budget.try_take(SERVICE, now)).count();
+        budget.forget_router("r2");
+        let later = now + WINDOW + STEP;
+        let after = (0..40).filter(|_| budget.try_take(SERVICE, later)).count();
+        assert!(alone <= 20 && after > alone, "{alone}, then {after}");
+    },
+}
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -206,9 +206,17 @@
     let name = Name::from(entry.key.as_str());
     let mut state = context.state();
     match &peer {
-        Some(_) => state.registered_routers.insert(name),
-        None => state.registered_routers.remove(&name),
-    };
+        Some(_) => {
+            if name != context.name {
+                state.retries.hear_registered(&name, Instant::now());
+            }
+            state.registered_routers.insert(name);
+        }
+        None => {
+            state.retries.forget_router(&name);
+            state.registered_routers.remove(&name);
+        }
+    }
     drop(state);
     if entry.key != *context.name {
         peers.set(&entry.key, peer);
