--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -61,7 +61,7 @@
         while self.step < ends_at {
             let now = self.start + STEP * self.step;
             let live = (0..self.routers.len()).filter(|i| !lost.contains(i)).collect::<Vec<_>>();
-            if self.step % REPORT_STEPS == 0 {
+            if self.step.is_multiple_of(REPORT_STEPS) {
                 self.report(&live, &group_of, now);
             }
             let (mut requests, mut retries) = (0, 0);
