--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -30,6 +30,9 @@
 /// Time within which a change must be in force, as in the settings.
 pub const APPLY_BOUND: Duration = Duration::from_secs(2);
 
+/// Time within which a router must report its readiness.
+const READINESS_TIMEOUT: Duration = Duration::from_secs(10);
+
 type Records = Vec<(String, Vec<u8>)>;
 
 /// Test double of the store, with keyed topics in memory.
@@ -472,9 +475,22 @@
         get(self.readiness, "/readyz").await.map_or(0, |(status, _)| status)
     }
 
-    /// Waits until the readiness probe returns `status`.
+    /// Waits until the readiness probe returns `status`; panics with the router's log if it doesn't.
     pub async fn wait_for_readiness(&self, status: u16) {
-        wait_for(Duration::from_secs(10), async || self.readiness().await == status).await;
+        let ends_at = Instant::now() + READINESS_TIMEOUT;
+        loop {
+            let seen = self.readiness().await;
+            if seen == status {
+                return;
+            }
+            if Instant::now() >= ends_at {
+                let lines = self.process.drain_lines().join("\n");
+                panic!(
+                    "readiness {seen}, not {status}, within {READINESS_TIMEOUT:?}; log:\n{lines}"
+                );
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
     }
 }
 
