Try a held request once after its targets are back

One that keeps ending targets ended three more each five minutes, as the evidence had lapsed.

Change: a held request gets a trial 10 s after its last crash, at the first router in its rendezvous order of those heard. A send that reached no target is no trial.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -15,6 +15,14 @@
 //! quarantined for [`MAX_AMBIGUOUS_CRASHES`] in any case. An answer clears the request, so that
 //! what was only beside the cause is soon set apart.
 //!
+//! # Trials
+//!
+//! A sound request may have been at three targets that ended for other reasons, and nothing that is
+//! held could be answered. A quarantined request is therefore held for [`FIRST_HOLD`] after its last
+//! crash, and then tried once. A trial that ends its target, too, has it held for longer each time.
+//!
+//! # Evidence against parts
+//!
 //! A [`Crash`] names the parts of a request whose answer a target had begun when it ended. Routers
 //! exchange crashes, and tell each other which of the parts were answered elsewhere: an answer that
 //! ran to its end clears the parts of its request. A part with crashes at [`MIN_CRASHES`] targets
@@ -46,7 +54,7 @@
 
 use requests::Requests;
 pub use requests::{
-    EndedTarget, Evidence, MAX_AMBIGUOUS_CRASHES, MAX_ENDED, MAX_REPORTED_CLEARED,
+    EndedTarget, Evidence, FIRST_HOLD, MAX_AMBIGUOUS_CRASHES, MAX_ENDED, MAX_REPORTED_CLEARED,
     MAX_REPORTED_ENDED, MAX_REPORTED_RUNNING, MAX_RUNNING,
 };
 
@@ -253,6 +261,22 @@
         self.requests.is_quarantined(request, now)
     }
 
+    /// Whether a request that kept ending its targets may be sent once more, as a trial. One router
+    /// of the fleet makes it.
+    pub fn is_trial_due(&self, request: Hash, now: Instant) -> bool {
+        self.requests.is_trial_due(request, now)
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn record_request_sent(&mut self, request: Hash, now: Instant) {
+        self.requests.record_sent(request, now);
+    }
+
+    /// Records that a request that was sent certainly hasn't run, so that a trial is still due.
+    pub fn record_request_not_run(&mut self, request: Hash, now: Instant) {
+        self.requests.record_not_run(request, now);
+    }
+
     /// What is known of a request.
     pub fn evidence(&self, request: Hash, now: Instant) -> Evidence {
         self.requests.evidence(request, now)
@@ -266,7 +290,9 @@
     pub fn may_retry_request(&self, request: Hash, tried: &[Hash], now: Instant) -> bool {
         let evidence = self.evidence(request, now);
         let ended_count = evidence.targets.iter().filter(|target| tried.contains(target)).count();
-        evidence.crash_count < MIN_CRASHES && ended_count < MAX_ENDED_BY_ATTEMPT
+        evidence.crash_count < MIN_CRASHES
+            && ended_count < MAX_ENDED_BY_ATTEMPT
+            && !self.requests.was_tried(request)
     }
 
     /// Ended targets that the other routers haven't been told of.
@@ -291,7 +317,7 @@
 
     /// Whether there is no evidence at all.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.requests.ended_count() == 0
+        self.crashes.is_empty() && self.requests.is_empty()
     }
 
     /// Number of ended targets that are kept as evidence.
--- a/core/src/quarantine/requests.rs
+++ b/core/src/quarantine/requests.rs
@@ -33,6 +33,19 @@
 /// Maximum number of cleared requests in a report.
 pub const MAX_REPORTED_CLEARED: usize = 128;
 
+/// Time after its last crash for which a request is held at first. Its targets are back by then, so
+/// that one trial tells whether it is sound.
+pub const FIRST_HOLD: Duration = Duration::from_secs(10);
+
+/// Times for which a request is held after each further trial that ends a target; the last one is
+/// repeated.
+const LATER_HOLDS: [Duration; 3] =
+    [Duration::from_secs(5 * 60), Duration::from_secs(60 * 60), Duration::from_secs(24 * 60 * 60)];
+
+/// Maximum number of requests that are held after a trial; beyond it, the one whose hold ends first
+/// is dropped.
+const MAX_HELD: usize = 256;
+
 /// An ended target and requests that it was running.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedTarget {
@@ -68,12 +81,22 @@
     requests: SmallVec<[Hash; 4]>,
 }
 
+/// A request that was tried again.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    trial_count: usize,
+    /// When the next trial is due.
+    until: Instant,
+}
+
 /// Requests that were running at ended targets and weren't answered since.
 #[derive(Debug, Default)]
 pub(super) struct Requests {
     ended: BTreeMap<Hash, Ended>,
     /// Targets that ended, by request.
     targets: HashKeyed<SmallVec<[Hash; 4]>>,
+    /// Requests that were tried again. They outlast the evidence.
+    held: HashKeyed<Held>,
     answered: HashKeyed<Answer>,
     /// Requests that this router has seen answered, to be reported.
     cleared: Vec<Hash>,
@@ -97,6 +120,7 @@
         if is_expired || self.is_answered_since(at, request) {
             return false;
         }
+        let is_of_trial = self.is_trial_due(request, at);
         if !self.ended.contains_key(&target) && self.ended.len() >= MAX_ENDED {
             self.drop_weakest();
         }
@@ -109,9 +133,61 @@
         }
         ended.requests.push(request);
         self.targets.entry(request).or_default().push(target);
+        if is_of_trial {
+            self.hold_after_trial(request, at);
+        }
         true
     }
 
+    /// Records that a request is sent, which is a trial if one is due.
+    pub(super) fn record_sent(&mut self, request: Hash, now: Instant) {
+        if self.is_trial_due(request, now) {
+            self.hold_after_trial(request, now);
+        }
+    }
+
+    /// Records that the last send of a request didn't reach a target, so that it was no trial.
+    pub(super) fn record_not_run(&mut self, request: Hash, now: Instant) {
+        let Some(held) = self.held.get_mut(&request) else { return };
+        held.trial_count -= 1;
+        held.until = now;
+        if held.trial_count == 0 {
+            self.held.remove(&request);
+        }
+    }
+
+    fn hold_after_trial(&mut self, request: Hash, at: Instant) {
+        let trial_count = self.held.get(&request).map_or(0, |held| held.trial_count);
+        let hold = LATER_HOLDS[trial_count.min(LATER_HOLDS.len() - 1)];
+        if self.held.len() >= MAX_HELD && !self.held.contains_key(&request) {
+            let first = self.held.iter().min_by_key(|(_, held)| held.until);
+            let first = first.map(|(request, _)| *request);
+            first.map(|request| self.held.remove(&request));
+        }
+        let held = Held { trial_count: trial_count + 1, until: at + hold };
+        self.held.insert(request, held);
+    }
+
+    /// Whether a request that keeps ending its targets may be tried again.
+    pub(super) fn is_trial_due(&self, request: Hash, now: Instant) -> bool {
+        match self.held.get(&request) {
+            Some(held) => now >= held.until,
+            None => self.is_suspect(request, now) && now >= self.first_hold_until(request),
+        }
+    }
+
+    /// End of the first hold of a request with evidence.
+    fn first_hold_until(&self, request: Hash) -> Instant {
+        let targets = self.targets.get(&request).into_iter().flatten();
+        let last_at = targets.filter_map(|target| self.ended.get(target)).map(|it| it.at).max();
+        last_at.map_or_else(Instant::now, |at| at + FIRST_HOLD)
+    }
+
+    /// Whether a request has been tried again and wasn't answered.
+    pub(super) fn was_tried(&self, request: Hash) -> bool {
+        self.held.contains_key(&request)
+    }
+
     /// Whether the request was answered after a crash at `at`. If this router has seen the answer,
     /// it is reported again, since the sender of the crash hasn't heard of it.
     fn is_answered_since(&mut self, at: Instant, request: Hash) -> bool {
@@ -154,8 +230,12 @@
 
     /// Drops the evidence against a request that was answered; returns whether there was any.
     fn clear(&mut self, request: Hash, is_own: bool, now: Instant) -> bool {
-        let Some(targets) = self.targets.remove(&request) else { return false };
-        for target in targets {
+        let was_held = self.held.remove(&request).is_some();
+        let targets = self.targets.remove(&request);
+        if targets.is_none() && !was_held {
+            return false;
+        }
+        for target in targets.into_iter().flatten() {
             if let Some(ended) = self.ended.get_mut(&target) {
                 ended.requests.retain(|other| *other != request);
                 if ended.requests.is_empty() {
@@ -191,9 +271,17 @@
         }
     }
 
-    /// Whether a request keeps ending its targets. Others that were at some of the same crashes are
-    /// set apart by the crashes at which they weren't.
+    /// Whether a request is held: it keeps ending its targets, and no trial is due.
     pub(super) fn is_quarantined(&self, request: Hash, now: Instant) -> bool {
+        match self.held.get(&request) {
+            Some(held) => now < held.until,
+            None => self.is_suspect(request, now) && now < self.first_hold_until(request),
+        }
+    }
+
+    /// Whether the evidence is that a request keeps ending its targets. Others that were at some of
+    /// the same crashes are set apart by the crashes at which they weren't.
+    fn is_suspect(&self, request: Hash, now: Instant) -> bool {
         let Some(targets) = self.targets.get(&request) else { return false };
         if targets.len() < MIN_CRASHES {
             return false;
@@ -277,6 +365,12 @@
         let expired = expired.map(|(target, _)| *target).collect::<Vec<_>>();
         expired.into_iter().for_each(|target| self.drop_target(target));
         self.answered.retain(|_, answer| !is_expired(answer.at));
+        let last_hold = LATER_HOLDS[LATER_HOLDS.len() - 1];
+        self.held.retain(|_, held| now < held.until + last_hold);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.ended.is_empty() && self.held.is_empty()
     }
 
     pub(super) fn ended_count(&self) -> usize {
--- a/daemon/src/edge/crash.rs
+++ b/daemon/src/edge/crash.rs
@@ -82,7 +82,13 @@
             // The check goes on if the request ends meanwhile.
             let _ = check_in_background(traffic, spec, placement.clone()).await;
         }
-        Outcome::Events(_) | Outcome::NotSent { .. } | Outcome::NotRun { .. } => {}
+        Outcome::NotSent { .. } | Outcome::NotRun { .. } => {
+            let quarantine = &mut traffic.context.state().quarantine;
+            if !quarantine.is_empty() {
+                quarantine.record_request_not_run(spec.identity.key(), Instant::now());
+            }
+        }
+        Outcome::Events(_) => {}
     }
 }
 
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -32,6 +32,7 @@
 use std::thread;
 use std::time::{Duration, SystemTime};
 
+use gentianhinge_core::ids::Name;
 use gentianhinge_core::{report, target_limit};
 use gentianhinge_platform::store::Store;
 use gentianhinge_platform::{names, peers};
@@ -214,11 +215,12 @@
     let reports =
         net::UdpSocket::bind(addrs.peers).map_err(|e| EdgeError::Listen(addrs.peers, e))?;
     reports.set_nonblocking(true)?;
+    let name = Name::from(settings.router.name.as_str());
     let context = Arc::new(Context {
-        name: settings.router.name.as_str().into(),
+        name: name.clone(),
         zone: settings.router.zone.as_str().into(),
         incarnation: unix_ms(),
-        state: Mutex::new(state::RouterState::new(&settings.bounds, rand::random())),
+        state: Mutex::new(state::RouterState::new(name, &settings.bounds, rand::random())),
         log: decisions::Log::start(settings.router.name.as_str().into(), &settings.log)?,
         metrics: operators::Metrics::new(),
         team_counts: team_counts::TeamCounts::default(),
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -35,11 +35,15 @@
 /// the queue.
 const BACKLOG_CACHE_TIME: Duration = Duration::from_millis(10);
 
+/// Time since a router's last report within which it takes its turn to try a quarantined request.
+const TRIAL_WINDOW: Duration = Duration::from_secs(10);
+
 type Candidates<'a> = SmallVec<[placement::Candidate<'a>; 32]>;
 
 /// A router's view of the fleet.
 #[derive(Debug)]
 pub struct RouterState {
+    name: Name,
     /// Configuration in force.
     pub table: Option<Arc<RouteTable>>,
     /// Registered targets.
@@ -82,8 +86,9 @@
     /// Creates the state of a router that has not read the store yet.
     ///
     /// `seed` is for random choices and must differ between routers.
-    pub fn new(bounds: &edge::EdgeBounds, seed: u64) -> RouterState {
+    pub fn new(name: Name, bounds: &edge::EdgeBounds, seed: u64) -> RouterState {
         RouterState {
+            name,
             table: None,
             registry: Registry::default(),
             load: LoadView::default(),
@@ -391,17 +396,33 @@
         }
     }
 
-    /// Whether targets crash under the request or parts of its prompt.
+    /// Whether targets crash under the request or parts of its prompt, and this router doesn't try it
+    /// again.
     pub fn is_quarantined(&self, spec: &RequestSpec, now: Instant) -> bool {
-        !self.quarantine.is_empty()
-            && (self.quarantine.is_request_quarantined(spec.identity.key(), now)
-                || self.quarantine.is_quarantined(spec.team, &spec.shared_parts(), now))
+        if self.quarantine.is_empty() {
+            return false;
+        }
+        let request = spec.identity.key();
+        self.quarantine.is_request_quarantined(request, now)
+            || (self.quarantine.is_trial_due(request, now) && !self.makes_trial(request, now))
+            || self.quarantine.is_quarantined(spec.team, &spec.shared_parts(), now)
+    }
+
+    /// Whether this router is the one that tries a quarantined request again: the first in the
+    /// request's rendezvous order of the routers that are heard.
+    fn makes_trial(&self, request: Hash, now: Instant) -> bool {
+        let own_weight = (report::hash(&self.name, request), &*self.name);
+        let mut others = self.load.routers_heard(TRIAL_WINDOW, now);
+        others.all(|name| (report::hash(name, request), name) <= own_weight)
     }
 
     fn record_dispatch(&mut self, spec: &RequestSpec, placement: &Placement, now: Instant) {
         let no_prompt = Prompt::default();
         let prompt = spec.prompt.as_ref().unwrap_or(&no_prompt);
         self.load.begin_request(placement.hash, placement.choice.unread_tokens, prompt, now);
+        if !self.quarantine.is_empty() {
+            self.quarantine.record_request_sent(spec.identity.key(), now);
+        }
         self.health.record_sent(placement.hash, now);
         self.target_limits.record_send(placement.hash, now);
         if !spec.is_retry {
