Tests: print the state of a router that isn't ready in time

Once, beside a load of 25, a router of edge_budget wrote no line for 10 s. Its standard error and state were not kept; now they are printed.

--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -29,6 +29,7 @@
 pub struct Process {
     child: process::Child,
     lines: std::sync::mpsc::Receiver<String>,
+    errors: std::sync::Arc<std::sync::Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -38,7 +39,7 @@
         let mut child = process::Command::new(dir.join(program))
             .args(args)
             .stdout(process::Stdio::piped())
-            .stderr(process::Stdio::null())
+            .stderr(process::Stdio::piped())
             .spawn()
             .unwrap_or_else(|err| panic!("{program}: {err}; build the whole workspace first"));
         let stdout = BufReader::new(child.stdout.take().unwrap());
@@ -50,7 +51,23 @@
                 }
             }
         });
-        Process { child, lines }
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let errors = std::sync::Arc::<std::sync::Mutex<Vec<String>>>::default();
+        let written = errors.clone();
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                written.lock().unwrap().push(line);
+            }
+        });
+        Process { child, lines, errors }
+    }
+
+    /// State of the process according to the kernel, and the lines of standard error so far.
+    pub fn diagnosis(&self) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let state = status.lines().find(|line| line.starts_with("State:")).unwrap_or("no state");
+        format!("{state}; standard error: {:?}", self.errors.lock().unwrap())
     }
 
     /// Waits for a line of standard output that starts with `prefix`, and returns the address after
