Search for the end of an event only where a line ends

Cause: since events are read however slowly they arrive, one without end is read to its limit of bytes, for 60 callers at once in edge_endless, and the search for its end took the time of the answers.

Change: bytes without a line end are skipped.

--- a/daemon/src/edge/events.rs
+++ b/daemon/src/edge/events.rs
@@ -71,6 +71,10 @@
 
 /// Position after the last blank line, which ends an event.
 fn end_of_last_event(bytes: &[u8], from: usize) -> Option<usize> {
+    // A long event without line ends is the common case among those that never end.
+    if !bytes[from..].contains(&b'\n') {
+        return None;
+    }
     let at = bytes[from..].windows(2).rposition(|pair| pair == b"\n\n").map(|at| from + at + 2);
     let crlf = bytes[from..].windows(4).rposition(|four| four == b"\r\n\r\n");
     at.max(crlf.map(|at| from + at + 4))
