Log, count and show what decides on a retry

Nothing told why a retry was sent or denied, so that a budget that is exceeded couldn't be traced: whether a router took too little for spent, had too great a share, had just started, or had heard from the others long ago.

What is allowed is unchanged.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -74,6 +74,30 @@
     }
 }
 
+/// What a router knows of the retry budget of a service, over a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Requests of all routers.
+    pub requests: f64,
+    /// Retries of all routers.
+    pub retries: f64,
+    /// Retries of this router.
+    pub own_retries: u32,
+    /// Maximum number of retries of all routers.
+    pub allowed: f64,
+    /// Maximum number of retries of this router.
+    pub own_allowed: f64,
+    /// Age of the oldest report of another router that counts.
+    pub report_age: Duration,
+}
+
+impl Usage {
+    /// Whether there is room for one more retry.
+    pub fn has_room(&self) -> bool {
+        self.retries + 1.0 <= self.allowed && f64::from(self.own_retries) + 1.0 <= self.own_allowed
+    }
+}
+
 /// Retry budget of all services: own counts, reports of other routers, and bounds.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -138,34 +162,58 @@
 
     /// Whether a part of the budget has room for one more retry.
     fn has_room_of(&mut self, service: Hash, ratio: f64, now: Instant) -> bool {
+        self.usage_of(service, ratio, now).has_room()
+    }
+
+    /// What this router knows of a service's budget.
+    pub fn usage(&mut self, service: Hash, now: Instant) -> Usage {
+        self.usage_of(service, 1.0, now)
+    }
+
+    /// The same for a part of the budget.
+    fn usage_of(&mut self, service: Hash, ratio: f64, now: Instant) -> Usage {
         let own = self.own_counts(now).get(&service).copied().unwrap_or_default();
-        let window = self.window;
-        self.peers.retain(|_, peer| {
-            let silence = now.duration_since(peer.known_at);
-            peer.is_current &= silence < window;
-            silence < MAX_SILENCE
-        });
+        self.expire_peers(now);
         let (mut requests, mut retries) = (f64::from(own.requests), f64::from(own.retries));
         for count in self.peers.values().map(|peer| peer.counts(service)) {
             requests += f64::from(count.requests);
             retries += f64::from(count.retries);
         }
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
+        // Each router can use up the remaining room before the others receive its report, so none
+        // takes more than its share: the shares of all routers add up to the budget.
+        let share = self.share(f64::from(own.requests), requests);
+        let report_ages = self.current_peers().map(|peer| now.duration_since(peer.known_at));
+        Usage {
+            requests,
+            retries,
+            own_retries: own.retries,
+            allowed: allowed * USABLE_RATIO,
+            own_allowed: allowed * share,
+            report_age: report_ages.max().unwrap_or_default(),
+        }
+    }
+
+    fn expire_peers(&mut self, now: Instant) {
+        let window = self.window;
+        self.peers.retain(|_, peer| {
+            let silence = now.duration_since(peer.known_at);
+            peer.is_current &= silence < window;
+            silence < MAX_SILENCE
+        });
+    }
+
+    /// This router's share of a budget for `requests`, of which `own_requests` are its own.
+    fn share(&self, own_requests: f64, requests: f64) -> f64 {
         let known_count = self.router_count.max(1.0 + self.peers.len() as f64);
         let unreported_count = self.peers.values().filter(|peer| !peer.has_reported).count() as f64;
         let reported_count = 1.0 + self.peers.len() as f64 - unreported_count;
         // Routers that haven't reported are taken to have as many requests as the others at the mean.
         let all_requests = requests * (1.0 + unreported_count / reported_count);
-        let own_requests = f64::from(own.requests);
         let share_of_requests = if all_requests > 0.0 { own_requests / all_requests } else { 0.0 };
-        let mut share = (share_of_requests + 1.0 / known_count) / 2.0;
-        if known_count > self.router_count {
-            // What the silent ones do isn't known.
-            share *= USABLE_RATIO;
-        }
-        // Each router can use up the remaining room before the others receive its report, so none
-        // takes more than its share: the shares of all routers add up to the budget.
-        retries + 1.0 <= allowed * USABLE_RATIO && f64::from(own.retries) + 1.0 <= allowed * share
+        let share = (share_of_requests + 1.0 / known_count) / 2.0;
+        // What the silent ones do isn't known.
+        if known_count > self.router_count { share * USABLE_RATIO } else { share }
     }
 
     /// Sets the number of routers that were heard lately, including this one.
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -66,6 +66,7 @@
 pub mod request_body;
 pub mod request_record;
 pub mod response_limits;
+pub mod retry_counts;
 pub mod serve;
 pub mod service_times;
 pub mod spec;
@@ -143,6 +144,8 @@
     pub metrics: operators::Metrics,
     /// Totals of each team since the last log line.
     pub team_counts: team_counts::TeamCounts,
+    /// Retries since the last log line.
+    pub retry_counts: retry_counts::RetryCounts,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Number of requests in progress.
@@ -224,6 +227,7 @@
         log: decisions::Log::start(settings.router.name.as_str().into(), &settings.log)?,
         metrics: operators::Metrics::new(),
         team_counts: team_counts::TeamCounts::default(),
+        retry_counts: retry_counts::RetryCounts::default(),
         phase: watch::Sender::new(Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
@@ -382,6 +386,7 @@
     ));
     tokio::spawn(load_reports::send(context.clone(), socket, peers, own_polls));
     tokio::spawn(team_counts::log_counts(context.clone()));
+    tokio::spawn(retry_counts::log_counts(context.clone()));
     tokio::spawn(operators::serve(context.clone(), operators));
     let mut watcher = SettingsFile::new(path);
     loop {
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -1,14 +1,17 @@
 //! Metrics, and the HTTP server for operators.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use gentianhinge_core::ids::Name;
+use gentianhinge_core::report;
 use gentianhinge_platform::names;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::Context;
+use super::state::RouterState;
 use crate::telemetry;
 
 /// Metrics of the process.
@@ -16,6 +19,7 @@
     telemetry: telemetry::Telemetry,
     histograms_by_team: Mutex<HashMap<Name, HashMap<Name, Arc<RouteHistograms>>>>,
     outcomes: Mutex<HashMap<&'static str, metrics::Counter>>,
+    retries: Mutex<HashMap<(Name, bool), metrics::Counter>>,
     /// Requests that ended later than their deadline allows.
     pub overdue_requests: metrics::Counter,
     /// Calls to the store.
@@ -77,6 +81,7 @@
             leaving_targets: telemetry.gauge("gentianhinge_leaving_targets"),
             histograms_by_team: Mutex::default(),
             outcomes: Mutex::default(),
+            retries: Mutex::default(),
             telemetry,
         }
     }
@@ -116,6 +121,17 @@
         });
         counter.increment(1);
     }
+
+    /// Counts a retry that was sent, or denied as the budget of its service had no room for it.
+    pub fn count_retry(&self, service: &Name, is_sent: bool) {
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let counter = retries.entry((service.clone(), is_sent)).or_insert_with(|| {
+            let outcome = if is_sent { "sent" } else { "denied" };
+            let labels = [("service", &**service), ("outcome", outcome)];
+            self.telemetry.labelled_counter("gentianhinge_retries_total", &labels)
+        });
+        counter.increment(1);
+    }
 }
 
 /// Serves metrics and status to operators; returns only after an error.
@@ -145,7 +161,7 @@
 }
 
 fn update_gauges(context: &Context) {
-    let now = tokio::time::Instant::now();
+    let now = Instant::now();
     let state = context.state();
     let leaving_count = state.registry.targets().filter(|target| target.is_leaving).count();
     context.metrics.limited_targets.set(state.target_limits.limited_count() as f64);
@@ -155,8 +171,9 @@
 
 /// The router's view of the fleet as JSON.
 fn status(context: &Context) -> serde_json::Value {
-    let now = tokio::time::Instant::now();
-    let state = context.state();
+    let now = Instant::now();
+    let mut state = context.state();
+    let budgets = retry_budgets(&mut state, now);
     let targets = state.registry.targets().map(|target| {
         let load = state.load.load(target.hash());
         json!({
@@ -172,5 +189,22 @@
         "router": &*context.name, "zone": &*context.zone, "phase": format!("{:?}", context.phase()),
         "ready": state.can_serve(), "config_version": state.table.as_ref().map(|table| table.version),
         "routers": state.load.router_count(now), "targets": targets.collect::<Vec<_>>(),
+        "retry_budgets": budgets,
     })
 }
+
+/// What the router knows of the retry budget of each service.
+fn retry_budgets(state: &mut RouterState, now: Instant) -> Vec<serde_json::Value> {
+    let targets = state.registry.targets();
+    let services = targets.map(|target| target.service.clone()).collect::<BTreeSet<_>>();
+    let budgets = services.into_iter().map(|service| {
+        let usage = state.retries.usage(report::hash(&service, 0), now);
+        json!({
+            "service": &*service, "requests": usage.requests, "retries": usage.retries,
+            "allowed": usage.allowed, "own_retries": usage.own_retries,
+            "own_allowed": usage.own_allowed,
+            "oldest_report_ms": usage.report_age.as_millis() as u64,
+        })
+    });
+    budgets.collect()
+}
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gentianhinge_core::ids::Name;
 use gentianhinge_core::report;
 use gentianhinge_platform::{connection, names};
 use http_body_util::Empty;
@@ -95,13 +96,24 @@
     }
 
     /// Takes a retry from the budget of a service; returns `false` if none is left.
-    pub fn take_retry(&self, service: &str) -> bool {
-        self.context.state().retries.try_take(report::hash(service, 0), Instant::now())
+    pub fn take_retry(&self, service: &Name) -> bool {
+        let hash = report::hash(service, 0);
+        let is_taken = self.context.state().retries.try_take(hash, Instant::now());
+        self.count_retry(service, is_taken);
+        is_taken
     }
 
     /// The same for a retry beside an attempt whose target is silent.
-    pub fn take_hedge(&self, service: &str) -> bool {
-        self.context.state().retries.try_take_hedge(report::hash(service, 0), Instant::now())
+    pub fn take_hedge(&self, service: &Name) -> bool {
+        let hash = report::hash(service, 0);
+        let is_taken = self.context.state().retries.try_take_hedge(hash, Instant::now());
+        self.count_retry(service, is_taken);
+        is_taken
+    }
+
+    fn count_retry(&self, service: &Name, is_sent: bool) {
+        self.context.metrics.count_retry(service, is_sent);
+        self.context.retry_counts.count(service, is_sent);
     }
 
     /// Whether the budget of a service has a retry left.
--- a/daemon/tests/edge_context/mod.rs
+++ b/daemon/tests/edge_context/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, atomic};
 
 use gentianhinge_wire::edge;
-use gentianhinged::edge::{self as router, decisions, operators, state, team_counts};
+use gentianhinged::edge::{self as router, decisions, operators, retry_counts, state, team_counts};
 use tokio::sync::watch;
 
 /// Bounds of a small deployment.
@@ -32,6 +32,7 @@
         log: decisions::Log::start_on("r1".into(), 100, output).unwrap(),
         metrics: operators::Metrics::new(),
         team_counts: team_counts::TeamCounts::default(),
+        retry_counts: retry_counts::RetryCounts::default(),
         phase: watch::Sender::new(router::Phase::Serving),
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
