Reproduce repeats beyond the budget with processes that are killed and stopped

Eight router processes share a budget while all targets turn requests away, and are killed three times, killed as a whole, or stopped and started in turn; or the fleet starts while they do. Retries per 10 s beyond what is allowed: 221 to 260, 299 to 335, 66 to 81, and 65. With no restart none are. The log lines of the routers show 24 retries of each in its first second, at 45 allowed to all, as none knows of the others before 0.8 s, and that those that go on believe in 158, then in 79 retries when the others' new processes report.

--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -418,7 +418,7 @@
     pub readiness: net::SocketAddr,
     /// Address for operators.
     pub operators: net::SocketAddr,
-    _settings: support::SettingsFile,
+    settings: support::SettingsFile,
 }
 
 /// Settings of a router. `addrs` are its addresses for callers, readiness, operators and peers.
@@ -444,6 +444,10 @@
     .to_string()
 }
 
+fn start_process(settings: &support::SettingsFile) -> support::Process {
+    support::Process::start("gentianhinged", &["--platform", settings.path()])
+}
+
 /// An address on which nothing listens. Outgoing connections can't take its port, since they use
 /// 127.0.0.1.
 fn free_addr() -> net::SocketAddr {
@@ -465,9 +469,14 @@
     pub fn start_as(name: &str, store: net::SocketAddr, max_files: u32) -> Router {
         let addrs = [free_addr(), free_addr(), free_addr(), free_addr()];
         let settings = support::SettingsFile::new(&settings(name, store, &addrs, max_files));
-        let process = support::Process::start("gentianhinged", &["--platform", settings.path()]);
+        let process = start_process(&settings);
         let [callers, readiness, operators, _] = addrs;
-        Router { process, callers, readiness, operators, _settings: settings }
+        Router { process, callers, readiness, operators, settings }
+    }
+
+    /// Starts the router again, with its addresses, after its process has ended.
+    pub fn restart(&mut self) {
+        self.process = start_process(&self.settings);
     }
 
     /// Status of the readiness probe; 0 without a response.
