Send no retries before the other routers are known

Callers' repeats went beyond the budget in the first second of a process: a router registers, waits 0.8 s and reads the registered routers; until then it took itself for the only one and had the whole budget. Eight routers sent 24 retries each in that second, at 45 allowed to all (log lines of edge_retry_budget).

A process that starts now sends no retries until it has read the registered routers, or for a window if it can't read them.

Tests that send requests which need a retry just after the start wait until the router knows the others.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -110,6 +110,8 @@
     peers: HashMap<Name, Peer>,
     /// Requests in this router's last report.
     reported: HashMap<Hash, u32>,
+    /// Start of a process that doesn't know the other routers yet.
+    joining_since: Option<Instant>,
 }
 
 impl RetryBudget {
@@ -124,9 +126,21 @@
             buckets: VecDeque::new(),
             peers: HashMap::new(),
             reported: HashMap::new(),
+            joining_since: None,
         }
     }
 
+    /// Records that this process starts and doesn't know the other routers yet. Until it does, or
+    /// has listened to them for a window, it allows no retries.
+    pub fn join(&mut self, now: Instant) {
+        self.joining_since = Some(now);
+    }
+
+    /// Records that the registered routers are known.
+    pub fn set_routers_known(&mut self) {
+        self.joining_since = None;
+    }
+
     /// Replaces the bounds; counts stay.
     pub fn set_bounds(&mut self, ratio: f64, extra_retries: f64) {
         (self.ratio, self.extra_retries) = (ratio, extra_retries);
@@ -165,6 +179,11 @@
         self.usage_of(service, ratio, now).has_room()
     }
 
+    /// Whether this router doesn't know yet how many share the budget.
+    fn is_joining(&self, now: Instant) -> bool {
+        self.joining_since.is_some_and(|since| now.duration_since(since) < self.window)
+    }
+
     /// What this router knows of a service's budget.
     pub fn usage(&mut self, service: Hash, now: Instant) -> Usage {
         self.usage_of(service, 1.0, now)
@@ -182,7 +201,10 @@
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
         // Each router can use up the remaining room before the others receive its report, so none
         // takes more than its share: the shares of all routers add up to the budget.
-        let share = self.share(f64::from(own.requests), requests);
+        let share = match self.is_joining(now) {
+            true => 0.0,
+            false => self.share(f64::from(own.requests), requests),
+        };
         let report_ages = self.current_peers().map(|peer| now.duration_since(peer.known_at));
         Usage {
             requests,
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -165,3 +165,23 @@
         assert!(alone <= 20 && after > alone, "{alone}, then {after}");
     },
 }
+
+// Guards against routers that don't know yet how many share the budget.
+cases! {
+    a_router_that_does_not_know_the_others_yet_sends_no_retries: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        budget.join(now);
+        budget.count_request(SERVICE, now);
+        assert!(!budget.has_room(SERVICE, now));
+        budget.set_routers_known();
+        assert!(budget.has_room(SERVICE, now));
+    },
+    a_router_that_cannot_read_the_registered_ones_retries_after_a_window: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        budget.join(now);
+        assert!(!budget.has_room(SERVICE, now + WINDOW - STEP));
+        assert!(budget.has_room(SERVICE, now + WINDOW));
+    },
+}
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -219,11 +219,13 @@
         net::UdpSocket::bind(addrs.peers).map_err(|e| EdgeError::Listen(addrs.peers, e))?;
     reports.set_nonblocking(true)?;
     let name = Name::from(settings.router.name.as_str());
+    let mut state = state::RouterState::new(name.clone(), &settings.bounds, rand::random());
+    state.retries.join(time::Instant::now());
     let context = Arc::new(Context {
-        name: name.clone(),
+        name,
         zone: settings.router.zone.as_str().into(),
         incarnation: unix_ms(),
-        state: Mutex::new(state::RouterState::new(name, &settings.bounds, rand::random())),
+        state: Mutex::new(state),
         log: decisions::Log::start(settings.router.name.as_str().into(), &settings.log)?,
         metrics: operators::Metrics::new(),
         team_counts: team_counts::TeamCounts::default(),
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -188,7 +188,8 @@
     json!({
         "router": &*context.name, "zone": &*context.zone, "phase": format!("{:?}", context.phase()),
         "ready": state.can_serve(), "config_version": state.table.as_ref().map(|table| table.version),
-        "routers": state.load.router_count(now), "targets": targets.collect::<Vec<_>>(),
+        "routers": state.load.router_count(now),
+        "registered_routers": state.registered_routers.len(), "targets": targets.collect::<Vec<_>>(),
         "retry_budgets": budgets,
     })
 }
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -252,6 +252,7 @@
         for entry in &read.entries {
             apply_router(&context, &peers, entry);
         }
+        context.state().retries.set_routers_known();
         if is_listing && read.entries.iter().all(|entry| entry.key != name) {
             // The store has lost the registration.
             register(&mut reader, &own_peer).await;
--- a/daemon/tests/edge.rs
+++ b/daemon/tests/edge.rs
@@ -25,6 +25,7 @@
     }
     let router = Router::start(store_addr, max_files);
     router.wait_for_readiness(200).await;
+    router.wait_for_routers().await;
     (store, targets, router)
 }
 
--- a/daemon/tests/edge_hedge.rs
+++ b/daemon/tests/edge_hedge.rs
@@ -189,6 +189,7 @@
     }
     let router = Router::start(store_addr, 4096);
     router.wait_for_readiness(200).await;
+    router.wait_for_routers().await;
     Fleet { _store: store, router, runs }
 }
 
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -484,6 +484,15 @@
         get(self.readiness, "/readyz").await.map_or(0, |(status, _)| status)
     }
 
+    /// Waits until the router knows the registered routers.
+    pub async fn wait_for_routers(&self) {
+        wait_for(READINESS_TIMEOUT, async || {
+            let status = get(self.operators, "/status").await;
+            status.is_some_and(|(_, body)| !body.contains(r#""registered_routers":0"#))
+        })
+        .await;
+    }
+
     /// Waits until the readiness probe returns `status`; panics with the router's log if it doesn't.
     pub async fn wait_for_readiness(&self, status: u16) {
         let ends_at = Instant::now() + READINESS_TIMEOUT;
--- a/daemon/tests/edge_under_way.rs
+++ b/daemon/tests/edge_under_way.rs
@@ -42,6 +42,7 @@
     targets.push(bank);
     let router = Router::start(store_addr, 4096);
     router.wait_for_readiness(200).await;
+    router.wait_for_routers().await;
     Fleet { targets, router, store }
 }
 
