Count retries of processes that have ended until they leave the window

Callers' repeats went beyond the budget when routers were restarted: the first report of a router's new process replaced all that was known of the one before, and deregistering dropped it, so that the routers that went on spent the same retries again. In the log of three kills they believe in 158 retries, and in 79 a second later.

What a process sent now counts for a window after its last report. Its requests leave the window one by one, while its callers go to others. A process is known by its start time, and one that finishes its requests after it has deregistered goes on to be counted.

The model's new cases fail on the code before (at once 0 of 40 retries known).

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -12,12 +12,20 @@
 //! A router that isn't heard may be cut off, and go on to serve its callers. It keeps its share for
 //! [`MAX_SILENCE`], with the requests that it reported last, and so does one that is registered and
 //! hasn't been heard yet. Only after that its share passes to the others.
+//!
+//! # Restarts
+//!
+//! What a process sent counts for a window after its last report, also if its router has started
+//! again or has deregistered.
+
+mod peers;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use self::peers::Peers;
 use crate::ids::Name;
 use crate::report::{self, Hash};
 
@@ -50,30 +58,6 @@
     services: HashMap<Hash, Count>,
 }
 
-/// What is known of another router.
-#[derive(Debug)]
-struct Peer {
-    /// Time of the last report, or of the registration.
-    known_at: Instant,
-    /// Whether it has reported within the window.
-    is_current: bool,
-    /// Whether it has reported at all.
-    has_reported: bool,
-    services: Vec<report::ServiceUse>,
-}
-
-impl Peer {
-    /// Counts for a service. The retries of a router that has been silent for longer have left the
-    /// window; its requests are taken to go on.
-    fn counts(&self, service: Hash) -> Count {
-        let line = self.services.iter().find(|line| line.service == service);
-        line.map_or(Count::default(), |line| Count {
-            requests: line.request_count,
-            retries: if self.is_current { line.retry_count } else { 0 },
-        })
-    }
-}
-
 /// What a router knows of the retry budget of a service, over a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Usage {
@@ -107,7 +91,7 @@
     /// Number of routers heard lately, including this one.
     router_count: f64,
     buckets: VecDeque<Bucket>,
-    peers: HashMap<Name, Peer>,
+    peers: Peers,
     /// Requests in this router's last report.
     reported: HashMap<Hash, u32>,
     /// Start of a process that doesn't know the other routers yet.
@@ -124,7 +108,7 @@
             window,
             router_count: 1.0,
             buckets: VecDeque::new(),
-            peers: HashMap::new(),
+            peers: Peers::new(window),
             reported: HashMap::new(),
             joining_since: None,
         }
@@ -192,12 +176,10 @@
     /// The same for a part of the budget.
     fn usage_of(&mut self, service: Hash, ratio: f64, now: Instant) -> Usage {
         let own = self.own_counts(now).get(&service).copied().unwrap_or_default();
-        self.expire_peers(now);
-        let (mut requests, mut retries) = (f64::from(own.requests), f64::from(own.retries));
-        for count in self.peers.values().map(|peer| peer.counts(service)) {
-            requests += f64::from(count.requests);
-            retries += f64::from(count.retries);
-        }
+        self.peers.expire(now);
+        let (requests, retries) = self.peers.counts(service, now);
+        let (requests, retries) =
+            (requests + f64::from(own.requests), retries + f64::from(own.retries));
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
         // Each router can use up the remaining room before the others receive its report, so none
         // takes more than its share: the shares of all routers add up to the budget.
@@ -205,30 +187,20 @@
             true => 0.0,
             false => self.share(f64::from(own.requests), requests),
         };
-        let report_ages = self.current_peers().map(|peer| now.duration_since(peer.known_at));
         Usage {
             requests,
             retries,
             own_retries: own.retries,
             allowed: allowed * USABLE_RATIO,
             own_allowed: allowed * share,
-            report_age: report_ages.max().unwrap_or_default(),
+            report_age: self.peers.report_age(now),
         }
     }
 
-    fn expire_peers(&mut self, now: Instant) {
-        let window = self.window;
-        self.peers.retain(|_, peer| {
-            let silence = now.duration_since(peer.known_at);
-            peer.is_current &= silence < window;
-            silence < MAX_SILENCE
-        });
-    }
-
     /// This router's share of a budget for `requests`, of which `own_requests` are its own.
     fn share(&self, own_requests: f64, requests: f64) -> f64 {
         let known_count = self.router_count.max(1.0 + self.peers.len() as f64);
-        let unreported_count = self.peers.values().filter(|peer| !peer.has_reported).count() as f64;
+        let unreported_count = self.peers.unreported_count() as f64;
         let reported_count = 1.0 + self.peers.len() as f64 - unreported_count;
         // Routers that haven't reported are taken to have as many requests as the others at the mean.
         let all_requests = requests * (1.0 + unreported_count / reported_count);
@@ -246,29 +218,22 @@
     /// Requests per second for a service by all routers, without retries.
     pub fn requests_per_s(&mut self, service: Hash, now: Instant) -> f64 {
         let own = self.own_counts(now).get(&service).map_or(0, |count| count.requests);
-        let current = self.current_peers().map(|peer| peer.counts(service));
-        let others = current.map(|count| f64::from(count.requests)).sum::<f64>();
+        let others = self.peers.current_requests(service, now).sum::<f64>();
         (f64::from(own) + others) / self.window.as_secs_f64()
     }
 
     /// This router's part of the requests for a service; a router that hasn't reported yet is
     /// taken to have as many as the others at the mean. Only reported requests count, so that the
     /// parts of routers that get requests at the same time add up to one.
-    pub fn demand_part(&self, service: Hash) -> f64 {
+    pub fn demand_part(&self, service: Hash, now: Instant) -> f64 {
         let own = f64::from(self.reported.get(&service).copied().unwrap_or_default());
-        let current = self.current_peers().map(|peer| peer.counts(service));
-        let requests = current.map(|count| f64::from(count.requests));
+        let requests = self.peers.current_requests(service, now);
         let (known_count, known) =
             requests.fold((1.0, own), |(count, sum), requests| (count + 1.0, sum + requests));
         let all = known * (self.router_count / known_count).max(1.0);
         (own + PRIOR_REQUESTS) / (all + PRIOR_REQUESTS * self.router_count)
     }
 
-    /// The routers that have reported within the window.
-    fn current_peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(|peer| peer.is_current)
-    }
-
     fn current_bucket(&mut self, now: Instant) -> &mut HashMap<Hash, Count> {
         let span = self.window / BUCKET_COUNT;
         if self.buckets.back().is_none_or(|last| now.duration_since(last.started_at) >= span) {
@@ -295,23 +260,26 @@
         sums
     }
 
-    /// Replaces the counts of another router by those of its latest report.
-    pub fn apply_report(&mut self, sender: &Name, services: Vec<report::ServiceUse>, now: Instant) {
-        self.peers.insert(
-            sender.clone(),
-            Peer { known_at: now, is_current: true, has_reported: true, services },
-        );
+    /// Replaces the counts of another router's process by those of its latest report. Those of the
+    /// process before count until they have left the window.
+    pub fn apply_report(
+        &mut self,
+        sender: &Name,
+        incarnation: u64,
+        services: Vec<report::ServiceUse>,
+        now: Instant,
+    ) {
+        self.peers.apply_report(sender, incarnation, services, now);
     }
 
     /// Records that another router is registered, in case it can't be heard.
-    pub fn hear_registered(&mut self, name: &Name, now: Instant) {
-        let silent =
-            || Peer { known_at: now, is_current: false, has_reported: false, services: Vec::new() };
-        self.peers.entry(name.clone()).or_insert_with(silent);
+    pub fn hear_registered(&mut self, name: &Name, incarnation: u64, now: Instant) {
+        self.peers.hear_registered(name, incarnation, now);
     }
 
-    /// Records that another router has deregistered.
-    pub fn forget_router(&mut self, name: &str) {
+    /// Records that another router has deregistered, which leaves its share to the others. What it
+    /// spent counts until it has left the window.
+    pub fn forget_router(&mut self, name: &Name) {
         self.peers.remove(name);
     }
 
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -315,7 +315,7 @@
         let mut budget = RetryBudget::new(0.2, 10.0, Duration::from_secs(10));
         assert!(budget.try_take(1, now));
         let spent = ServiceUse { service: 1, request_count: 100, retry_count: 30 };
-        budget.apply_report(&"r2".into(), vec![spent], now);
+        budget.apply_report(&"r2".into(), 1, vec![spent], now);
         assert!(!budget.try_take(1, now));
         // Other services have budgets of their own.
         assert!(budget.try_take(2, now));
@@ -340,7 +340,7 @@
             (0..requests_of(router)).for_each(|_| budget.count_request(1, now));
             let others = total - requests_of(router);
             let reported = ServiceUse { service: 1, request_count: others, retry_count: 0 };
-            budget.apply_report(&"others".into(), vec![reported], now);
+            budget.apply_report(&"others".into(), 1, vec![reported], now);
             taken += (0..3_000).filter(|_| budget.try_take(1, now)).count();
         }
         let allowed = 0.2 * f64::from(total) + 630.0;
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -23,6 +23,7 @@
 
 struct Router {
     name: Name,
+    incarnation: u64,
     budget: RetryBudget,
     /// Step of the last report heard of each router.
     heard: Vec<Option<u32>>,
@@ -46,9 +47,9 @@
         let routers = names.iter().map(|name| {
             let mut budget = RetryBudget::new(RATIO, EXTRA_RETRIES, WINDOW);
             for other in names.iter().filter(|other| *other != name) {
-                budget.hear_registered(other, start);
+                budget.hear_registered(other, 1, start);
             }
-            Router { name: name.clone(), budget, heard: vec![None; count] }
+            Router { name: name.clone(), incarnation: 1, budget, heard: vec![None; count] }
         });
         let routers = routers.collect();
         Fleet { routers, start, step: 0, requests: Vec::new(), retries: Vec::new() }
@@ -85,9 +86,10 @@
     fn report(&mut self, live: &[usize], group_of: &impl Fn(usize) -> usize, now: Instant) {
         for from in live {
             let lines = self.routers[*from].budget.own_report(now);
-            let name = self.routers[*from].name.clone();
+            let (name, incarnation) =
+                (self.routers[*from].name.clone(), self.routers[*from].incarnation);
             for to in live.iter().filter(|to| *to != from && group_of(**to) == group_of(*from)) {
-                self.routers[*to].budget.apply_report(&name, lines.clone(), now);
+                self.routers[*to].budget.apply_report(&name, incarnation, lines.clone(), now);
                 self.routers[*to].heard[*from] = Some(self.step);
             }
         }
@@ -157,15 +159,48 @@
     a_router_that_has_deregistered_leaves_its_part_at_once: {
         let now = Instant::now();
         let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
-        budget.hear_registered(&"r2".into(), now);
+        budget.hear_registered(&"r2".into(), 1, now);
         let alone = (0..40).filter(|_| budget.try_take(SERVICE, now)).count();
-        budget.forget_router("r2");
+        budget.forget_router(&"r2".into());
         let later = now + WINDOW + STEP;
         let after = (0..40).filter(|_| budget.try_take(SERVICE, later)).count();
         assert!(alone <= 20 && after > alone, "{alone}, then {after}");
     },
 }
 
+// Guards against retries that are forgotten with the process that sent them.
+cases! {
+    retries_of_a_process_before_a_restart_count_until_they_have_left_the_window: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        let spent = vec![report::ServiceUse { service: SERVICE, request_count: 0, retry_count: 40 }];
+        budget.apply_report(&"r2".into(), 1, spent, now);
+        budget.apply_report(&"r2".into(), 2, Vec::new(), now + STEP);
+        assert!(!budget.has_room(SERVICE, now + WINDOW - STEP));
+        assert!(budget.has_room(SERVICE, now + WINDOW));
+    },
+    retries_of_a_router_that_has_deregistered_count_until_they_have_left_the_window: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        let spent = vec![report::ServiceUse { service: SERVICE, request_count: 0, retry_count: 40 }];
+        budget.apply_report(&"r2".into(), 1, spent.clone(), now);
+        budget.forget_router(&"r2".into());
+        // It reports while it finishes its requests.
+        budget.apply_report(&"r2".into(), 1, spent, now + STEP);
+        assert!(!budget.has_room(SERVICE, now + WINDOW));
+        assert!(budget.has_room(SERVICE, now + WINDOW + STEP));
+    },
+    requests_of_a_process_before_a_restart_leave_the_window_one_by_one: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        let line = report::ServiceUse { service: SERVICE, request_count: 100, retry_count: 0 };
+        budget.apply_report(&"r2".into(), 1, vec![line], now);
+        budget.apply_report(&"r2".into(), 2, Vec::new(), now);
+        let requests = [0, 5, 10].map(|s| budget.usage(SERVICE, now + Duration::from_secs(s)).requests);
+        assert_eq!(requests.map(f64::round), [100.0, 50.0, 0.0]);
+    },
+}
+
 // Guards against routers that don't know yet how many share the budget.
 cases! {
     a_router_that_does_not_know_the_others_yet_sends_no_retries: {
--- a/core/tests/target_limits.rs
+++ b/core/tests/target_limits.rs
@@ -70,7 +70,7 @@
             return part;
         }
         self.retries.set_router_count(router_count);
-        let part = self.retries.demand_part(SERVICE);
+        let part = self.retries.demand_part(SERVICE, now);
         self.demand_part = Some((now, part));
         part
     }
@@ -109,7 +109,7 @@
             let name = format!("r{sender}").as_str().into();
             for (_, router) in routers.iter_mut().enumerate().filter(|(i, _)| *i != sender) {
                 router.limits.apply_report(&name, &lines, now);
-                router.retries.apply_report(&name, services.clone(), now);
+                router.retries.apply_report(&name, 1, services.clone(), now);
             }
         }
         for (i, router) in routers.iter_mut().enumerate() {
@@ -144,7 +144,7 @@
 /// Requests of two teams that a target with a limit takes in 20 s after the first 10: one team sends
 /// 20 requests a second to each of 8 routers, the other 20 a second to one of them. `part` is a
 /// router's part of the openings.
-fn requests_of_two_teams(part: impl Fn(&Shares, &RetryBudget) -> f64) -> [u32; 2] {
+fn requests_of_two_teams(part: impl Fn(&Shares, &RetryBudget, Instant) -> f64) -> [u32; 2] {
     const ROUTERS: usize = 8;
     const TOKENS: u32 = 1_000;
     const LIMIT_PER_S: f64 = 10.0;
@@ -186,13 +186,13 @@
                 for to in (0..ROUTERS).filter(|to| *to != from) {
                     limits[to].apply_report(&name, &lines, now);
                     shares[to].apply_report(&name, teams.clone(), now);
-                    retries[to].apply_report(&name, services.clone(), now);
+                    retries[to].apply_report(&name, 1, services.clone(), now);
                 }
             }
             for router in 0..ROUTERS {
                 retries[router].set_router_count(ROUTERS);
                 shares[router].recompute(0.0, now);
-                parts[router] = part(&shares[router], &retries[router]);
+                parts[router] = part(&shares[router], &retries[router], now);
             }
         }
     }
@@ -313,12 +313,12 @@
 
 cases! {
     under_a_limit_a_team_at_one_router_gets_at_least_half_of_what_one_at_all_routers_gets: {
-        let [all, one] = requests_of_two_teams(|shares, retries| {
-            shares.due_part(8).unwrap_or_else(|| retries.demand_part(SERVICE))
+        let [all, one] = requests_of_two_teams(|shares, retries, now| {
+            shares.due_part(8).unwrap_or_else(|| retries.demand_part(SERVICE, now))
         });
         assert!(one >= all / 2, "{one} of {all}");
         // Openings by the number of requests fail.
-        let [all, one] = requests_of_two_teams(|_, retries| retries.demand_part(SERVICE));
+        let [all, one] = requests_of_two_teams(|_, retries, now| retries.demand_part(SERVICE, now));
         assert!(one < all / 2, "{one} of {all}");
     },
     the_parts_of_routers_that_get_requests_at_once_add_up_to_one: {
@@ -334,7 +334,7 @@
                 let (teams, services) = (shares[from].own_report(now), retries[from].own_report(now));
                 for to in (0..ROUTERS).filter(|to| *to != from) {
                     shares[to].apply_report(&name, teams.clone(), now);
-                    retries[to].apply_report(&name, services.clone(), now);
+                    retries[to].apply_report(&name, 1, services.clone(), now);
                 }
             }
             let part = |router: usize| {
@@ -342,7 +342,7 @@
                 retries[router].count_request(SERVICE, now);
                 shares[router].recompute(0.0, now);
                 retries[router].set_router_count(ROUTERS);
-                shares[router].due_part(ROUTERS).unwrap_or(retries[router].demand_part(SERVICE))
+                shares[router].due_part(ROUTERS).unwrap_or(retries[router].demand_part(SERVICE, now))
             };
             let sum = (0..ROUTERS).map(part).sum::<f64>();
             assert!((sum - 1.0).abs() < 1e-9, "{sum} after {round} requests");
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -245,7 +245,8 @@
             .as_ref()
             .is_some_and(|table| table.service(service).is_some_and(|service| service.is_model));
         let due_part = self.shares.due_part(router_count).filter(|_| is_model);
-        let part = due_part.unwrap_or_else(|| self.retries.demand_part(report::hash(service, 0)));
+        let part =
+            due_part.unwrap_or_else(|| self.retries.demand_part(report::hash(service, 0), now));
         self.demand_parts.insert(service.clone(), (now, part));
         part
     }
@@ -468,7 +469,7 @@
             self.shares.apply_report(&report.sender, report.teams, now);
         }
         if !report.services.is_empty() {
-            self.retries.apply_report(&report.sender, report.services, now);
+            self.retries.apply_report(&report.sender, report.incarnation, report.services, now);
         }
         let gone = report.late_records.iter().filter_map(|late| {
             let id = self.registry.hear_late(*late)?;
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -206,9 +206,9 @@
     let name = Name::from(entry.key.as_str());
     let mut state = context.state();
     match &peer {
-        Some(_) => {
+        Some(peer) => {
             if name != context.name {
-                state.retries.hear_registered(&name, Instant::now());
+                state.retries.hear_registered(&name, peer.incarnation, Instant::now());
             }
             state.registered_routers.insert(name);
         }
