Give a process that starts a part of the retry budget of its own, evenly

Callers' repeats went beyond the budget when routers were killed: a new process counts nothing as spent and had its whole share at once, also if all were killed and nobody knew what had been sent. Besides, the shares added up to the whole budget, and only reports kept the fleet at seven tenths of it, so that a fleet that had just spent more between two reports left nothing.

The shares now add up to eight tenths. A process has a fifth of its share in its first window, gained evenly from zero, so that the fleet's starts take two tenths in any window, however often routers start. When the whole fleet starts for the first time, nothing was spent: the platform says so, and the new setting router.is_first_start passes it on.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -17,6 +17,10 @@
 //!
 //! What a process sent counts for a window after its last report, also if its router has started
 //! again or has deregistered.
+//!
+//! A process that starts doesn't know what was sent before, and if all routers were killed at once,
+//! nobody does. So it has a part of the budget that no other process uses, and gets it evenly over
+//! its first window: however often a router starts, this part isn't exceeded.
 
 mod peers;
 
@@ -29,9 +33,9 @@
 use crate::ids::Name;
 use crate::report::{self, Hash};
 
-/// Fraction of the budget that is used; the rest covers retries that other routers haven't reported
-/// yet.
-const USABLE_RATIO: f64 = 0.7;
+/// Fraction of the budget for processes that know what their router sent within the window. The rest
+/// is for those that have started within it.
+const USABLE_RATIO: f64 = 0.8;
 
 /// Part of the usable budget for requests whose target is only silent. The rest is left for requests
 /// that failed: without a retry these are lost, and the silent ones may not be.
@@ -94,6 +98,8 @@
     peers: Peers,
     /// Requests in this router's last report.
     reported: HashMap<Hash, u32>,
+    /// Start of the process, unless the whole fleet started with it.
+    started_at: Option<Instant>,
     /// Start of a process that doesn't know the other routers yet.
     joining_since: Option<Instant>,
 }
@@ -110,13 +116,16 @@
             buckets: VecDeque::new(),
             peers: Peers::new(window),
             reported: HashMap::new(),
+            started_at: None,
             joining_since: None,
         }
     }
 
     /// Records that this process starts and doesn't know the other routers yet. Until it does, or
-    /// has listened to them for a window, it allows no retries.
-    pub fn join(&mut self, now: Instant) {
+    /// has listened to them for a window, it allows no retries. `is_first_start` tells that no
+    /// router has run before.
+    pub fn join(&mut self, is_first_start: bool, now: Instant) {
+        self.started_at = Some(now).filter(|_| !is_first_start);
         self.joining_since = Some(now);
     }
 
@@ -183,10 +192,7 @@
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
         // Each router can use up the remaining room before the others receive its report, so none
         // takes more than its share: the shares of all routers add up to the budget.
-        let share = match self.is_joining(now) {
-            true => 0.0,
-            false => self.share(f64::from(own.requests), requests),
-        };
+        let share = self.share(f64::from(own.requests), requests) * self.own_ratio(now);
         Usage {
             requests,
             retries,
@@ -197,6 +203,18 @@
         }
     }
 
+    /// Fraction of its share of the budget that this process may use.
+    fn own_ratio(&self, now: Instant) -> f64 {
+        if self.is_joining(now) {
+            return 0.0;
+        }
+        let age = self.started_at.map(|at| now.duration_since(at));
+        match age.filter(|age| *age < self.window) {
+            Some(age) => (1.0 - USABLE_RATIO) * age.div_duration_f64(self.window),
+            None => USABLE_RATIO,
+        }
+    }
+
     /// This router's share of a budget for `requests`, of which `own_requests` are its own.
     fn share(&self, own_requests: f64, requests: f64) -> f64 {
         let known_count = self.router_count.max(1.0 + self.peers.len() as f64);
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -83,6 +83,35 @@
         }
     }
 
+    /// Ends processes of routers and starts them again, which know the registered routers.
+    fn restart(&mut self, routers: std::ops::Range<usize>) {
+        let now = self.start + STEP * self.step;
+        let names = self.routers.iter().map(|router| router.name.clone()).collect::<Vec<_>>();
+        for at in routers {
+            let router = &mut self.routers[at];
+            router.incarnation += 1;
+            router.budget = RetryBudget::new(RATIO, EXTRA_RETRIES, WINDOW);
+            router.budget.join(false, now);
+            router.heard = vec![None; names.len()];
+            for other in names.iter().filter(|other| **other != router.name) {
+                router.budget.hear_registered(other, 1, now);
+            }
+            router.budget.set_routers_known();
+        }
+    }
+
+    /// Plays 30 s, in which `count` routers start again at once in turn each `interval`, for `times`
+    /// times.
+    fn play_restarts(&mut self, count: usize, interval: Duration, times: usize) {
+        self.play(Duration::from_secs(15), WHOLE, &[]);
+        for n in 0..times {
+            let from = n * count % self.routers.len();
+            self.restart(from..(from + count).min(self.routers.len()));
+            self.play(interval, WHOLE, &[]);
+        }
+        self.play(Duration::from_secs(15), WHOLE, &[]);
+    }
+
     fn report(&mut self, live: &[usize], group_of: &impl Fn(usize) -> usize, now: Instant) {
         for from in live {
             let lines = self.routers[*from].budget.own_report(now);
@@ -201,12 +230,42 @@
     },
 }
 
-// Guards against routers that don't know yet how many share the budget.
+// Guards against routers that take a new share of the budget each time they start.
 cases! {
+    routers_that_start_again_keep_to_the_budget_of_the_fleet: {
+        let restarts = [(1, 1_000, 16), (1, 500, 16), (2, 1_000, 8), (5, 100, 1), (8, 100, 1), (8, 3_000, 3)];
+        for (count, interval_ms, times) in restarts {
+            let mut fleet = Fleet::new(8);
+            fleet.play_restarts(count, Duration::from_millis(interval_ms), times);
+            let excess = fleet.excess();
+            assert!(excess <= 0.0, "{excess} over with {count} routers each {interval_ms} ms");
+        }
+    },
+    a_router_of_a_new_fleet_has_its_share_at_once: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
+        budget.join(true, now);
+        assert!(!budget.has_room(SERVICE, now));
+        budget.set_routers_known();
+        budget.count_request(SERVICE, now);
+        assert_eq!((0..40).filter(|_| budget.try_take(SERVICE, now)).count(), 32);
+    },
+    a_router_that_starts_again_gets_a_part_of_its_share_evenly_over_a_window: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 100.0, WINDOW);
+        budget.join(false, now);
+        budget.set_routers_known();
+        let taken = [0, 2_100, 5_100, 9_100, 10_000].map(|ms| {
+            let now = now + Duration::from_millis(ms);
+            budget.count_request(SERVICE, now);
+            (0..100).filter(|_| budget.try_take(SERVICE, now)).count()
+        });
+        assert_eq!(taken, [0, 4, 6, 8, 62]);
+    },
     a_router_that_does_not_know_the_others_yet_sends_no_retries: {
         let now = Instant::now();
         let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
-        budget.join(now);
+        budget.join(true, now);
         budget.count_request(SERVICE, now);
         assert!(!budget.has_room(SERVICE, now));
         budget.set_routers_known();
@@ -214,8 +273,8 @@
     },
     a_router_that_cannot_read_the_registered_ones_retries_after_a_window: {
         let now = Instant::now();
-        let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
-        budget.join(now);
+        let mut budget = RetryBudget::new(0.0, 100.0, WINDOW);
+        budget.join(false, now);
         assert!(!budget.has_room(SERVICE, now + WINDOW - STEP));
         assert!(budget.has_room(SERVICE, now + WINDOW));
     },
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -220,7 +220,7 @@
     reports.set_nonblocking(true)?;
     let name = Name::from(settings.router.name.as_str());
     let mut state = state::RouterState::new(name.clone(), &settings.bounds, rand::random());
-    state.retries.join(time::Instant::now());
+    state.retries.join(settings.router.is_first_start, time::Instant::now());
     let context = Arc::new(Context {
         name,
         zone: settings.router.zone.as_str().into(),
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -421,7 +421,8 @@
     settings: support::SettingsFile,
 }
 
-/// Settings of a router. `addrs` are its addresses for callers, readiness, operators and peers.
+/// Settings of a router of a new fleet. `addrs` are its addresses for callers, readiness, operators
+/// and peers.
 pub fn settings(
     name: &str,
     store: net::SocketAddr,
@@ -429,7 +430,7 @@
     max_files: u32,
 ) -> String {
     json!({
-        "router": { "name": name, "region": "here", "zone": "a" },
+        "router": { "name": name, "region": "here", "zone": "a", "is_first_start": true },
         "listen": {
             "callers_addr": addrs[0], "readiness_addr": addrs[1], "operators_addr": addrs[2],
             "peers_addr": addrs[3],
@@ -476,6 +477,7 @@
 
     /// Starts the router again, with its addresses, after its process has ended.
     pub fn restart(&mut self) {
+        self.settings.replace(r#""is_first_start":true"#, r#""is_first_start":false"#);
         self.process = start_process(&self.settings);
     }
 
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -50,10 +50,11 @@
 
 /// The template of the deployment, with the platform's usual value for each of its fields.
 const TEMPLATE: &str = include_str!("../../deploy/router.jsonc");
-const FIELDS: [(&str, &str); 18] = [
+const FIELDS: [(&str, &str); 19] = [
     ("node_name|json", "\"edge-1\""),
     ("region|json", "\"here\""),
     ("zone|json", "\"a\""),
+    ("bootstrap|json", "false"),
     ("listen.front|json", "\"10.1.0.8:8520\""),
     ("listen.ready_addr|json", "\"10.1.0.8:8524\""),
     ("ip", "10.1.0.8"),
