Hear a router that starts again after its host's clock was set back

Found beside the retries of restarted routers: reports are ordered by the start time of their process, so that all reports of a process that starts with an earlier time are dropped, as long as it runs. The others then know neither its load and its retries nor what its teams got.

The test fails on the code before.

--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -157,12 +157,15 @@
             received_at: now,
             targets: HashKeyed::default(),
         });
-        if (report.incarnation, report.seq) <= (peer.incarnation, peer.seq) {
+        // The start time of a process is by its host's clock, which may have been set back since.
+        let is_silent = now.duration_since(peer.received_at) > PEER_TIMEOUT;
+        let is_other = report.incarnation != peer.incarnation;
+        let is_newer = (report.incarnation, report.seq) > (peer.incarnation, peer.seq);
+        if !is_newer && !(is_silent && is_other) {
             return false;
         }
-        let is_new_incarnation = report.incarnation != peer.incarnation;
         (peer.incarnation, peer.seq, peer.received_at) = (report.incarnation, report.seq, now);
-        if report.is_full || is_new_incarnation {
+        if report.is_full || is_other {
             for line in std::mem::take(&mut peer.targets).values() {
                 subtract_line(&mut self.peer_totals, line);
             }
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -167,6 +167,16 @@
         assert!(!view.apply_report(&report(4, vec![], true), now));
         assert!(view.load(targets[0].hash()).unread_tokens > 499.0);
     },
+    a_router_that_starts_again_after_its_clock_was_set_back_is_heard: {
+        let (now, targets, mut view) = (Instant::now(), targets(1), LoadView::default());
+        let restarted = LoadReport { incarnation: 0, ..report(1, vec![line(&targets[0], 500)], true) };
+        view.apply_report(&report(9, vec![], true), now);
+        // A report of a process that has just been replaced may arrive late.
+        assert!(!view.apply_report(&restarted, now + PEER_TIMEOUT));
+        let later = now + PEER_TIMEOUT + Duration::from_millis(1);
+        assert!(view.apply_report(&restarted, later));
+        assert!(view.load(targets[0].hash()).unread_tokens > 499.0);
+    },
     partial_and_full_reports_lead_to_the_same_sums: {
         let (now, targets, mut view) = (Instant::now(), targets(3), LoadView::default());
         let line_of = |i: usize, tokens| line(&targets[i], tokens);
