Count a restarted router's requests to a target with a limit

Sends are now kept by process, and those of one that has ended count until they have left the window. The test fails on the code before.

--- a/core/src/target_limit.rs
+++ b/core/src/target_limit.rs
@@ -207,8 +207,9 @@
     known: Option<Statement>,
     /// Latest statement in a response to this router.
     own: Option<Statement>,
-    /// Sends of the other routers and when they were reported.
-    peers: HashMap<Name, (Instant, u32)>,
+    /// Sends of the other routers' processes and when they were reported, by name and start time.
+    /// Those of a process that has ended count until they have left the window.
+    peers: HashMap<(Name, u64), (Instant, u32)>,
     peers_sum: Option<(Instant, f64)>,
     gate: Gate,
     reported: Option<(Option<f64>, u32)>,
@@ -334,18 +335,19 @@
         self.set_known(target, statement)
     }
 
-    /// Applies the statements and sends that another router reports; returns the targets whose
-    /// limit has changed.
+    /// Applies the statements and sends that a process of another router reports; returns the targets
+    /// whose limit has changed.
     pub fn apply_report(
         &mut self,
         sender: &Name,
+        incarnation: u64,
         lines: &[report::TargetLimit],
         now: Instant,
     ) -> Vec<(Hash, Change)> {
         let mut changes = Vec::new();
         for line in lines {
             let state = self.targets.entry(line.target).or_default();
-            state.peers.insert(sender.clone(), (now, line.sent_count));
+            state.peers.insert((sender.clone(), incarnation), (now, line.sent_count));
             state.peers_sum = None;
             let Some(stated) = line.stated else { continue };
             let age = Duration::from_millis(stated.age_ms.into());
--- a/core/tests/target_limits.rs
+++ b/core/tests/target_limits.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use gentianhinge_core::report::{Hash, ServiceUse};
+use gentianhinge_core::report::{Hash, ServiceUse, TargetLimit};
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::share::Shares;
 use gentianhinge_core::target_limit::{self, TargetLimits, WINDOW};
@@ -108,7 +108,7 @@
             let (_, (sender, lines, services)) = reports.pop_front().unwrap();
             let name = format!("r{sender}").as_str().into();
             for (_, router) in routers.iter_mut().enumerate().filter(|(i, _)| *i != sender) {
-                router.limits.apply_report(&name, &lines, now);
+                router.limits.apply_report(&name, 1, &lines, now);
                 router.retries.apply_report(&name, 1, services.clone(), now);
             }
         }
@@ -184,7 +184,7 @@
                 let (teams, services) =
                     (shares[from].own_report(now), retries[from].own_report(now));
                 for to in (0..ROUTERS).filter(|to| *to != from) {
-                    limits[to].apply_report(&name, &lines, now);
+                    limits[to].apply_report(&name, 1, &lines, now);
                     shares[to].apply_report(&name, teams.clone(), now);
                     retries[to].apply_report(&name, 1, services.clone(), now);
                 }
@@ -389,8 +389,8 @@
         first.record_answer(TARGET, Some(1.0), now, later(10));
         second.record_answer(TARGET, Some(3.0), now, later(20));
         let (first_lines, second_lines) = (first.own_report(true, later(30)), second.own_report(true, later(30)));
-        assert_eq!(second.apply_report(&"first".into(), &first_lines, later(31)), vec![]);
-        assert_eq!(first.apply_report(&"second".into(), &second_lines, later(31)).len(), 1);
+        assert_eq!(second.apply_report(&"first".into(), 1, &first_lines, later(31)), vec![]);
+        assert_eq!(first.apply_report(&"second".into(), 1, &second_lines, later(31)).len(), 1);
         assert_eq!(first.limit(TARGET, later(31)).unwrap().0, 3.0);
     },
     a_router_that_starts_sends_few_requests_to_a_target_before_its_first_answer: {
@@ -417,6 +417,21 @@
         limits.set_heard(true);
         assert_eq!(sends(&mut limits, 10), 400);
     },
+    sends_of_a_process_that_has_ended_count_until_they_have_left_the_window: {
+        let now = Instant::now();
+        let mut limits = TargetLimits::new(1);
+        limits.record_answer(TARGET, Some(1.0), now, now);
+        let line = |sent_count| [TargetLimit { target: TARGET, stated: None, sent_count }];
+        limits.apply_report(&"second".into(), 1, &line(5), now);
+        limits.apply_report(&"second".into(), 2, &line(0), now + STEP);
+        let mut sends_in = |from: Duration, len: Duration| {
+            let steps = len.as_millis() / STEP.as_millis();
+            let mut times = (0..steps as u32).map(|step| now + from + STEP * step);
+            times.any(|at| limits.may_send(TARGET, 1.0, at))
+        };
+        assert!(!sends_in(STEP * 2, WINDOW - STEP * 3));
+        assert!(sends_in(WINDOW, WINDOW));
+    },
     a_new_incarnation_has_no_limit: {
         let now = Instant::now();
         let mut limits = TargetLimits::new(1);
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -482,7 +482,12 @@
         let leaving = report.leaving.iter();
         statements::ReportedNews {
             leaving: leaving.filter_map(|hash| self.registry.mark_leaving(*hash)).collect(),
-            limits: self.target_limits.apply_report(&report.sender, &report.limits, now),
+            limits: self.target_limits.apply_report(
+                &report.sender,
+                report.incarnation,
+                &report.limits,
+                now,
+            ),
             gone: gone.into_iter().map(|(id, _)| id).collect(),
         }
     }
