Send no retries after a window without having heard of any other router

A router that can't register doesn't read the registered routers either. If all routers were killed and the store takes no writes, none hears of another, and each took the whole budget once it had listened for a window. It now needs to have heard another one as well; a router that only can't reach the store is known to the others by its registration, and hears them.

The changed test fails on the code before.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -122,8 +122,8 @@
     }
 
     /// Records that this process starts and doesn't know the other routers yet. Until it does, or
-    /// has listened to them for a window, it allows no retries. `is_first_start` tells that no
-    /// router has run before.
+    /// has listened for a window and heard others, it allows no retries. `is_first_start` tells that
+    /// no router has run before.
     pub fn join(&mut self, is_first_start: bool, now: Instant) {
         self.started_at = Some(now).filter(|_| !is_first_start);
         self.joining_since = Some(now);
@@ -174,7 +174,8 @@
 
     /// Whether this router doesn't know yet how many share the budget.
     fn is_joining(&self, now: Instant) -> bool {
-        self.joining_since.is_some_and(|since| now.duration_since(since) < self.window)
+        let has_listened = |since| now.duration_since(since) >= self.window && self.peers.len() > 0;
+        self.joining_since.is_some_and(|since| !has_listened(since))
     }
 
     /// What this router knows of a service's budget.
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -271,10 +271,12 @@
         budget.set_routers_known();
         assert!(budget.has_room(SERVICE, now));
     },
-    a_router_that_cannot_read_the_registered_ones_retries_after_a_window: {
+    a_router_that_cannot_read_the_registered_ones_retries_once_it_has_heard_others_for_a_window: {
         let now = Instant::now();
         let mut budget = RetryBudget::new(0.0, 100.0, WINDOW);
         budget.join(false, now);
+        assert!(!budget.has_room(SERVICE, now + WINDOW));
+        budget.apply_report(&"r2".into(), 1, Vec::new(), now + STEP);
         assert!(!budget.has_room(SERVICE, now + WINDOW - STEP));
         assert!(budget.has_room(SERVICE, now + WINDOW));
     },
