--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -160,8 +160,9 @@
         // The start time of a process is by its host's clock, which may have been set back since.
         let is_silent = now.duration_since(peer.received_at) > PEER_TIMEOUT;
         let is_other = report.incarnation != peer.incarnation;
-        let is_newer = (report.incarnation, report.seq) > (peer.incarnation, peer.seq);
-        if !is_newer && !(is_silent && is_other) {
+        let is_later = (report.incarnation, report.seq) > (peer.incarnation, peer.seq);
+        let is_newer = is_later || (is_silent && is_other);
+        if !is_newer {
             return false;
         }
         (peer.incarnation, peer.seq, peer.received_at) = (report.incarnation, report.seq, now);
