--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -120,6 +120,12 @@
     a_fraction_of_files: "limits.max_fds" = "4100.5", s => s.callers.max_files, 4100.5;
 }
 
+#[test]
+fn the_platform_tells_whether_the_fleet_starts_for_the_first_time() {
+    let is_first_start = |value| rendered("bootstrap|json", value).unwrap().router.is_first_start;
+    assert_eq!(["true", "false"].map(is_first_start), [true, false]);
+}
+
 #[test]
 fn windows_of_zero_are_rejected_with_their_line() {
     let mistake = rendered("bounds.budget_window_s|json", "0").unwrap_err();
