Doubt the fleet's first start if routers have started before

Whether the fleet starts for the first time is told by a setting that the platform renders at each start.

Each start writes a record to the topic of routers, so that there are more records than routers once one has started again; then the setting isn't believed. The new case of the model fails on the code before. The process tests restart routers with the settings of the first start, and hold.

--- a/core/src/retry_budget.rs
+++ b/core/src/retry_budget.rs
@@ -129,9 +129,14 @@
         self.joining_since = Some(now);
     }
 
-    /// Records that the registered routers are known.
-    pub fn set_routers_known(&mut self) {
-        self.joining_since = None;
+    /// Records that the registered routers are known. `have_restarted` tells that some of them have
+    /// started more than once, whatever is said of the fleet's first start.
+    pub fn set_routers_known(&mut self, have_restarted: bool) {
+        if let Some(joined_at) = self.joining_since.take()
+            && have_restarted
+        {
+            self.started_at = Some(joined_at);
+        }
     }
 
     /// Replaces the bounds; counts stay.
@@ -187,9 +192,9 @@
     fn usage_of(&mut self, service: Hash, ratio: f64, now: Instant) -> Usage {
         let own = self.own_counts(now).get(&service).copied().unwrap_or_default();
         self.peers.expire(now);
-        let (requests, retries) = self.peers.counts(service, now);
-        let (requests, retries) =
-            (requests + f64::from(own.requests), retries + f64::from(own.retries));
+        let (peer_requests, peer_retries) = self.peers.counts(service, now);
+        let requests = f64::from(own.requests) + peer_requests;
+        let retries = f64::from(own.retries) + peer_retries;
         let allowed = (self.ratio * requests + self.extra_retries) * ratio;
         // Each router can use up the remaining room before the others receive its report, so none
         // takes more than its share: the shares of all routers add up to the budget.
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -96,7 +96,7 @@
             for other in names.iter().filter(|other| **other != router.name) {
                 router.budget.hear_registered(other, 1, now);
             }
-            router.budget.set_routers_known();
+            router.budget.set_routers_known(false);
         }
     }
 
@@ -246,15 +246,24 @@
         let mut budget = RetryBudget::new(0.0, 40.0, WINDOW);
         budget.join(true, now);
         assert!(!budget.has_room(SERVICE, now));
-        budget.set_routers_known();
+        budget.set_routers_known(false);
         budget.count_request(SERVICE, now);
         assert_eq!((0..40).filter(|_| budget.try_take(SERVICE, now)).count(), 32);
     },
+    a_fleet_whose_routers_have_started_before_does_not_start_for_the_first_time: {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(0.0, 100.0, WINDOW);
+        budget.join(true, now);
+        budget.set_routers_known(true);
+        budget.count_request(SERVICE, now);
+        assert!(!budget.has_room(SERVICE, now));
+        assert!(budget.has_room(SERVICE, now + WINDOW));
+    },
     a_router_that_starts_again_gets_a_part_of_its_share_evenly_over_a_window: {
         let now = Instant::now();
         let mut budget = RetryBudget::new(0.0, 100.0, WINDOW);
         budget.join(false, now);
-        budget.set_routers_known();
+        budget.set_routers_known(false);
         let taken = [0, 2_100, 5_100, 9_100, 10_000].map(|ms| {
             let now = now + Duration::from_millis(ms);
             budget.count_request(SERVICE, now);
@@ -268,7 +277,7 @@
         budget.join(true, now);
         budget.count_request(SERVICE, now);
         assert!(!budget.has_room(SERVICE, now));
-        budget.set_routers_known();
+        budget.set_routers_known(false);
         assert!(budget.has_room(SERVICE, now));
     },
     a_router_that_cannot_read_the_registered_ones_retries_once_it_has_heard_others_for_a_window: {
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -252,7 +252,9 @@
         for entry in &read.entries {
             apply_router(&context, &peers, entry);
         }
-        context.state().retries.set_routers_known();
+        // Each start writes a record, so that there are more records than routers after a restart.
+        let have_restarted = is_listing && read.next_offset > read.entries.len() as u64;
+        context.state().retries.set_routers_known(have_restarted);
         if is_listing && read.entries.iter().all(|entry| entry.key != name) {
             // The store has lost the registration.
             register(&mut reader, &own_peer).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -475,9 +475,8 @@
         Router { process, callers, readiness, operators, settings }
     }
 
-    /// Starts the router again, with its addresses, after its process has ended.
+    /// Starts the router again, with its settings, after its process has ended.
     pub fn restart(&mut self) {
-        self.settings.replace(r#""is_first_start":true"#, r#""is_first_start":false"#);
         self.process = start_process(&self.settings);
     }
 
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -133,12 +133,6 @@
         SettingsFile { path }
     }
 
-    /// Replaces a text that the file contains.
-    pub fn replace(&self, from: &str, to: &str) {
-        let text = std::fs::read_to_string(&self.path).unwrap();
-        std::fs::write(&self.path, text.replace(from, to)).unwrap();
-    }
-
     /// Path of the file.
     pub fn path(&self) -> &str {
         self.path.to_str().unwrap()
