--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -57,6 +57,8 @@
     pub is_leaving: bool,
     /// Number of the target's heartbeat at which the record was written; 0 if unknown.
     pub heartbeat: u64,
+    /// How long the target stays cold after this record; `None` if the record doesn't say.
+    pub cold_left: Option<Duration>,
 }
 
 impl Target {
@@ -317,10 +319,11 @@
         target.is_leaving |= known.is_leaving;
         // A record may lack the number.
         target.heartbeat = target.heartbeat.max(known.heartbeat);
-        let has_changed = target != Target { heartbeat: target.heartbeat, ..known.clone() };
+        let (heartbeat, cold_left) = (target.heartbeat, target.cold_left);
+        let has_changed = target != Target { heartbeat, cold_left, ..known.clone() };
         let starts_leaving = target.is_leaving && !known.is_leaving;
         if has_changed {
-            // The heartbeat alone concerns no decision.
+            // The heartbeat and the time for which the target is cold change with each record.
             self.revision += 1;
         }
         self.targets.insert(target.id.clone(), Arc::new(target));
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -91,6 +91,23 @@
     pub leaving: Vec<Hash>,
     /// Some of the late records in the registry of targets.
     pub late_records: Vec<LateRecord>,
+    /// First events that the sender has seen since its last report with sums, by target.
+    pub first_events: Vec<FirstEvents>,
+}
+
+/// How fast a target was, by the first events that one router has seen within some time; see
+/// [`crate::speed`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstEvents {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Time to the first event that was expected at the nominal speed, summed, in milliseconds.
+    pub expected_ms: u32,
+    /// Time that it took, summed, in milliseconds.
+    pub actual_ms: u32,
+    /// Time that work takes on the target's host at the moment, as last stated by the target, in
+    /// percent of the usual time; 0 if it stated nothing.
+    pub host_percent: u32,
 }
 
 /// Maximum number of late records in a report.
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -97,6 +97,11 @@
     pub max_connections: u32,
     /// Whether its targets are model engines.
     pub is_model: bool,
+    /// Time for which a target is cold after a start.
+    pub cold_start: Duration,
+    /// Requests per second that a cold target tolerates from all routers; 0 if its targets are never
+    /// cold.
+    pub cold_per_s: f64,
 }
 
 /// A team whose keys are accepted.
--- a/core/tests/eligibility.rs
+++ b/core/tests/eligibility.rs
@@ -34,6 +34,7 @@
             slots: 6,
             is_leaving: false,
             heartbeat: 0,
+            cold_left: None,
         };
         let hash = target.hash();
         (Arc::new(target), hash)
--- a/core/tests/late_records.rs
+++ b/core/tests/late_records.rs
@@ -59,6 +59,7 @@
         slots: 6,
         is_leaving: false,
         heartbeat,
+        cold_left: None,
     }
 }
 
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -21,6 +21,7 @@
         slots: 64,
         is_leaving: false,
         heartbeat: 0,
+        cold_left: None,
     }
 }
 
@@ -75,6 +76,7 @@
         limits: Vec::new(),
         leaving: Vec::new(),
         late_records: Vec::new(),
+        first_events: Vec::new(),
     }
 }
 
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -16,6 +16,7 @@
         slots: 6,
         is_leaving,
         heartbeat: 0,
+        cold_left: None,
     }
 }
 
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -65,6 +65,7 @@
         slots: SLOTS as u32,
         is_leaving: false,
         heartbeat: 0,
+        cold_left: None,
     };
     (0..count).map(target).collect()
 }
@@ -171,6 +172,7 @@
         limits: Vec::new(),
         leaving: Vec::new(),
         late_records: Vec::new(),
+        first_events: Vec::new(),
     };
     for (at, router) in routers.iter_mut().enumerate() {
         if at != from {
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -379,6 +379,7 @@
         cleared_requests: state.quarantine.take_cleared_requests(),
         leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
         late_records: if parts.has_sums { late_records(&state) } else { Vec::new() },
+        first_events: Vec::new(),
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/daemon/tests/edge_context/mod.rs
+++ b/daemon/tests/edge_context/mod.rs
@@ -12,6 +12,8 @@
 /// Bounds of a small deployment.
 pub fn bounds() -> edge::EdgeBounds {
     edge::EdgeBounds {
+        cold_overshoot: None,
+        cold_slack: None,
         config_apply_ms: 2_000.0,
         drain_ms: 2_000.0,
         extra_retries: 50.0,
--- a/daemon/tests/edge_deadline.rs
+++ b/daemon/tests/edge_deadline.rs
@@ -223,6 +223,7 @@
         slots: 8,
         is_leaving: false,
         heartbeat: 1,
+        cold_left: None,
     }
 }
 
--- a/daemon/tests/edge_exchange.rs
+++ b/daemon/tests/edge_exchange.rs
@@ -138,6 +138,7 @@
         limits: Vec::new(),
         leaving: Vec::new(),
         late_records: Vec::new(),
+        first_events: Vec::new(),
     }
 }
 
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -26,6 +26,7 @@
         slots: 16,
         is_leaving: false,
         heartbeat: 0,
+        cold_left: None,
     }
 }
 
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -65,6 +65,7 @@
         limits: Vec::new(),
         leaving: Vec::new(),
         late_records: Vec::new(),
+        first_events: Vec::new(),
     }
 }
 
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -24,6 +24,14 @@
   ended @18 :List(EndedTarget);
   clearedRequests @19 :List(UInt64); # requests of ended targets that the sender has seen answered
   lateRecords @20 :List(LateRecord); # records of targets that have gone, which lie in the registry
+  firstEvents @21 :List(FirstEvents); # first events since the last report with sums
+}
+
+struct FirstEvents {
+  target @0 :UInt64;                # hash of the target's incarnation
+  expectedMs @1 :UInt32;            # time to the first event expected at the nominal speed, summed
+  actualMs @2 :UInt32;              # time that it took, summed
+  hostPercent @3 :UInt32;           # time that work takes on the target's host, in percent of the usual; 0 if unknown
 }
 
 struct LateRecord {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -112,6 +112,14 @@
         late.set_target(line.target);
         late.set_heartbeat(line.heartbeat);
     }
+    let mut first_events = builder.reborrow().init_first_events(report.first_events.len() as u32);
+    for (i, line) in report.first_events.iter().enumerate() {
+        let mut events = first_events.reborrow().get(i as u32);
+        events.set_target(line.target);
+        events.set_expected_ms(line.expected_ms);
+        events.set_actual_ms(line.actual_ms);
+        events.set_host_percent(line.host_percent);
+    }
     let mut limits = builder.reborrow().init_limits(report.limits.len() as u32);
     for (i, line) in report.limits.iter().enumerate() {
         write_limit(limits.reborrow().get(i as u32), line);
@@ -231,6 +239,12 @@
         target: line.get_target(),
         heartbeat: line.get_heartbeat(),
     });
+    let first_events = reader.get_first_events()?.iter().map(|line| report::FirstEvents {
+        target: line.get_target(),
+        expected_ms: line.get_expected_ms(),
+        actual_ms: line.get_actual_ms(),
+        host_percent: line.get_host_percent(),
+    });
     let cleared_parts = reader.get_cleared_parts()?.iter().collect();
     let cached_parts = reader.get_kept()?.iter();
     let cached_parts = cached_parts
@@ -259,5 +273,6 @@
         limits: reader.get_limits()?.iter().map(read_limit).collect(),
         leaving: reader.get_leaving()?.iter().collect(),
         late_records: late_records.collect(),
+        first_events: first_events.collect(),
     })
 }
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -167,6 +167,12 @@
         cleared_requests: vec![10],
         leaving: vec![3, 4],
         late_records: vec![report::LateRecord { target: 12, heartbeat: 13 }],
+        first_events: vec![report::FirstEvents {
+            target: 14,
+            expected_ms: 15,
+            actual_ms: 16,
+            host_percent: 17,
+        }],
         limits: vec![
             TargetLimit {
                 target: 5,
