--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod dispatch;
 pub mod eligibility;
 pub mod estimate;
+pub mod evacuation;
 pub mod fair_queueing;
 pub mod fairness;
 pub mod health;
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Drops the cached parts of a target that has been evacuated; its load stays.
+    pub fn forget_cached_parts(&mut self, target: Hash) {
+        self.cached_parts.remove(&target);
+    }
+
     /// Drops the own load and the cached parts of a target, for example after its process failed.
     pub fn forget(&mut self, target: Hash) {
         self.cached_parts.remove(&target);
