Settings: bounds.evacuate_ms

Cause: the platform states the bound of an evacuation, and the settings didn't take it. The template's test gains it and the two bounds of cold targets, whose fields it didn't render, so that it failed with an unrendered field.

--- a/daemon/tests/edge_context/mod.rs
+++ b/daemon/tests/edge_context/mod.rs
@@ -16,6 +16,7 @@
         cold_slack: None,
         config_apply_ms: 2_000.0,
         drain_ms: 2_000.0,
+        evacuate_ms: None,
         extra_retries: 50.0,
         grace_s: 8.0,
         retry_ratio: 0.2,
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -50,7 +50,7 @@
 
 /// The template of the deployment, with the platform's usual value for each of its fields.
 const TEMPLATE: &str = include_str!("../../deploy/router.jsonc");
-const FIELDS: [(&str, &str); 19] = [
+const FIELDS: [(&str, &str); 22] = [
     ("node_name|json", "\"edge-1\""),
     ("region|json", "\"here\""),
     ("zone|json", "\"a\""),
@@ -70,6 +70,9 @@
     ("bounds.budget_window_s|json", "10"),
     ("bounds.budget_extra_retries|json", "630"),
     ("bounds.quota_window_s|json", "4"),
+    ("bounds.cold_overshoot|json", "null"),
+    ("bounds.cold_slack|json", "null"),
+    ("bounds.evacuate_ms|json", "null"),
 ];
 
 fn rendered(changed: &str, value: &str) -> Result<edge::EdgeSettings, String> {
@@ -113,6 +116,7 @@
         s => edge::duration_s(s.bounds.retry_window_s).as_secs_f64(), 2.5;
     a_retry_ratio_of_zero: "bounds.retry_budget_ratio" = "0", s => s.bounds.retry_ratio, 0.0;
     a_whole_retry_ratio: "bounds.retry_budget_ratio" = "1", s => s.bounds.retry_ratio, 1.0;
+    an_evacuation_time: "bounds.evacuate_ms" = "5000", s => s.bounds.evacuate_ms.unwrap(), 5000.0;
     a_fraction_of_a_share_window: "bounds.quota_window_s" = "4.5",
         s => edge::duration_s(s.bounds.share_window_s).as_secs_f64(), 4.5;
     a_fraction_of_a_heartbeat: "heartbeat_ms" = "1200.5", s => s.store.heartbeat_ms, 1200.5;
