gentianhinge status prints evacuations

Cause: an operator has to see that a zone is empty. Change: a line for each evacuation: how long, targets, requests in flight there, and whether it is empty. Tests: cli status 2 passed.

--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -40,7 +40,22 @@
     serde_json::from_str(body).map_err(|err| format!("invalid response: {err}"))
 }
 
-/// Formats a status as text: the router, then a line for each target.
+/// Formats an evacuation as a line: how far it has come.
+fn format_evacuation(evacuation: &Value) -> String {
+    let zone = evacuation["zone"].as_str().unwrap_or_default();
+    let seconds = evacuation["for_ms"].as_f64().unwrap_or_default() / 1e3;
+    let progress = match (evacuation["targets"].as_u64(), evacuation["empty"].as_bool()) {
+        (Some(0), _) => "no targets",
+        (_, Some(true)) => "empty",
+        _ => "not empty yet",
+    };
+    format!(
+        "evacuation of zone {zone} for {seconds:.1} s: {progress}, {} targets, {} requests in flight, {} of them from this router\n",
+        evacuation["targets"], evacuation["requests"], evacuation["own_requests"],
+    )
+}
+
+/// Formats a status as text: the router, its evacuations, then a line for each target.
 fn format_status(status: &Value) -> String {
     let text =
         |value: &Value| value.as_str().map_or_else(|| value.to_string(), ToString::to_string);
@@ -53,6 +68,9 @@
         status["config_version"],
         status["routers"],
     );
+    for evacuation in status["evacuations"].as_array().into_iter().flatten() {
+        out += &format_evacuation(evacuation);
+    }
     for target in status["targets"].as_array().into_iter().flatten() {
         let mut flags = String::new();
         for flag in ["leaving", "ejected"] {
