Routers evacuate availability zones

Cause: the operator's key evacuate/ZONE was ignored. Change: a batch of the configuration's topic first changes the evacuated zones, then the configuration. The index of targets by service leaves out targets of evacuated zones. Records that a router hears after a gap count for evacuations: a router without the store would never learn of one behind a configuration that is too long to be relayed. Log event evacuation, gauge gentianhinge_evacuated_zones, evacuations in GET /status.

--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -485,6 +485,8 @@
 fn refusal_reason(refused: &Refused) -> Reason {
     if refused.is_quarantined {
         Reason::Quarantined
+    } else if refused.is_evacuated {
+        Reason::Evacuated
     } else if refused.has_no_target {
         Reason::NoTarget
     } else {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -12,6 +12,7 @@
 //! - [`spec`] describes a request to the decisions, [`statements`] what targets say of themselves;
 //!   [`service_times`] learns how long services take.
 //! - [`state`] holds the router's view of the fleet; [`store_sync`] and [`load_reports`] update it.
+//!   [`evacuations`] applies and shows evacuations of availability zones.
 //!   [`topic_reader`] reads the store's topics, or hears through [`polls`] what another router reads.
 //! - [`queue`] decides which waiting request is sent next.
 //! - [`buffers`] limits the memory for messages; [`request_body`] reads what callers send.
@@ -51,6 +52,7 @@
 pub mod buffers;
 pub mod crash;
 pub mod decisions;
+pub mod evacuations;
 pub mod event_reader;
 pub mod events;
 pub mod handle;
@@ -357,6 +359,8 @@
     let timeout = Duration::from_millis(settings.store.timeout_ms);
     let config_apply = edge::duration_ms(settings.bounds.config_apply_ms);
     let drain = edge::duration_ms(settings.bounds.drain_ms);
+    let evacuate =
+        settings.bounds.evacuate_ms.map_or(evacuations::DEFAULT_BOUND, edge::duration_ms);
     let store = Store::new(store_addr, timeout);
     let (poll_senders, receivers) = polls::channels();
     let [config_polls, target_polls, router_polls] = receivers;
@@ -371,11 +375,15 @@
             outbox.clone(),
         )
     };
-    let config_reader = reader(report::Topic::Config, config_apply, config_polls);
+    // A request may be chosen for a target just before the router knows of the evacuation, and reach
+    // it when it has connected.
+    let config_bound = evacuate.saturating_sub(upstream::CONNECT_TIMEOUT).min(config_apply);
+    let config_reader = reader(report::Topic::Config, config_bound, config_polls);
     let target_reader = reader(report::Topic::Targets, drain, target_polls);
     let router_reader = reader(report::Topic::Routers, store_sync::ROUTERS_BOUND, router_polls);
     tokio::spawn(store_sync::config(config_reader));
     tokio::spawn(store_sync::targets(target_reader, drain));
+    tokio::spawn(evacuations::watch(context.clone(), evacuate));
     let addr = reports.local_addr()?;
     let socket = Arc::new(tokio::net::UdpSocket::from_std(reports)?);
     let (incarnation, zone) = (context.incarnation, context.zone.to_string());
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -10,8 +10,8 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::Context;
 use super::state::RouterState;
+use super::{Context, evacuations};
 use crate::telemetry;
 
 /// Metrics of the process.
@@ -40,6 +40,8 @@
     held_targets: metrics::Gauge,
     /// Registered targets that are leaving.
     leaving_targets: metrics::Gauge,
+    /// Availability zones that are evacuated.
+    evacuated_zones: metrics::Gauge,
 }
 
 impl std::fmt::Debug for Metrics {
@@ -79,6 +81,7 @@
             limited_targets: telemetry.gauge("gentianhinge_limited_targets"),
             held_targets: telemetry.gauge("gentianhinge_held_targets"),
             leaving_targets: telemetry.gauge("gentianhinge_leaving_targets"),
+            evacuated_zones: telemetry.gauge("gentianhinge_evacuated_zones"),
             histograms_by_team: Mutex::default(),
             outcomes: Mutex::default(),
             retries: Mutex::default(),
@@ -167,6 +170,7 @@
     context.metrics.limited_targets.set(state.target_limits.limited_count() as f64);
     context.metrics.held_targets.set(state.holds.count(now) as f64);
     context.metrics.leaving_targets.set(leaving_count as f64);
+    context.metrics.evacuated_zones.set(state.evacuations.evacuated().count() as f64);
 }
 
 /// The router's view of the fleet as JSON.
@@ -190,7 +194,7 @@
         "ready": state.can_serve(), "config_version": state.table.as_ref().map(|table| table.version),
         "routers": state.load.router_count(now),
         "registered_routers": state.registered_routers.len(), "targets": targets.collect::<Vec<_>>(),
-        "retry_budgets": budgets,
+        "retry_budgets": budgets, "evacuations": evacuations::status(&state, now),
     })
 }
 
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -112,6 +112,7 @@
             opens_in_ms: 0.0,
             is_crowded_out: true,
             is_quarantined: false,
+            is_evacuated: false,
         })
     }
 
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -40,6 +40,8 @@
     NoMemory,
     /// The service has no usable target.
     NoTarget,
+    /// All targets of the service are in evacuated availability zones.
+    Evacuated,
     /// The targets are too busy to serve the request in time.
     Overload,
     /// Targets crash under the request or a part of its prompt.
@@ -67,6 +69,7 @@
             Reason::NoConfig
             | Reason::NoMemory
             | Reason::NoTarget
+            | Reason::Evacuated
             | Reason::Overload
             | Reason::Quarantined
             | Reason::NotSent
@@ -87,6 +90,7 @@
             Reason::BodyBroken => "body-broken",
             Reason::NoMemory => "no-memory",
             Reason::NoTarget => "no-target",
+            Reason::Evacuated => "evacuated",
             Reason::Overload => "overload",
             Reason::Quarantined => "quarantined",
             Reason::NotSent => "not-sent",
@@ -109,6 +113,7 @@
         "body-broken" => "not run: the caller's request body was incomplete",
         "no-memory" => "not run: this router had no memory left for its body",
         "no-target" => "not run: the service had no usable target",
+        "evacuated" => "not run: all targets of the service are in evacuated zones",
         "overload" => "not run: every target was too busy to serve it in time",
         "not-sent" => "not run: the chosen targets couldn't be reached",
         "quarantined" => "not run: targets crash under it or a part of its prompt",
--- a/daemon/src/edge/spec.rs
+++ b/daemon/src/edge/spec.rs
@@ -126,6 +126,8 @@
     pub is_crowded_out: bool,
     /// Whether targets crash under the request or parts of its prompt.
     pub is_quarantined: bool,
+    /// Whether all targets of the service are in evacuated zones.
+    pub is_evacuated: bool,
 }
 
 impl Refused {
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -1,12 +1,13 @@
 //! A router's view of the fleet, and the decisions based on it.
 //!
-//! [`choice`] chooses the target of a request, [`topics`] keeps the positions in the store's topics, and
+//! [`choice`] chooses the target of a request, [`evacuated`] leaves out those of evacuated zones, [`topics`] keeps the positions in the store's topics, and
 //! [`reports`] applies what other routers and targets tell.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::evacuation::Evacuations;
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
@@ -18,7 +19,7 @@
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::Shares;
 use gentianhinge_core::target_limit::TargetLimits;
-use gentianhinge_core::{admission, health, patience, placement, polling};
+use gentianhinge_core::{admission, evacuation, health, patience, placement, polling};
 use gentianhinge_wire::edge;
 use tokio::time::Instant;
 
@@ -27,6 +28,7 @@
 use super::statements;
 
 mod choice;
+mod evacuated;
 mod reports;
 mod topics;
 
@@ -44,6 +46,8 @@
     pub table: Option<Arc<RouteTable>>,
     /// Registered targets.
     pub registry: Registry,
+    /// Availability zones whose targets get no requests.
+    pub evacuations: Evacuations,
     /// Estimated load of targets.
     pub load: LoadView,
     /// Shares of teams in the capacity.
@@ -68,13 +72,18 @@
     policy: admission::Policy,
     shares_computed_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
+    /// Services that have no targets outside of evacuated zones.
+    evacuated_services: HashSet<Name>,
     /// How long services take.
     pub times: ServiceTimes,
     patience: HashMap<Name, patience::Patience>,
     service_backlogs: HashMap<Name, (Instant, admission::ServiceBacklog)>,
     /// This router's part of the demand for each service, and when it was computed.
     demand_parts: HashMap<Name, (Instant, f64)>,
-    indexed_revision: u64,
+    /// Revisions of the registry and the evacuations from which the index of targets was built.
+    indexed_revisions: (u64, u64),
+    /// When the next targets come back from an evacuation.
+    next_return: Option<Instant>,
     are_targets_loaded: bool,
 }
 
@@ -87,6 +96,7 @@
             name,
             table: None,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
             load: LoadView::default(),
             shares: Shares::new(edge::duration_s(bounds.share_window_s)),
             retries: retry_budget(bounds),
@@ -101,11 +111,13 @@
             policy: admission::Policy::default(),
             shares_computed_at: None,
             by_service: HashMap::new(),
+            evacuated_services: HashSet::new(),
             times: ServiceTimes::default(),
             patience: HashMap::new(),
             service_backlogs: HashMap::new(),
             demand_parts: HashMap::new(),
-            indexed_revision: 0,
+            indexed_revisions: (0, 0),
+            next_return: None,
             are_targets_loaded: false,
         }
     }
@@ -174,6 +186,20 @@
                 opens_in_ms: 0.0,
                 is_crowded_out: false,
                 is_quarantined: true,
+                is_evacuated: false,
+            }));
+        }
+        if self.is_evacuated(&spec.service, now) {
+            return Some(Decision::Refuse(Refused {
+                retry_after: evacuation::RETRY_AFTER,
+                has_no_target: true,
+                team_share: waiting.team_share,
+                backlog_ms: 0.0,
+                mean_backlog_ms: 0.0,
+                opens_in_ms: 0.0,
+                is_crowded_out: false,
+                is_quarantined: false,
+                is_evacuated: true,
             }));
         }
         let policy = if spec.is_retry { admission::Policy::for_retries() } else { self.policy };
@@ -194,6 +220,7 @@
                 opens_in_ms: best.map_or(0.0, |best| best.opens_in.as_secs_f64() * 1e3),
                 is_crowded_out: false,
                 is_quarantined: false,
+                is_evacuated: false,
             })),
         }
     }
--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -22,22 +22,8 @@
 type Candidates<'a> = SmallVec<[placement::Candidate<'a>; 32]>;
 
 impl RouterState {
-    /// Rebuilds the index of targets by service if the registry has changed.
-    fn refresh_target_index(&mut self) {
-        if self.indexed_revision == self.registry.revision() {
-            return;
-        }
-        self.indexed_revision = self.registry.revision();
-        self.by_service.clear();
-        self.service_backlogs.clear();
-        for target in self.registry.targets().filter(|target| !target.is_leaving) {
-            let entries = self.by_service.entry(target.service.clone()).or_default();
-            entries.push((target.clone(), target.hash()));
-        }
-    }
-
     fn choose(&mut self, spec: &RequestSpec, zone: &str, now: Instant) -> Option<Placement> {
-        self.refresh_target_index();
+        self.refresh_target_index(now);
         let service_load = self.service_load(&spec.service, now);
         let demand_part = self.demand_part(&spec.service, now);
         let all = self.by_service.get(&spec.service)?;
@@ -123,7 +109,7 @@
         service: &Name,
         now: Instant,
     ) -> Option<admission::ServiceBacklog> {
-        self.refresh_target_index();
+        self.refresh_target_index(now);
         if let Some((at, backlog)) = self.service_backlogs.get(service)
             && now < *at + BACKLOG_CACHE_TIME
         {
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -13,7 +13,7 @@
 use tokio::time::{self, Instant};
 
 use super::topic_reader::{Batch, TopicReader};
-use super::{Context, Phase, load_reports};
+use super::{Context, Phase, evacuations, load_reports};
 
 /// Pause between two reads of the targets, as a part of the time for which a leaving target may
 /// still receive requests. All targets may write at once.
@@ -29,7 +29,10 @@
 /// Keeps the configuration in sync with the store; never returns.
 pub async fn config(mut reader: TopicReader) {
     loop {
-        let (Batch::Snapshot(read) | Batch::Updates(read)) = reader.next_batch().await;
+        let batch = reader.next_batch().await;
+        // Evacuations go first: with the first configuration, the router begins to serve.
+        evacuations::apply(&reader.context, &batch);
+        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch else { continue };
         // Only the newest readable configuration is applied.
         for entry in read.entries.iter().rev() {
             if platform_config::text(entry).is_some_and(|text| apply_config(&reader.context, text))
@@ -108,6 +111,7 @@
     let read = match batch {
         Batch::Snapshot(listing) => return apply_listing(context, unreadable, listing, now),
         Batch::Updates(read) => read,
+        Batch::AfterGap(_) => return,
     };
     for entry in &read.entries {
         let target = registry::decode(entry);
@@ -248,7 +252,7 @@
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         };
         let is_listing = matches!(batch, Batch::Snapshot(_));
-        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch;
+        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch else { continue };
         for entry in &read.entries {
             apply_router(&context, &peers, entry);
         }
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -42,6 +42,9 @@
     Snapshot(Entries),
     /// Records since the last batch.
     Updates(Entries),
+    /// Records of the configuration's topic before which others are missing: those that are too long
+    /// to be relayed, while this router can't reach the store.
+    AfterGap(Entries),
 }
 
 /// Reader of one topic, with the state of its connection to the store.
@@ -348,7 +351,7 @@
         state.hear_era(poll.era, now);
         let view = state.topic_view(self.topic);
         let from = view.next_offset?;
-        if poll.era != view.era || poll.is_listing != view.must_list() {
+        if poll.era != view.era || (poll.is_listing && !view.must_list()) {
             return None;
         }
         if poll.is_listing {
@@ -357,30 +360,22 @@
         }
         let is_complete =
             poll.next_offset - poll.from.min(poll.next_offset) == poll.records.len() as u64;
-        if poll.next_offset > from && (poll.from > from || !is_complete) {
-            view.hear(poll.next_offset, now);
-            return None;
+        let must_list = view.must_list();
+        if must_list || (poll.next_offset > from && (poll.from > from || !is_complete)) {
+            if !must_list {
+                view.hear(poll.next_offset, now);
+            }
+            let is_usable = is_complete && self.topic == Topic::Config;
+            return is_usable.then(|| Batch::AfterGap(entries(poll)));
         }
         let at = ended_at(&poll, now)?;
         self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
         drop(state);
         self.end_failure("another router reads the store");
-        let (first, next_offset) = (poll.from, poll.next_offset);
-        let entries = poll.records.into_iter().zip(first..).map(|(record, offset)| Entry {
-            offset,
-            key: record.key,
-            value: record.value.map(Bytes::from),
-        });
-        let entries = entries.filter(|entry| (from..next_offset).contains(&entry.offset));
-        let entries = entries.collect::<Vec<_>>();
-        let is_news = !entries.is_empty() || self.has_recovered;
-        let end_offset = next_offset;
-        is_news.then_some(Batch::Updates(Entries {
-            entries,
-            next_offset,
-            era: poll.era,
-            end_offset,
-        }))
+        let mut read = entries(poll);
+        read.entries.retain(|entry| (from..read.next_offset).contains(&entry.offset));
+        let is_news = !read.entries.is_empty() || self.has_recovered;
+        is_news.then_some(Batch::Updates(read))
     }
 
     /// Takes over the first listing of an era from another router.
@@ -436,6 +431,18 @@
     }
 }
 
+/// The records of a relayed poll.
+fn entries(poll: report::Poll) -> Entries {
+    let (first, next_offset) = (poll.from, poll.next_offset);
+    let entries = poll.records.into_iter().zip(first..).map(|(record, offset)| Entry {
+        offset,
+        key: record.key,
+        value: record.value.map(Bytes::from),
+    });
+    let entries = entries.collect();
+    Entries { entries, next_offset, era: poll.era, end_offset: next_offset }
+}
+
 /// Waits for a poll of another router that has read further than `view`; others only confirm it.
 async fn next_news(
     polls: &mut mpsc::Receiver<report::Poll>,
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -19,7 +19,7 @@
 use super::response_limits::{LimitedStream, ReadLimit};
 
 /// Connect timeout: some round trips and one lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Idle timeout of a connection if the target doesn't state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -138,8 +138,13 @@
 
     /// Appends the registration of a target in a state such as `ready` or `draining`.
     pub fn put_target(&self, id: &str, addr: net::SocketAddr, state: &str) {
+        self.put_target_in("a", id, addr, state);
+    }
+
+    /// The same for a target in another availability zone.
+    pub fn put_target_in(&self, zone: &str, id: &str, addr: net::SocketAddr, state: &str) {
         let record = json!({
-            "service": "desk", "address": addr.to_string(), "zone": "a", "version": "v1",
+            "service": "desk", "address": addr.to_string(), "zone": zone, "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "seq_no": 1, "born": 1,
         });
         self.put("keyed.servers", id, record.to_string());
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -6,6 +6,7 @@
 
 use gentianhinge_core::report::{LoadReport, Poll, Record, Topic};
 use gentianhinge_platform::store;
+use gentianhinged::edge::evacuations as router_evacuations;
 use gentianhinged::edge::polls::{self, PollSenders};
 use gentianhinged::edge::topic_reader::{Batch, TopicReader};
 use tokio::sync::mpsc;
@@ -78,7 +79,9 @@
     polls.into_iter().for_each(|poll| senders.send(poll));
     let mut offsets = Vec::new();
     while let Ok(batch) = time::timeout(BOUND / 4, reader.next_batch()).await {
-        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch;
+        let (Batch::Snapshot(read) | Batch::Updates(read)) = batch else {
+            panic!("records of targets after a gap: {batch:?}")
+        };
         offsets.extend(read.entries.iter().map(|entry| entry.offset));
     }
     offsets
@@ -108,6 +111,46 @@
         [poll(1, 2, u32::MAX, 1), poll(1, 3, 20, 2)] => [1, 2];
 }
 
+/// A poll of the configuration's topic with an evacuation at each of its offsets.
+fn evacuations(era: u64, zones: &[&str], next_offset: u64) -> Poll {
+    let record =
+        |zone: &&str| Record { key: format!("evacuate/{zone}"), value: Some(b"{}".to_vec()) };
+    let records = zones.iter().map(record).collect();
+    let from = next_offset - zones.len() as u64;
+    let topic = Topic::Config;
+    Poll { topic, era, is_listing: false, from, next_offset, age_ms: 20, records }
+}
+
+/// A configuration of 40 KB is too long to be relayed, and so are listings with it. A router that
+/// only hears the others must learn of evacuations nevertheless, also in a later era.
+#[tokio::test]
+async fn a_router_without_the_store_hears_evacuations_behind_what_is_not_relayed() {
+    let (store, addr) = edge_kit::Store::start().await;
+    store.put_config(1);
+    let client = store::Store::new(addr, Duration::from_secs(1));
+    let (senders, [receiver, _, _]) = polls::channels();
+    let (outbox, _own_polls) = mpsc::channel(polls::QUEUE_LEN);
+    let context = edge_context::context(io::sink());
+    let mut reader =
+        TopicReader::new(context.clone(), client, Topic::Config, BOUND, receiver, outbox);
+    assert!(matches!(reader.next_batch().await, Batch::Snapshot(_)));
+    store.set_down(true);
+    for (era, zone) in [(1, "a"), (2, "b")] {
+        senders.send(evacuations(era, &[zone], 5));
+        let batch = time::timeout(BOUND / 4, reader.next_batch()).await.unwrap();
+        assert!(matches!(batch, Batch::AfterGap(_)), "{batch:?}");
+        router_evacuations::apply(&context, &batch);
+        assert!(context.state().evacuations.is_evacuated(zone), "{zone}");
+    }
+    // The router has still to read what it hasn't heard.
+    assert!(context.state().topic_view(Topic::Config).is_behind());
+    // Once it reaches the store again, the listing counts.
+    store.set_down(false);
+    store.restore(store.backup());
+    let batch = time::timeout(BOUND * 2, reader.next_batch()).await.unwrap();
+    assert!(matches!(batch, Batch::Snapshot(_)), "{batch:?}");
+}
+
 #[tokio::test]
 async fn a_router_that_was_cut_off_reads_what_it_hears_to_be_missing() {
     let (store, mut reader, senders, _own_polls) = reader().await;
