Bound the requests that all routers send to a cold target

Cause: a target that has just started is the least loaded one, so that all routers choose it at once, and it crashes above a few requests per second.

Change: core::cold divides the allowance for a cold incarnation among the registered routers in a rendezvous order; Eligibility asks it, so that first sends, retries, hedges and resumed streams are bounded alike. Sends are those that TargetLimits counts. Records count once the registry has accepted them. RouterState::hold_cold is the entry for evacuations. Log event target-cold, gauge gentianhinge_cold_targets, cold_ms in the status. Nothing is kept where the configuration states no cold_per_s.

--- a/core/src/eligibility.rs
+++ b/core/src/eligibility.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::cold::Cold;
 use crate::health::{self, Health};
 use crate::holds::Holds;
 use crate::registry::Target;
@@ -29,6 +30,8 @@
     pub limits: &'a mut TargetLimits,
     /// Times for which targets want no requests from this router.
     pub holds: &'a Holds,
+    /// Targets that have started a short time ago.
+    pub cold: &'a Cold,
     /// This router's part of the demand for the targets' service.
     pub demand_part: f64,
 }
@@ -36,7 +39,9 @@
 impl Eligibility<'_> {
     /// Whether a target takes a request from this router, if it is healthy.
     pub fn is_open(&mut self, target: Hash, now: Instant) -> bool {
+        // Last, as it may use up an opening.
         self.holds.ends_in(target, now).is_none()
+            && self.cold.may_send(target, self.limits, now)
             && self.limits.may_send(target, self.demand_part, now)
     }
 
@@ -75,14 +80,21 @@
         ahead_count: u32,
         now: Instant,
     ) -> Duration {
-        if self.limits.limited_count() == 0 && self.holds.is_empty() {
+        if self.limits.limited_count() == 0 && self.holds.is_empty() && self.cold.is_empty() {
             return Duration::ZERO;
         }
         let (mut rate_per_s, mut hold_end) = (0.0, MAX_OPENING_TIME);
         for (_, hash) in targets {
             match self.holds.ends_in(*hash, now) {
                 Some(left) => hold_end = hold_end.min(left),
-                None => rate_per_s += self.limits.rate_per_s(*hash, self.demand_part),
+                None => {
+                    let limit_per_s = self.limits.rate_per_s(*hash, self.demand_part);
+                    let cold = self.cold.state(*hash, now);
+                    rate_per_s += cold.map_or(limit_per_s, |cold| cold.rate_per_s.min(limit_per_s));
+                    // The target may have a limit beyond that time, too.
+                    let warm = cold.filter(|_| limit_per_s.is_infinite());
+                    hold_end = warm.map_or(hold_end, |cold| hold_end.min(cold.ends_in));
+                }
             }
         }
         let opening_s = f64::from(1 + ahead_count) / rate_per_s;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod cell;
 pub mod claim;
 pub mod code;
+pub mod cold;
 pub mod dispatch;
 pub mod eligibility;
 pub mod estimate;
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -208,6 +208,11 @@
         self.services.get(name)
     }
 
+    /// All services, in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Looks up the team that owns a key.
     pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.teams.get(key)
--- a/core/src/target_limit.rs
+++ b/core/src/target_limit.rs
@@ -52,7 +52,7 @@
 const MAX_SAVED_PROGRESS: f64 = 1.0;
 
 /// Granularity of the counts of sends.
-const BUCKET_TIME: Duration = Duration::from_millis(100);
+pub const BUCKET_TIME: Duration = Duration::from_millis(100);
 
 /// Time for which the sum of the other routers' sends is cached.
 const SUM_CACHE_TIME: Duration = Duration::from_millis(50);
@@ -304,6 +304,12 @@
         limit_per_s.map_or(f64::INFINITY, |limit| send_rate_per_s(limit) * demand_part)
     }
 
+    /// Requests that this router has sent to a target within a time of at most [`MAX_WINDOW`]; may
+    /// count some for [`BUCKET_TIME`] longer.
+    pub fn sent_count(&self, target: Hash, window: Duration, now: Instant) -> u32 {
+        self.targets.get(&target).map_or(0, |state| state.sends.count(window, now))
+    }
+
     /// Counts a request that is sent to a target.
     pub fn record_send(&mut self, target: Hash, now: Instant) {
         let state = self.targets.entry(target).or_default();
--- a/core/tests/eligibility.rs
+++ b/core/tests/eligibility.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use gentianhinge_core::admission;
+use gentianhinge_core::cold::{self, Cold};
 use gentianhinge_core::eligibility::{Eligibility, Entry};
 use gentianhinge_core::health::{Failure, Health};
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::registry::Target;
 use gentianhinge_core::report::Hash;
-use gentianhinge_core::target_limit::TargetLimits;
+use gentianhinge_core::routing::Service;
+use gentianhinge_core::target_limit::{self, TargetLimits};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -20,6 +22,7 @@
     health: Health,
     limits: TargetLimits,
     holds: Holds,
+    cold: Cold,
     now: Instant,
 }
 
@@ -44,6 +47,7 @@
         health: Health::default(),
         limits: TargetLimits::new(1),
         holds: Holds::default(),
+        cold: Cold::new(&"r1".into(), Instant::now()),
         now: Instant::now(),
     }
 }
@@ -54,8 +58,8 @@
     }
 
     fn eligibility(&mut self) -> (Eligibility<'_>, &[Entry], Instant) {
-        let Targets { entries, health, limits, holds, now } = self;
-        (Eligibility { health, limits, holds, demand_part: 1.0 }, entries, *now)
+        let Targets { entries, health, limits, holds, cold, now } = self;
+        (Eligibility { health, limits, holds, cold, demand_part: 1.0 }, entries, *now)
     }
 
     /// Names of the selected targets.
@@ -70,6 +74,22 @@
         eligibility.opens_in(entries.iter(), ahead_count, now)
     }
 
+    /// Makes a target cold, with `cold_per_s` for all `router_count` routers.
+    fn make_cold(&mut self, at: usize, time: Duration, cold_per_s: f64, router_count: usize) {
+        let service = Service {
+            name: "desk".into(),
+            max_connections: 8,
+            is_model: true,
+            cold_start: Duration::ZERO,
+            cold_per_s,
+        };
+        self.cold.set_services([&service].into_iter());
+        (1..=router_count).for_each(|i| self.cold.add_router(&format!("r{i}").as_str().into()));
+        self.cold.set_routers_known();
+        let target = Target { cold_left: Some(time), ..Target::clone(&self.entries[at].0) };
+        self.cold.apply_record(&target, None, self.now);
+    }
+
     fn hold(&mut self, at: usize, time: Duration) {
         self.holds.record(self.entries[at].1, time, 0.0, self.now);
     }
@@ -98,6 +118,33 @@
         targets.now += SECOND;
         assert_eq!(targets.selected(), ["t0", "t1"]);
     },
+    // Would send a burst to a target that has just started, as it is the least loaded.
+    a_cold_target_is_closed_once_the_part_is_used_up: {
+        let mut targets = targets(2);
+        targets.make_cold(0, SECOND * 9, 2.0, 1);
+        targets.now += cold::WINDOW;
+        for _ in 0..2 {
+            assert_eq!(targets.selected(), ["t0", "t1"]);
+            let (hash, now) = (targets.hash(0), targets.now);
+            targets.limits.record_send(hash, now);
+        }
+        assert_eq!(targets.selected(), ["t1"]);
+        assert_eq!(targets.opens_in(0), Duration::ZERO);
+    },
+    // Would refuse requests without telling when to return.
+    when_all_are_cold_the_part_counts_and_without_one_the_end: {
+        let mut targets = targets(1);
+        targets.make_cold(0, SECOND * 9, 2.0, 1);
+        let round = cold::WINDOW + target_limit::BUCKET_TIME;
+        assert_eq!(targets.opens_in(0), round / 2);
+        assert_eq!(targets.opens_in(99), SECOND * 9);
+        targets.make_cold(0, SECOND * 9, 1.0, 300);
+        // With 300 routers, this one isn't the first in the order.
+        assert_eq!(targets.opens_in(0), SECOND * 9);
+        targets.now += SECOND * 9;
+        assert_eq!(targets.opens_in(0), Duration::ZERO);
+        assert_eq!(targets.selected(), ["t0"]);
+    },
     a_shorter_hold_does_not_end_a_longer_one: {
         let mut targets = targets(1);
         targets.hold(0, SECOND * 3);
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -186,6 +186,9 @@
         }
         let now = Instant::now();
         let parts = schedule.parts(now);
+        if parts.has_sums {
+            super::log_cold(&context);
+        }
         let (mut report, count) = compose(&context, seq, parts);
         if count != router_count {
             context.log.state_change(
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -313,6 +313,24 @@
     }));
 }
 
+/// Logs the targets whose cold time has begun or ended.
+fn log_cold(context: &Context) {
+    let changes = context.state().cold.take_changes(time::Instant::now());
+    for change in changes {
+        context.log.state_change(match &change.state {
+            Some(state) => json!({
+                "event": "target-cold", "target": &*change.target, "service": &*change.service,
+                "outcome": "begun", "cold_ms": state.ends_in.as_millis() as u64,
+                "allowance": state.allowance, "part": state.part,
+            }),
+            None => json!({
+                "event": "target-cold", "target": &*change.target, "service": &*change.service,
+                "outcome": "ended",
+            }),
+        });
+    }
+}
+
 /// Logs that a target has said that it is leaving; `source` is who heard it.
 fn log_leaving(context: &Context, target: &str, source: &str) {
     context.log.state_change(json!({
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -38,6 +38,8 @@
     limited_targets: metrics::Gauge,
     /// Targets that want no requests from this router for a time.
     held_targets: metrics::Gauge,
+    /// Targets that have started a short time ago.
+    cold_targets: metrics::Gauge,
     /// Registered targets that are leaving.
     leaving_targets: metrics::Gauge,
 }
@@ -78,6 +80,7 @@
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
             limited_targets: telemetry.gauge("gentianhinge_limited_targets"),
             held_targets: telemetry.gauge("gentianhinge_held_targets"),
+            cold_targets: telemetry.gauge("gentianhinge_cold_targets"),
             leaving_targets: telemetry.gauge("gentianhinge_leaving_targets"),
             histograms_by_team: Mutex::default(),
             outcomes: Mutex::default(),
@@ -166,6 +169,7 @@
     let leaving_count = state.registry.targets().filter(|target| target.is_leaving).count();
     context.metrics.limited_targets.set(state.target_limits.limited_count() as f64);
     context.metrics.held_targets.set(state.holds.count(now) as f64);
+    context.metrics.cold_targets.set(state.cold.count(now) as f64);
     context.metrics.leaving_targets.set(leaving_count as f64);
 }
 
@@ -182,6 +186,7 @@
             "running": load.running_count, "unread_tokens": load.unread_tokens,
             "ejected": state.health.is_ejected(target.hash(), now),
             "held_ms": state.holds.ends_in(target.hash(), now).map(|left| left.as_millis() as u64),
+            "cold_ms": state.cold.state(target.hash(), now).map(|cold| cold.ends_in.as_millis() as u64),
             "limit_per_s": state.target_limits.limit(target.hash(), now).map(|(limit, _)| limit),
         })
     });
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentianhinge_core::cold::{self, Cold};
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
@@ -58,6 +59,8 @@
     pub target_limits: TargetLimits,
     /// Times for which targets want no requests.
     pub holds: Holds,
+    /// Targets that have started a short time ago.
+    pub cold: Cold,
     /// What this router keeps of targets' statements, for its log and reports.
     pub statements: statements::Statements,
     /// Names of the routers that are registered in the store, including this one.
@@ -83,6 +86,8 @@
     ///
     /// `seed` is for random choices and must differ between routers.
     pub fn new(name: Name, bounds: &edge::EdgeBounds, seed: u64) -> RouterState {
+        let mut cold = Cold::new(&name, Instant::now());
+        cold.set_bounds(cold_bounds(bounds));
         RouterState {
             name,
             table: None,
@@ -94,6 +99,7 @@
             quarantine: Quarantine::default(),
             target_limits: TargetLimits::new(seed),
             holds: Holds::default(),
+            cold,
             statements: statements::Statements::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
@@ -125,9 +131,15 @@
         self.target_limits.set_heard(router_count * 2 > self.registered_routers.len());
     }
 
-    /// Applies changed bounds of the retry budget; the windows keep their lengths.
+    /// Applies changed bounds of the retry budget and of cold targets; windows keep their lengths.
     pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
         self.retries.set_bounds(bounds.retry_ratio, bounds.extra_retries);
+        self.cold.set_bounds(cold_bounds(bounds));
+    }
+
+    /// Lets a registered target count as cold until `until` at least, whatever its record states.
+    pub fn hold_cold(&mut self, target: &Target, until: Instant) {
+        self.cold.hold(target, until);
     }
 
     /// Whether a configuration and the targets have been read.
@@ -146,6 +158,7 @@
         self.health.forget(hash);
         self.target_limits.forget(hash);
         self.holds.forget(hash);
+        self.cold.forget(hash);
         self.statements.forget(hash);
     }
 
@@ -255,6 +268,10 @@
     }
 }
 
+fn cold_bounds(bounds: &edge::EdgeBounds) -> cold::Bounds {
+    cold::Bounds { overshoot: bounds.cold_overshoot, slack: bounds.cold_slack }
+}
+
 fn retry_budget(bounds: &edge::EdgeBounds) -> RetryBudget {
     let window = edge::duration_s(bounds.retry_window_s);
     RetryBudget::new(bounds.retry_ratio, bounds.extra_retries, window)
--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -46,6 +46,7 @@
             health: &self.health,
             limits: &mut self.target_limits,
             holds: &self.holds,
+            cold: &self.cold,
             demand_part,
         };
         let usable = eligibility.select(untried, now);
@@ -105,8 +106,8 @@
     ) -> Option<(Eligibility<'_>, &[eligibility::Entry])> {
         let demand_part = self.demand_part(service, now);
         let targets = self.by_service.get(service)?;
-        let RouterState { health, target_limits: limits, holds, .. } = self;
-        Some((Eligibility { health, limits, holds, demand_part }, targets))
+        let RouterState { health, target_limits: limits, holds, cold, .. } = self;
+        Some((Eligibility { health, limits, holds, cold, demand_part }, targets))
     }
 
     fn service_load(&mut self, service: &Name, now: Instant) -> spreading::ServiceLoad {
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -1,17 +1,18 @@
 //! Keeps the state in sync with the store's topics of configurations, targets and routers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::polling;
-use gentianhinge_core::registry::Change;
+use gentianhinge_core::registry::{Change, Target};
 use gentianhinge_platform::store::{Entries, Entry};
 use gentianhinge_platform::{config as platform_config, peers, registry};
 use serde_json::json;
 use tokio::time::{self, Instant};
 
+use super::state::RouterState;
 use super::topic_reader::{Batch, TopicReader};
 use super::{Context, Phase, load_reports};
 
@@ -57,8 +58,12 @@
     let mut state = context.state();
     let before = state.table.as_ref().map(|table| table.version);
     let is_newer = before.is_none_or(|before| version > before);
+    if is_newer {
+        state.cold.set_services(table.services());
+    }
     let old_table = if is_newer { state.table.replace(table) } else { Some(table) };
     drop(state);
+    super::log_cold(context);
     // Requests wait for the state, and dropping a large table takes time.
     drop(old_table);
     if is_newer {
@@ -117,6 +122,7 @@
         let heartbeat = target.as_ref().map(|target| target.heartbeat);
         let at = polling::Position { era: read.era, offset: entry.offset };
         let change = state.registry.apply(&entry.key, at, target, now);
+        apply_cold(&mut state, &entry.key, before.as_ref(), now);
         drop(state);
         if change == Change::Late {
             // Other routers may not know that the record is late.
@@ -129,6 +135,16 @@
         }
         record_change(context, &entry.key, change, before.as_deref());
     }
+    super::log_cold(context);
+}
+
+/// Applies the cold time of the registered record of a target, if it is not the one before: one that
+/// was late or stale has not been registered.
+fn apply_cold(state: &mut RouterState, id: &str, before: Option<&Arc<Target>>, now: Instant) {
+    let Some(target) = state.registry.get(id) else { return };
+    if before.is_none_or(|before| !Arc::ptr_eq(before, target)) {
+        state.cold.apply_record(target, before.map(|before| &**before), now);
+    }
 }
 
 fn apply_listing(
@@ -154,11 +170,18 @@
         return;
     };
     state.set_targets_loaded();
+    let by_id = targets_before.iter().map(|target| (&target.id, target));
+    let by_id = by_id.collect::<HashMap<_, _>>();
+    let registered = state.registry.targets().map(|target| target.id.clone()).collect::<Vec<_>>();
+    for id in registered {
+        apply_cold(&mut state, &id, by_id.get(&id).copied(), now);
+    }
     drop(state);
     for (id, change) in changes {
         let before = targets_before.iter().find(|target| target.id == id);
         record_change(context, &id, change, before.map(|target| &**target));
     }
+    super::log_cold(context);
 }
 
 /// Counts a record that can't be used as a target. It is logged only once, since the target writes
@@ -210,10 +233,12 @@
             if name != context.name {
                 state.retries.hear_registered(&name, peer.incarnation, Instant::now());
             }
+            state.cold.add_router(&name);
             state.registered_routers.insert(name);
         }
         None => {
             state.retries.forget_router(&name);
+            state.cold.remove_router(&name, Instant::now());
             state.registered_routers.remove(&name);
         }
     }
@@ -255,6 +280,9 @@
         // Each start writes a record, so that there are more records than routers after a restart.
         let have_restarted = is_listing && read.next_offset > read.entries.len() as u64;
         context.state().retries.set_routers_known(have_restarted);
+        if is_listing {
+            context.state().cold.set_routers_known();
+        }
         if is_listing && read.entries.iter().all(|entry| entry.key != name) {
             // The store has lost the registration.
             register(&mut reader, &own_peer).await;
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -109,6 +109,18 @@
 
     /// The same with another timeout of all routes.
     pub fn put_config_with_timeout(&self, version: u64, timeout: Duration) {
+        self.put_config_of(version, timeout, json!({ "name": "desk", "max_conns": 100 }));
+    }
+
+    /// Appends a configuration in which a cold target tolerates `cold_per_s` requests per second.
+    pub fn put_config_with_cold(&self, version: u64, cold_per_s: f64) {
+        let service = json!({
+            "name": "desk", "max_conns": 100, "cold_start_s": 5, "cold_per_s": cold_per_s,
+        });
+        self.put_config_of(version, Duration::from_millis(4000), service);
+    }
+
+    fn put_config_of(&self, version: u64, timeout: Duration, service: serde_json::Value) {
         let timeout_ms = u64::try_from(timeout.as_millis()).unwrap();
         let route = |name: &str, kind: &str, attempts: u32, extra_fields: serde_json::Value| {
             let mut route = json!({
@@ -129,7 +141,7 @@
                 })),
                 route("note", "streaming", 1, json!({ "resumable": false, "gap_aim_ms": 200 })),
             ],
-            "services": [{ "name": "desk", "max_conns": 100 }],
+            "services": [service],
             "limits": { "max_body_bytes": 4096 },
             "tenants": [{ "name": "clubs", "api_keys": [KEY], "priority": 1 }],
         });
@@ -138,9 +150,22 @@
 
     /// Appends the registration of a target in a state such as `ready` or `draining`.
     pub fn put_target(&self, id: &str, addr: net::SocketAddr, state: &str) {
+        self.put_target_heartbeat(id, addr, state, 1, Duration::ZERO);
+    }
+
+    /// Appends a heartbeat of a target that stays cold for a time.
+    pub fn put_target_heartbeat(
+        &self,
+        id: &str,
+        addr: net::SocketAddr,
+        state: &str,
+        heartbeat: u64,
+        cold_left: Duration,
+    ) {
         let record = json!({
             "service": "desk", "address": addr.to_string(), "zone": "a", "version": "v1",
-            "slots": 8, "state": state, "cold_left_ms": 0, "seq_no": 1, "born": 1,
+            "slots": 8, "state": state, "cold_left_ms": cold_left.as_millis() as u64,
+            "seq_no": heartbeat, "born": 1,
         });
         self.put("keyed.servers", id, record.to_string());
     }
