Soak: targets that are added later are cold

The configuration states a cold rate, and targets that replace others are cold for 4 s; the end of a run checks that none got more than 11 requests within a second in that time.

--- a/daemon/tests/edge_soak.rs
+++ b/daemon/tests/edge_soak.rs
@@ -30,6 +30,15 @@
 /// Time in which callers run, in seconds.
 const DURATION_S: u64 = 10;
 
+/// Time for which a target that is added later is cold.
+const COLD_TIME: Duration = Duration::from_secs(4);
+
+/// Requests per second that a cold target tolerates.
+const COLD_PER_S: f64 = 4.0;
+
+/// Requests that a cold target may receive within any second.
+const MAX_COLD_REQUESTS: usize = 11;
+
 /// Time after the last fault within which every request must be served again, according to the
 /// users' data sheets.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
@@ -60,6 +69,8 @@
     relay: relay::Handle,
     /// When the target was marked as leaving.
     leaving_at: Option<Instant>,
+    /// End of the target's cold time.
+    cold_until: Instant,
     /// Whether the target states something in its responses.
     is_stating: bool,
 }
@@ -83,7 +94,7 @@
 impl Fleet {
     async fn start(duration: Duration) -> Arc<Fleet> {
         let (store, store_addr) = Store::start().await;
-        store.put_config(1);
+        store.put_config_with_cold(1, COLD_PER_S);
         let fleet = Fleet {
             store,
             store_addr,
@@ -112,11 +123,14 @@
         };
         let (target, addr) = Target::start(&format!("t{number}"), behavior).await;
         let relay = relay::spawn(relay::Config::to(addr)).await.unwrap();
-        self.store.put_target(&target.id, relay.addr(), "ready");
+        let cold_time = if number < TARGET_COUNT { Duration::ZERO } else { COLD_TIME };
+        let cold_until = Instant::now() + cold_time;
+        self.store.put_target_heartbeat(&target.id, relay.addr(), "ready", 1, cold_time);
         self.targets.lock().unwrap().push(RelayedTarget {
             target,
             relay,
             leaving_at: None,
+            cold_until,
             is_stating: false,
         });
     }
@@ -137,16 +151,34 @@
 
     fn put_config(&self, version: u64) {
         *self.version.lock().unwrap() = version;
-        self.store.put_config(version);
+        self.store.put_config_with_cold(version, COLD_PER_S);
     }
 
     /// Writes the configuration and the targets' records as the operator and the targets do after
     /// the store has lost them.
     fn write_again(&self) {
-        self.store.put_config(*self.version.lock().unwrap());
+        self.store.put_config_with_cold(*self.version.lock().unwrap(), COLD_PER_S);
         for target in self.targets.lock().unwrap().iter() {
             let state = if target.leaving_at.is_some() { "draining" } else { "ready" };
-            self.store.put_target(&target.target.id, target.relay.addr(), state);
+            let cold_left = target.cold_until.saturating_duration_since(Instant::now());
+            let (id, addr) = (&target.target.id, target.relay.addr());
+            self.store.put_target_heartbeat(id, addr, state, 1, cold_left);
+        }
+    }
+
+    /// Checks that no target got more than it tolerates while it was cold.
+    fn check_cold_targets(&self) {
+        for target in self.targets.lock().unwrap().iter() {
+            let arrivals = target.target.arrivals();
+            let cold = arrivals.into_iter().filter(|at| *at < target.cold_until);
+            for from in cold {
+                let until = target.cold_until.min(from + Duration::from_secs(1));
+                let count = target.target.arrivals_from(from, until);
+                if count > MAX_COLD_REQUESTS {
+                    let id = &target.target.id;
+                    self.add_violation(format!("{id} got {count} requests in a second while cold"));
+                }
+            }
         }
     }
 
@@ -232,6 +264,7 @@
             fleet.add_violation(format!("{id} may run only once and reached {count} targets"));
         }
     }
+    fleet.check_cold_targets();
     check_recovery(&fleet).await;
     println!("seed {seed}: {counts}");
     std::mem::take(&mut *fleet.violations.lock().unwrap())
