--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::evacuation::Evacuations;
+use gentianhinge_core::cold::{self, Cold};
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
@@ -32,6 +33,9 @@
 mod reports;
 mod topics;
 
+/// Interval of the targets' heartbeats until the settings state it.
+const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+
 /// Minimum interval between two computations of the fair share.
 const SHARES_INTERVAL: Duration = Duration::from_millis(350);
 
@@ -62,6 +66,8 @@
     pub target_limits: TargetLimits,
     /// Times for which targets want no requests.
     pub holds: Holds,
+    /// Targets that have started a short time ago.
+    pub cold: Cold,
     /// What this router keeps of targets' statements, for its log and reports.
     pub statements: statements::Statements,
     /// Names of the routers that are registered in the store, including this one.
@@ -84,6 +90,8 @@
     indexed_revisions: (u64, u64),
     /// When the next targets come back from an evacuation.
     next_return: Option<Instant>,
+    /// Interval of the targets' heartbeats to the store.
+    pub heartbeat_interval: Duration,
     are_targets_loaded: bool,
 }
 
@@ -92,6 +100,8 @@
     ///
     /// `seed` is for random choices and must differ between routers.
     pub fn new(name: Name, bounds: &edge::EdgeBounds, seed: u64) -> RouterState {
+        let mut cold = Cold::new(&name, Instant::now());
+        cold.set_bounds(cold_bounds(bounds));
         RouterState {
             name,
             table: None,
@@ -104,6 +114,7 @@
             quarantine: Quarantine::default(),
             target_limits: TargetLimits::new(seed),
             holds: Holds::default(),
+            cold,
             statements: statements::Statements::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
@@ -118,6 +129,7 @@
             demand_parts: HashMap::new(),
             indexed_revisions: (0, 0),
             next_return: None,
+            heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
             are_targets_loaded: false,
         }
     }
@@ -137,9 +149,15 @@
         self.target_limits.set_heard(router_count * 2 > self.registered_routers.len());
     }
 
-    /// Applies changed bounds of the retry budget; the windows keep their lengths.
+    /// Applies changed bounds of the retry budget and of cold targets; windows keep their lengths.
     pub fn set_bounds(&mut self, bounds: &edge::EdgeBounds) {
         self.retries.set_bounds(bounds.retry_ratio, bounds.extra_retries);
+        self.cold.set_bounds(cold_bounds(bounds));
+    }
+
+    /// Lets a registered target count as cold until `until` at least, whatever its record states.
+    pub fn hold_cold(&mut self, target: &Target, until: Instant) {
+        self.cold.hold(target, until);
     }
 
     /// Whether a configuration and the targets have been read.
@@ -158,6 +176,7 @@
         self.health.forget(hash);
         self.target_limits.forget(hash);
         self.holds.forget(hash);
+        self.cold.forget(hash);
         self.statements.forget(hash);
     }
 
@@ -282,6 +301,10 @@
     }
 }
 
+fn cold_bounds(bounds: &edge::EdgeBounds) -> cold::Bounds {
+    cold::Bounds { overshoot: bounds.cold_overshoot, slack: bounds.cold_slack }
+}
+
 fn retry_budget(bounds: &edge::EdgeBounds) -> RetryBudget {
     let window = edge::duration_s(bounds.retry_window_s);
     RetryBudget::new(bounds.retry_ratio, bounds.extra_retries, window)
--- a/daemon/src/edge/state/evacuated.rs
+++ b/daemon/src/edge/state/evacuated.rs
@@ -10,6 +10,10 @@
 
 use super::RouterState;
 
+/// Heartbeats for which targets that are taken back count as cold: by then a record has been read that
+/// was written after the evacuation.
+const COLD_HEARTBEATS: u32 = 2;
+
 /// Targets and requests of a zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneUse {
@@ -71,19 +75,19 @@
         let (Change::Begun(zone) | Change::Ended(zone, _)) = change;
         if matches!(change, Change::Ended(..)) {
             let targets = self.targets_in(zone).cloned().collect::<Vec<_>>();
-            self.take_back(&targets);
+            self.take_back(&targets, Instant::now());
         }
         self.zone_use(zone)
     }
 
     /// Acts on the end of an evacuation; `targets` are those of the zone, which may get requests
-    /// again. Their cached prompt parts may have been lost meanwhile.
-    ///
-    /// Cold targets: this is the place to mark them as cold. It runs before any request can be sent to
-    /// them.
-    fn take_back(&mut self, targets: &[Arc<Target>]) {
+    /// again. Their cached prompt parts may have been lost meanwhile, and they may have become cold
+    /// since their last records.
+    fn take_back(&mut self, targets: &[Arc<Target>], now: Instant) {
+        let cold_until = now + self.heartbeat_interval * COLD_HEARTBEATS;
         for target in targets {
             self.load.forget_cached_parts(target.hash());
+            self.hold_cold(target, cold_until);
         }
     }
 
