Edge: a shutdown answers everything that was read

Cause: the traffic thread ended 100 ms after the last request's record, which ends before its response is written; connections in the accept queue were reset when the listener closed; and graceful_shutdown closed connections whose next request lay unread in the socket. A request that outlasted the grace period kept the process running until it was killed.

Change: the module connections tracks callers' connections from accept until they are closed, with the progress of their requests up to the flush of the response. At the phase Closing the traffic thread accepts what waits in the kernel's queue, closes each connection once it has no request, read or unread, and ends when none is left or the grace period ends, which it logs. The control thread waits for it. 0.4 s before that end, requests in progress are answered with what is known (503 or 504), and streams are cut.

--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -28,6 +28,7 @@
 
 use super::attempt::{self, EventStream, Outcome, Request};
 use super::buffered::BufferedResponse;
+use super::connections;
 use super::crash;
 use super::queue::{Admission, InFlight};
 use super::reply::Reason;
@@ -146,18 +147,24 @@
         }
     }
 
-    /// Tries targets until one answers or the deadline passes.
+    /// Tries targets until one answers, the deadline passes, or a shutdown leaves no more time.
     ///
     /// # Errors
     ///
     /// No target has answered and no other may be tried.
     pub async fn answer(&mut self) -> Result<TargetAnswer, Refusal> {
         let deadline = self.request.deadline;
+        let context = self.traffic.context.clone();
         let answering = self.try_targets(None, Purpose::Answer);
-        match time::timeout_at(deadline, answering).await {
-            Ok(result) => result,
-            Err(_) => self.expire(),
+        tokio::select! {
+            biased;
+            result = time::timeout_at(deadline, answering) => {
+                return result.unwrap_or_else(|_| self.expire());
+            }
+            () = context.last_answers() => {}
         }
+        self.record.set_detail(connections::GRACE_OVER.to_string());
+        self.expire()
     }
 
     /// What is known of the request at its deadline.
--- a/daemon/src/edge/linger.rs
+++ b/daemon/src/edge/linger.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 /// Time for which a caller may take to read the last answer and to close the connection.
-const LINGER_TIME: Duration = Duration::from_secs(2);
+pub const LINGER_TIME: Duration = Duration::from_secs(2);
 
 /// Size of the buffer for bytes that are dropped.
 const DISCARD_BYTES: usize = 4096;
@@ -32,6 +32,11 @@
     pub fn new(inner: S) -> LingeringStream<S> {
         LingeringStream { inner, linger: None }
     }
+
+    /// The wrapped stream.
+    pub fn get_ref(&self) -> &S {
+        &self.inner
+    }
 }
 
 impl<S: AsyncRead + Unpin> LingeringStream<S> {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -22,14 +22,16 @@
 //! - [`active`] tries targets until one answers a request.
 //! - [`handle`] processes a request from arrival to response.
 //! - [`request_record`] logs the outcome of a request, [`team_counts`] the totals of each team.
+//! - [`connections`] tracks callers' connections, so that a shutdown answers what was read.
 //! - [`serve`] accepts callers' connections.
 //! - [`lag`] detects an overloaded traffic thread.
 
 use std::fs;
+use std::future;
 use std::io;
 use std::net;
 use std::path;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic};
 use std::thread;
 use std::time::{Duration, SystemTime};
 
@@ -49,6 +51,7 @@
 pub mod attempt;
 pub mod buffered;
 pub mod buffers;
+pub mod connections;
 pub mod crash;
 pub mod decisions;
 pub mod event_reader;
@@ -86,6 +89,13 @@
 /// killed.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
 
+/// Part of [`GRACE_RESERVE`] in which the traffic thread has to end; the rest is for the log.
+const TRAFFIC_END_TIME: Duration = Duration::from_millis(200);
+
+/// Part of the grace period left for writing responses, when requests in progress are answered with
+/// what is known of them: several times the lag of an overloaded traffic thread.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(400);
+
 quick_error! {
     /// Error that prevents the router from starting.
     #[derive(Debug)]
@@ -125,7 +135,7 @@
     Serving,
     /// Reports not ready, and still accepts requests.
     Leaving,
-    /// Accepts no more requests and finishes those in progress.
+    /// Accepts the connections that wait, and closes each once its requests are answered.
     Closing,
 }
 
@@ -150,6 +160,8 @@
     pub retry_counts: retry_counts::RetryCounts,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// When the process must have answered all requests; set by a shutdown before it closes.
+    pub grace_ends_at: OnceLock<time::Instant>,
     /// Number of requests in progress.
     pub open_requests: atomic::AtomicUsize,
     /// Whether the traffic thread is overloaded.
@@ -178,6 +190,19 @@
         *self.phase.borrow()
     }
 
+    /// Waits until a shutdown leaves only the time to write responses.
+    pub async fn last_answers(&self) {
+        // Fails only without a sender, which this context has.
+        let _ = self.phase.subscribe().wait_for(|phase| *phase == Phase::Closing).await;
+        match self.grace_ends_at.get() {
+            Some(ends_at) => {
+                let answers_at = ends_at.checked_sub(LAST_ANSWER_TIME);
+                time::sleep_until(answers_at.unwrap_or(*ends_at)).await;
+            }
+            None => future::pending().await,
+        }
+    }
+
     /// Whether the balancer should send new callers here. An overloaded router reports that it
     /// isn't ready, so that routers with free processor time take them.
     pub fn is_ready(&self) -> bool {
@@ -233,6 +258,7 @@
         team_counts: team_counts::TeamCounts::default(),
         retry_counts: retry_counts::RetryCounts::default(),
         phase: watch::Sender::new(Phase::Serving),
+        grace_ends_at: OnceLock::new(),
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
         lag_ms: atomic::AtomicU64::new(0),
@@ -254,11 +280,19 @@
             .recorder()
             .with_recorder(|| serve::run(traffic_context.clone(), callers, readiness, bounds))
     })?;
-    control.block_on(control_thread(&context, path, &settings, signals, operators, reports))?;
-    if traffic.join().is_err() {
-        context
-            .log
-            .state_change(json!({ "event": "stop", "outcome": "the traffic thread panicked" }));
+    control.block_on(async {
+        control_thread(&context, path, &settings, signals, operators, reports).await?;
+        let grace = edge::duration_s(settings.bounds.grace_s).saturating_sub(GRACE_RESERVE);
+        shut_down(&context, grace, &traffic).await;
+        Ok::<_, EdgeError>(())
+    })?;
+    let outcome = match traffic.is_finished().then(|| traffic.join()) {
+        Some(Ok(())) => None,
+        Some(Err(_)) => Some("the traffic thread panicked"),
+        None => Some("the traffic thread didn't end in time"),
+    };
+    if let Some(outcome) = outcome {
+        context.log.state_change(json!({ "event": "stop", "outcome": outcome }));
     }
     context.log.flush();
     Ok(())
@@ -401,32 +435,27 @@
             () = time::sleep(SETTINGS_INTERVAL) => watcher.reload_if_changed(context),
         }
     }
-    let grace = edge::duration_s(settings.bounds.grace_s).saturating_sub(GRACE_RESERVE);
-    shut_down(context, grace).await;
     Ok(())
 }
 
-/// Waits until the balancer has taken the router out of rotation, then finishes the requests in
-/// progress.
-async fn shut_down(context: &Context, grace: Duration) {
+/// Waits until the balancer has taken the router out of rotation, then until the traffic thread has
+/// answered the requests in progress.
+async fn shut_down(context: &Context, grace: Duration, traffic: &thread::JoinHandle<()>) {
     /// The balancer drops a router after two failed probes, one a second; the rest is a margin.
     const ROTATION_TIME: Duration = Duration::from_millis(2600);
-    /// Interval at which the number of requests in progress is checked.
-    const POLL_INTERVAL: Duration = Duration::from_millis(50);
+    /// Interval at which the end of the traffic thread is checked.
+    const POLL_INTERVAL: Duration = Duration::from_millis(20);
     let ends_at = time::Instant::now() + grace;
-    let open_requests = || context.open_requests.load(atomic::Ordering::Relaxed);
+    let open_requests = context.open_requests.load(atomic::Ordering::Relaxed);
+    // A shutdown happens once.
+    let _ = context.grace_ends_at.set(ends_at);
     context.phase.send_replace(Phase::Leaving);
-    context
-        .log
-        .state_change(json!({ "event": "stop", "phase": "leaving", "open": open_requests() }));
+    context.log.state_change(json!({ "event": "stop", "phase": "leaving", "open": open_requests }));
     time::sleep(ROTATION_TIME.min(grace / 2)).await;
     context.phase.send_replace(Phase::Closing);
-    while open_requests() > 0 && time::Instant::now() < ends_at {
+    while !traffic.is_finished() && time::Instant::now() < ends_at + TRAFFIC_END_TIME {
         time::sleep(POLL_INTERVAL).await;
     }
-    // Leaves time for the last responses to be sent.
-    time::sleep(POLL_INTERVAL).await;
-    context.log.state_change(json!({ "event": "stop", "phase": "end", "open": open_requests() }));
 }
 
 /// The settings file and its last modification time.
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -17,6 +17,7 @@
 
 use super::active::{ActiveRequest, Attempt, Refusal, TargetAnswer};
 use super::attempt::{self, EventStream};
+use super::connections;
 use super::crash;
 use super::event_reader::{EventReader, Read};
 use super::events::StreamTimeouts;
@@ -73,6 +74,8 @@
     CallerLeft,
     /// The stream failed, and no other target continues it.
     Interrupted,
+    /// The grace period of a shutdown leaves no more time.
+    GraceOver,
 }
 
 /// Why forwarding from a target ended.
@@ -108,19 +111,26 @@
         response
     }
 
-    /// Forwards until the stream ends, the deadline passes or the caller disconnects.
+    /// Forwards until the stream ends, the deadline passes, the caller disconnects, or a shutdown
+    /// leaves no more time.
     async fn run(mut self, first_stream: Box<EventStream>, attempt: Attempt) {
         let deadline = self.active.request.deadline;
         let caller = self.chunks.clone();
+        let context = self.active.traffic.context.clone();
         let forwarded = tokio::select! {
             biased;
             forwarded = time::timeout_at(deadline, self.forward_all((first_stream, attempt))) => forwarded,
             () = caller.closed() => Ok(Forwarded::CallerLeft),
+            () = context.last_answers() => Ok(Forwarded::GraceOver),
         };
         match forwarded {
             Ok(Forwarded::Complete) => return,
             Ok(Forwarded::CallerLeft) => return self.active.record_caller_left(),
             Ok(Forwarded::Interrupted) => {}
+            Ok(Forwarded::GraceOver) => {
+                self.active.expire_attempts();
+                self.active.record.set_detail(connections::GRACE_OVER.to_string());
+            }
             Err(_) => self.active.expire_attempts(),
         }
         self.active.record.set_outcome("stream-cut", 200, false);
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -1,7 +1,9 @@
 //! Accepts callers' connections, and serves the balancer's readiness probes.
 
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net;
+use std::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,24 +16,24 @@
 use hyper::service;
 use hyper_util::rt;
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime;
 use tokio::sync::Semaphore;
 use tokio::task;
-use tokio::time;
+use tokio::time::{self, Instant};
 
+use super::connections::{Connection, Stream, TrackedBody};
 use super::idle::IdleTimer;
-use super::linger::LingeringStream;
 use super::queue::Queue;
 use super::traffic::{Bounds, Traffic};
-use super::{Context, Phase, handle, lag};
+use super::{Context, Phase, connections, handle, lag, linger};
 
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
-/// Interval at which a shutdown checks for requests in progress, and the time left after them for
-/// the last responses to be written.
-const CLOSE_TIME: Duration = Duration::from_millis(100);
+/// Part of the rest of the grace period in which a shutdown may accept connections that wait in the
+/// listener's queue; the requests on them need the other part.
+const ACCEPT_PART: f64 = 0.5;
 
 /// Runs the traffic thread until the process shuts down.
 pub fn run(
@@ -97,18 +99,71 @@
             time::sleep(pause).await;
         }
     }
-    drop(callers);
-    while context.open_requests.load(Ordering::Relaxed) > 0 {
-        time::sleep(CLOSE_TIME).await;
-    }
-    time::sleep(CLOSE_TIME).await;
+    accept_waiting(&traffic, callers).await?;
+    wait_until_closed(&traffic).await;
+    Ok(())
+}
+
+/// Accepts the connections that wait in the listener's queue, then closes the listener. Under a
+/// flood they may have waited for long, with complete requests.
+async fn accept_waiting(traffic: &Rc<Traffic>, callers: TcpListener) -> std::io::Result<()> {
+    // The runtime may not have heard of all connections yet, so the kernel is asked.
+    let callers = callers.into_std()?;
+    let now = Instant::now();
+    let grace_ends_at = traffic.context.grace_ends_at.get().copied();
+    let grace = grace_ends_at.map(|ends_at| ends_at.saturating_duration_since(now));
+    let ends_at = now + grace.unwrap_or(linger::LINGER_TIME).mul_f64(ACCEPT_PART);
+    let mut count = 0;
+    let outcome = loop {
+        let permit = ConnectionPermit::take(traffic.permits.clone());
+        let Ok(permit) = time::timeout_at(ends_at, permit).await else { break "some left" };
+        match callers.accept() {
+            Ok((stream, _)) => {
+                count += 1;
+                if stream.set_nonblocking(true).is_ok()
+                    && let Ok(stream) = TcpStream::from_std(stream)
+                {
+                    task::spawn_local(serve_connection(traffic.clone(), stream, permit));
+                }
+                task::yield_now().await;
+            }
+            Err(err) if err.kind() == ErrorKind::WouldBlock => break "all accepted",
+            Err(err) => {
+                tracing::debug!("can't accept a connection: {err}");
+                time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+        if Instant::now() >= ends_at {
+            break "some left";
+        }
+    };
+    let line =
+        json!({ "event": "stop", "phase": "closing", "accepted": count, "outcome": outcome });
+    traffic.context.log.state_change(line);
     Ok(())
 }
 
+/// Waits until all callers' connections are closed or the grace period has ended, and logs what is
+/// left.
+async fn wait_until_closed(traffic: &Traffic) {
+    let (context, connections) = (&traffic.context, &traffic.connections);
+    let is_closed = match context.grace_ends_at.get() {
+        Some(ends_at) => time::timeout_at(*ends_at, connections.wait_until_closed()).await.is_ok(),
+        None => {
+            connections.wait_until_closed().await;
+            true
+        }
+    };
+    context.log.state_change(json!({
+        "event": "stop", "phase": "end", "outcome": if is_closed { "complete" } else { connections::GRACE_OVER },
+        "connections": connections.open_count(), "requests": connections.unanswered_count(),
+    }));
+}
+
 async fn accept(
     callers: &TcpListener,
     connection_permits: &Rc<Semaphore>,
-) -> Option<(tokio::net::TcpStream, impl Sized + use<>)> {
+) -> Option<(TcpStream, impl Sized + use<>)> {
     let permit = {
         // Acquiring can't fail, since the semaphore is never closed.
         let connection_permits = connection_permits.clone();
@@ -142,8 +197,22 @@
     }
 }
 
-/// Serves the requests of one caller's connection.
-async fn serve_connection(traffic: Rc<Traffic>, stream: tokio::net::TcpStream, permit: impl Sized) {
+/// Serves the requests of one caller's connection. It is tracked from here on.
+fn serve_connection(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    permit: impl Sized,
+) -> impl Future<Output = ()> {
+    let connection = traffic.connections.add();
+    serve_tracked(traffic, stream, connection, permit)
+}
+
+async fn serve_tracked(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    connection: Rc<Connection>,
+    permit: impl Sized,
+) {
     if !traffic.inherits_socket_options(&stream)
         && let Err(err) = connection::set_options(&stream)
     {
@@ -153,25 +222,25 @@
     let limits = limits.unwrap_or_default();
     let context = traffic.context.clone();
     let mut phase = context.phase.subscribe();
+    let requests = connection.clone();
     let service = service::service_fn(move |request| {
-        let traffic = traffic.clone();
-        async move { Ok::<_, Infallible>(handle::handle(traffic, request).await) }
+        let (traffic, open_request) = (traffic.clone(), requests.begin_request());
+        async move {
+            let response = handle::handle(traffic, request).await;
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(IdleTimer::new(context))
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
-    let stream = rt::TokioIo::new(LingeringStream::new(stream));
-    let connection = builder.serve_connection(stream, service);
-    tokio::pin!(connection);
+    let stream = rt::TokioIo::new(Stream::new(stream, connection.clone()));
+    let mut served = pin::pin!(builder.serve_connection(stream, service));
     tokio::select! {
         // Errors of the connection are handled by the request in progress.
-        _ = connection.as_mut() => {}
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.as_mut().await;
-        }
+        _ = served.as_mut() => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => connection.close(served).await,
     }
     drop(permit);
 }
--- a/daemon/src/edge/traffic.rs
+++ b/daemon/src/edge/traffic.rs
@@ -13,6 +13,7 @@
 
 use super::Context;
 use super::buffers::BufferBudget;
+use super::connections::Connections;
 use super::queue::Queue;
 use super::upstream::Upstream;
 
@@ -47,6 +48,8 @@
     /// Memory budget for buffered responses.
     pub response_buffers: BufferBudget,
     inherits_options: OnceCell<bool>,
+    /// Callers' connections.
+    pub connections: Rc<Connections>,
     /// Permits for callers' connections.
     pub permits: Rc<Semaphore>,
     /// Maximum number of open connections of callers.
@@ -63,6 +66,7 @@
             request_buffers: BufferBudget::new(bounds.memory_mb, REQUEST_MEMORY_PART),
             response_buffers: BufferBudget::new(bounds.memory_mb, RESPONSE_MEMORY_PART),
             inherits_options: OnceCell::new(),
+            connections: Rc::default(),
             permits: Rc::new(Semaphore::new(bounds.max_connections)),
             max_connections: bounds.max_connections,
         }
--- a/daemon/tests/edge_context/mod.rs
+++ b/daemon/tests/edge_context/mod.rs
@@ -36,6 +36,7 @@
         team_counts: team_counts::TeamCounts::default(),
         retry_counts: retry_counts::RetryCounts::default(),
         phase: watch::Sender::new(router::Phase::Serving),
+        grace_ends_at: std::sync::OnceLock::new(),
         open_requests: atomic::AtomicUsize::new(0),
         is_overloaded: atomic::AtomicBool::new(false),
         lag_ms: atomic::AtomicU64::new(0),
