Learn the speed of targets from their first events; choose by it

Cause: placement assumed 40 tokens per ms for every target, while targets of a service differ by 2.4 times and change. Change: core/src/speed.rs keeps decayed sums of expected and actual times by target and exchanges them in load reports; placement takes a speed per candidate. Used only where the setting placement.spread_load or the 4th figure of a target's load header calls for it.

--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -84,6 +84,11 @@
             && self.is_ejected(target, now)
     }
 
+    /// Whether a target was ejected and hasn't served a request since.
+    pub fn is_unproven(&self, target: Hash) -> bool {
+        self.targets.get(&target).is_some_and(|state| state.ejected_until.is_some())
+    }
+
     /// Records that a request was sent; it is the trial if the target's ejection time is over.
     pub fn record_sent(&mut self, target: Hash, now: Instant) {
         if let Some(state) = self.targets.get_mut(&target)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod routing;
 pub mod share;
 pub mod slots;
+pub mod speed;
 pub mod spreading;
 pub mod table;
 pub mod target_limit;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -18,7 +18,8 @@
 /// Parameters of the choice; costs are in milliseconds of a target's time.
 #[derive(Clone, Copy, Debug)]
 pub struct Weights {
-    /// Prompt tokens that a target prefills per millisecond while it also generates tokens.
+    /// Prompt tokens that a target prefills per millisecond while it also generates tokens, unless
+    /// its speed has been learned.
     pub read_tokens_per_ms: f64,
     /// Charge for prefilling an uncached shared part while targets are idle, as a multiple of the
     /// prefill time.
@@ -61,6 +62,8 @@
     pub hash: Hash,
     /// Maximum number of requests that the target may have in flight.
     pub slots: f64,
+    /// Prompt tokens that the target prefills per millisecond; see [`crate::speed`].
+    pub tokens_per_ms: f64,
 }
 
 /// The chosen target and what was expected of it.
@@ -99,13 +102,15 @@
         shared_part.is_none_or(|part| candidates.iter().any(|c| view.has_cached(c.hash, part)));
     let loads = candidates.iter().map(|candidate| view.load(candidate.hash));
     let loads = loads.collect::<SmallVec<[Load; 32]>>();
-    let mean_wait_ms = service_backlog(loads.iter().copied(), weights).mean_wait_ms;
+    let speeds = candidates.iter().map(|candidate| candidate.tokens_per_ms);
+    let mean_wait_ms = service_backlog(loads.iter().copied().zip(speeds), weights).mean_wait_ms;
     let miss_factor = miss_factor(mean_wait_ms, weights);
     let mut best: Option<(f64, Choice)> = None;
     for (candidate_index, (candidate, load)) in candidates.iter().zip(&loads).enumerate() {
         let load = *load;
         let has_slot = load.running_count < candidate.slots;
-        let wait_ms = load.unread_tokens / weights.read_tokens_per_ms;
+        let rate = candidate.tokens_per_ms;
+        let wait_ms = load.unread_tokens / rate;
         let mut cost_ms = wait_ms + load.running_count * weights.running_ms;
         if is_cached_anywhere && &*candidate.target.zone != zone {
             cost_ms += weights.other_zone_ms;
@@ -119,7 +124,6 @@
         }
         let unread_tokens = view.uncached_tokens(candidate.hash, prompt, now);
         let missed_tokens = unread_tokens.saturating_sub(prompt.own_tokens());
-        let rate = weights.read_tokens_per_ms;
         let read_ms = f64::from(unread_tokens) / rate;
         cost_ms += read_ms + miss_factor * f64::from(missed_tokens) / rate;
         if let Some(part) = shared_part.filter(|_| !is_cached_anywhere) {
@@ -145,15 +149,20 @@
     best.map(|(_, choice)| choice)
 }
 
-/// Mean and minimum backlog of targets with these loads.
-pub fn service_backlog(loads: impl Iterator<Item = Load>, weights: &Weights) -> ServiceBacklog {
+/// Mean and minimum backlog of targets with these loads and speeds in tokens per ms.
+pub fn service_backlog(
+    loads: impl Iterator<Item = (Load, f64)>,
+    weights: &Weights,
+) -> ServiceBacklog {
+    let rate = weights.read_tokens_per_ms;
     let (mut sum, mut least, mut count) = (0.0, f64::INFINITY, 0.0_f64);
-    for load in loads {
-        sum += load.unread_tokens;
-        least = load.unread_tokens.min(least);
+    for (load, tokens_per_ms) in loads {
+        // Tokens that take as long at the nominal speed; they are exact for targets that have it.
+        let nominal_tokens = load.unread_tokens * (rate / tokens_per_ms);
+        sum += nominal_tokens;
+        least = nominal_tokens.min(least);
         count += 1.0;
     }
-    let rate = weights.read_tokens_per_ms;
     ServiceBacklog { mean_wait_ms: sum / rate / count.max(1.0), least_wait_ms: least / rate }
 }
 
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -33,6 +33,7 @@
     let all = targets.iter().map(|target| Candidate {
         hash: target.hash(),
         slots: f64::from(target.slots),
+        tokens_per_ms: Weights::default().read_tokens_per_ms,
         target,
     });
     all.collect()
--- a/core/tests/spreading.rs
+++ b/core/tests/spreading.rs
@@ -84,6 +84,7 @@
     let candidates = targets.iter().map(|target| Candidate {
         hash: target.hash(),
         slots: f64::from(target.slots),
+        tokens_per_ms: Weights::default().read_tokens_per_ms,
         target,
     });
     let candidates = candidates.collect::<Vec<_>>();
--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -265,7 +265,12 @@
         return;
     }
     let context = &traffic.context;
-    let news = context.state().record_statement(hash, &answer_head.statement, sent_at);
+    let mut state = context.state();
+    if let Some(percent) = answer_head.load.and_then(|load| load.host_percent) {
+        state.record_host_percent(&target.service, hash, percent, Instant::now());
+    }
+    let news = state.record_statement(hash, &answer_head.statement, sent_at);
+    drop(state);
     if news.limit.is_some() || news.is_leaving {
         context.alert.notify_one();
     }
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -187,6 +187,7 @@
         let now = Instant::now();
         let parts = schedule.parts(now);
         let (mut report, count) = compose(&context, seq, parts);
+        log_spreading(&context);
         if count != router_count {
             context.log.state_change(
                 json!({ "event": "routers", "count": count, "before": router_count }),
@@ -202,6 +203,16 @@
     }
 }
 
+/// Logs the services over whose targets load is spread from now on.
+fn log_spreading(context: &Context) {
+    let news = context.state().take_spreading_news();
+    for (service, cause) in news {
+        context.log.state_change(json!({
+            "event": "load-spreading", "service": &*service, "cause": cause.name(),
+        }));
+    }
+}
+
 /// Whether a report that is due tells anything. What a report takes out of a queue is told once, so
 /// it must not be dropped.
 pub fn has_content(parts: Parts, report: &report::LoadReport) -> bool {
@@ -339,13 +350,15 @@
     state.registry.late_records().take(report::MAX_LATE_RECORDS).collect()
 }
 
-fn compose(context: &Context, seq: u64, parts: Parts) -> (report::LoadReport, usize) {
+/// Composes a report with these parts; also returns the number of routers heard.
+pub fn compose(context: &Context, seq: u64, parts: Parts) -> (report::LoadReport, usize) {
     let now = Instant::now();
     let mut state = context.state();
     state.load.expire(now);
     if parts.has_sums {
         state.target_limits.expire(now);
         state.holds.expire(now);
+        state.speeds.expire(now);
     }
     state.refresh_shares(now);
     let report = report::LoadReport {
@@ -379,7 +392,7 @@
         cleared_requests: state.quarantine.take_cleared_requests(),
         leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
         late_records: if parts.has_sums { late_records(&state) } else { Vec::new() },
-        first_events: Vec::new(),
+        first_events: if parts.has_sums { state.speeds.take_report(now) } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -222,6 +222,7 @@
     reports.set_nonblocking(true)?;
     let name = Name::from(settings.router.name.as_str());
     let mut state = state::RouterState::new(name.clone(), &settings.bounds, rand::random());
+    state.set_placement(&settings.placement);
     state.retries.join(settings.router.is_first_start, time::Instant::now());
     let context = Arc::new(Context {
         name,
@@ -454,6 +455,7 @@
         let outcome = match read_settings(self.path) {
             Ok(settings) => {
                 context.state().set_bounds(&settings.bounds);
+                context.state().set_placement(&settings.placement);
                 context.log.set_rate(settings.log.max_lines_per_s);
                 "applied".to_string()
             }
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -34,6 +34,8 @@
     pub report_sent_bytes: metrics::Counter,
     /// Load reports that couldn't be sent, received or decoded.
     pub report_failures: metrics::Counter,
+    /// Times from sending to the first event, relative to the prediction.
+    pub first_event_ratio: metrics::Histogram,
     /// Targets that state a limit.
     limited_targets: metrics::Gauge,
     /// Targets that want no requests from this router for a time.
@@ -76,6 +78,7 @@
             sums_age: telemetry.histogram("gentianhinge_sums_age_seconds", &[]),
             report_sent_bytes: telemetry.counter("gentianhinge_report_sent_bytes_total"),
             report_failures: telemetry.counter("gentianhinge_report_failures_total"),
+            first_event_ratio: telemetry.histogram("gentianhinge_first_event_ratio", &[]),
             limited_targets: telemetry.gauge("gentianhinge_limited_targets"),
             held_targets: telemetry.gauge("gentianhinge_held_targets"),
             leaving_targets: telemetry.gauge("gentianhinge_leaving_targets"),
@@ -174,7 +177,10 @@
     let now = Instant::now();
     let mut state = context.state();
     let budgets = retry_budgets(&mut state, now);
-    let targets = state.registry.targets().map(|target| {
+    let targets = state.registry.targets().cloned().collect::<Vec<_>>();
+    let speeds = targets.iter().map(|target| state.speed(&target.service, now));
+    let speeds = speeds.collect::<Vec<_>>();
+    let targets = targets.iter().zip(speeds).map(|(target, speed)| {
         let load = state.load.load(target.hash());
         json!({
             "id": &*target.id, "service": &*target.service, "addr": target.addr.to_string(),
@@ -182,6 +188,8 @@
             "running": load.running_count, "unread_tokens": load.unread_tokens,
             "ejected": state.health.is_ejected(target.hash(), now),
             "held_ms": state.holds.ends_in(target.hash(), now).map(|left| left.as_millis() as u64),
+            "tokens_per_ms": speed.tokens_per_ms(&state.speeds, target.hash(), now),
+            "host_percent": state.speeds.host_percent(target.hash(), now),
             "limit_per_s": state.target_limits.limit(target.hash(), now).map(|(limit, _)| limit),
         })
     });
--- a/daemon/src/edge/queue.rs
+++ b/daemon/src/edge/queue.rs
@@ -39,14 +39,23 @@
 }
 
 impl InFlight {
-    /// Records the first event: the target has processed the prompt.
-    pub fn first_event(&mut self) {
+    /// Records the first event: the target has processed the prompt. Returns the time since sending;
+    /// `None` for a request without a prompt to read.
+    pub fn first_event(&mut self) -> Option<Duration> {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
-        if unread_tokens > 0 {
-            let mut state = self.context.state();
-            state.load.prompt_read(self.placement.hash, unread_tokens);
-            state.times.record_first_event(&self.placement, self.sent_at.elapsed());
+        if unread_tokens == 0 {
+            return None;
         }
+        let time = self.sent_at.elapsed();
+        let mut state = self.context.state();
+        state.load.prompt_read(self.placement.hash, unread_tokens);
+        state.record_first_event(&self.placement, time, Instant::now());
+        drop(state);
+        let choice = &self.placement.choice;
+        let predicted_ms = choice.wait_ms + choice.read_ms + self.placement.timing.fixed_ms;
+        let ratio = time.as_secs_f64() * 1e3 / predicted_ms.max(1.0);
+        self.context.metrics.first_event_ratio.record(ratio);
+        Some(time)
     }
 }
 
--- a/daemon/src/edge/relay.rs
+++ b/daemon/src/edge/relay.rs
@@ -200,7 +200,9 @@
             }
             if !has_begun {
                 has_begun = true;
-                attempt.in_flight.first_event();
+                if let Some(time) = attempt.in_flight.first_event() {
+                    self.active.record.set_read(attempt.number, time);
+                }
                 self.active.set_has_event(attempt.number);
                 self.active.record.set_first_event();
             }
--- a/daemon/src/edge/request_record.rs
+++ b/daemon/src/edge/request_record.rs
@@ -119,6 +119,7 @@
         let mut send = json!({
             "target": &*in_flight.placement.target.id, "at_ms": waiting_time.as_millis() as u64,
             "wait_ms": choice.wait_ms as u64, "read_ms": choice.read_ms as u64,
+            "fixed_ms": in_flight.placement.timing.fixed_ms as u64,
             "unread": choice.unread_tokens, "missed": choice.missed_tokens, "running": choice.load.running_count as u64,
         });
         if let Some((limit_per_s, age)) = in_flight.placement.limit {
@@ -151,6 +152,12 @@
         self.set_attempt_field(number, "head_ms", head_ms.into());
     }
 
+    /// Records the time from sending an attempt to its first event, to be compared with the sum of
+    /// `wait_ms`, `read_ms` and `fixed_ms`.
+    pub fn set_read(&mut self, number: usize, time: Duration) {
+        self.set_attempt_field(number, "first_ms", (time.as_millis() as u64).into());
+    }
+
     /// Records that later attempts were given up, as the target of attempt `number` has answered.
     pub fn cancel_after(&mut self, number: usize) {
         for later in number + 1..self.sends.len() {
--- a/daemon/src/edge/service_times.rs
+++ b/daemon/src/edge/service_times.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gentianhinge_core::ids::Name;
+use gentianhinge_core::speed;
 
 use super::spec::Placement;
 
@@ -19,6 +20,17 @@
 impl ServiceTimes {
     /// Records the time from sending to the first event of a request.
     pub fn record_first_event(&mut self, placement: &Placement, time: Duration) {
+        self.record_extra(placement, time, 1.0);
+    }
+
+    /// The same for a service whose targets' speeds are learned; short requests count most, as
+    /// [`speed`] explains.
+    pub fn record_fixed_time(&mut self, placement: &Placement, time: Duration) {
+        let expected_ms = placement.choice.wait_ms + placement.choice.read_ms;
+        self.record_extra(placement, time, speed::fixed_time_weight(expected_ms));
+    }
+
+    fn record_extra(&mut self, placement: &Placement, time: Duration, weight: f64) {
         /// Weight of a request in the moving average.
         const WEIGHT: f64 = 0.05;
         /// Maximum difference of one request that counts: beyond it, the target was slow.
@@ -27,7 +39,7 @@
         let extra_ms = (time.as_secs_f64() * 1e3 - expected_ms).clamp(-MAX_EXTRA_MS, MAX_EXTRA_MS);
         let service = placement.target.service.clone();
         let mean = self.extra_ms.entry(service).or_default();
-        *mean = (*mean + (extra_ms - *mean) * WEIGHT).max(0.0);
+        *mean = (*mean + (extra_ms - *mean) * WEIGHT * weight).max(0.0);
     }
 
     /// Records how long a target took for a request without a prompt.
--- a/daemon/src/edge/spec.rs
+++ b/daemon/src/edge/spec.rs
@@ -103,6 +103,25 @@
     pub choice: placement::Choice,
     /// Limit of the target in requests per second, and the time since the target stated it.
     pub limit: Option<(f64, Duration)>,
+    /// What else is needed to compare the estimates with the time to the first event.
+    pub timing: Timing,
+}
+
+/// What was known of a target's speed when a request was sent there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// Time to the first event expected in addition to wait and read time, in ms.
+    pub fixed_ms: f64,
+    /// How much longer than usual work takes on the target's host, as it stated lately.
+    pub host_scale: f64,
+    /// Whether the target was ejected and hasn't served a request since.
+    pub is_unproven: bool,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing { fixed_ms: 0.0, host_scale: 1.0, is_unproven: false }
+    }
 }
 
 /// Why a request is refused.
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -1,9 +1,9 @@
 //! A router's view of the fleet, and the decisions based on it.
 //!
 //! [`choice`] chooses the target of a request, [`topics`] keeps the positions in the store's topics, and
-//! [`reports`] applies what other routers and targets tell.
+//! [`reports`] applies what other routers and targets tell, [`speeds`] learns how fast targets are.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,10 +13,11 @@
 use gentianhinge_core::prompt::Prompt;
 use gentianhinge_core::quarantine::Quarantine;
 use gentianhinge_core::registry::{Registry, Target};
-use gentianhinge_core::report::{self, Hash};
+use gentianhinge_core::report::{self, Hash, HashKeyed};
 use gentianhinge_core::retry_budget::RetryBudget;
 use gentianhinge_core::routing::RouteTable;
 use gentianhinge_core::share::Shares;
+use gentianhinge_core::speed::Speeds;
 use gentianhinge_core::target_limit::TargetLimits;
 use gentianhinge_core::{admission, health, patience, placement, polling};
 use gentianhinge_wire::edge;
@@ -28,6 +29,7 @@
 
 mod choice;
 mod reports;
+mod speeds;
 mod topics;
 
 /// Minimum interval between two computations of the fair share.
@@ -64,10 +66,19 @@
     pub registered_routers: BTreeSet<Name>,
     /// What this router knows of the store's topics, by [`Topic::number`](report::Topic::number).
     topic_views: [polling::View; report::Topic::ALL.len()],
+    /// Learned speeds of targets.
+    pub speeds: Speeds,
+    /// Whether load is spread over the targets of all services.
+    spreads_all: bool,
+    /// Services over whose targets load is spread.
+    spreading_services: HashSet<Name>,
+    spreading_news: Vec<speeds::SpreadingNews>,
     weights: placement::Weights,
     policy: admission::Policy,
     shares_computed_at: Option<Instant>,
     by_service: HashMap<Name, Vec<(Arc<Target>, Hash)>>,
+    /// Services of the targets in `by_service`.
+    service_names: HashKeyed<Name>,
     /// How long services take.
     pub times: ServiceTimes,
     patience: HashMap<Name, patience::Patience>,
@@ -97,10 +108,15 @@
             statements: statements::Statements::default(),
             registered_routers: BTreeSet::new(),
             topic_views: Default::default(),
+            speeds: Speeds::new(placement::Weights::default().read_tokens_per_ms),
+            spreads_all: false,
+            spreading_services: HashSet::new(),
+            spreading_news: Vec::new(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
             shares_computed_at: None,
             by_service: HashMap::new(),
+            service_names: HashKeyed::default(),
             times: ServiceTimes::default(),
             patience: HashMap::new(),
             service_backlogs: HashMap::new(),
@@ -140,13 +156,14 @@
         self.are_targets_loaded = true;
     }
 
-    /// Drops load, health and limit of an incarnation of a target.
+    /// Drops load, health, limit and speed of an incarnation of a target.
     pub fn forget(&mut self, hash: Hash) {
         self.load.forget(hash);
         self.health.forget(hash);
         self.target_limits.forget(hash);
         self.holds.forget(hash);
         self.statements.forget(hash);
+        self.speeds.forget(hash);
     }
 
     /// Time that the caller of a request has waited at least since its first try; `limit` is the
--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -1,11 +1,9 @@
 //! The choice of a request's target.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use gentianhinge_core::eligibility::{self, Eligibility};
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::registry::Target;
 use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::{admission, placement, spreading};
 use rand::Rng;
@@ -23,23 +21,27 @@
 
 impl RouterState {
     /// Rebuilds the index of targets by service if the registry has changed.
-    fn refresh_target_index(&mut self) {
+    pub(super) fn refresh_target_index(&mut self) {
         if self.indexed_revision == self.registry.revision() {
             return;
         }
         self.indexed_revision = self.registry.revision();
         self.by_service.clear();
+        self.service_names.clear();
         self.service_backlogs.clear();
         for target in self.registry.targets().filter(|target| !target.is_leaving) {
             let entries = self.by_service.entry(target.service.clone()).or_default();
             entries.push((target.clone(), target.hash()));
+            self.service_names.insert(target.hash(), target.service.clone());
         }
+        self.begin_spreading_all();
     }
 
     fn choose(&mut self, spec: &RequestSpec, zone: &str, now: Instant) -> Option<Placement> {
         self.refresh_target_index();
         let service_load = self.service_load(&spec.service, now);
         let demand_part = self.demand_part(&spec.service, now);
+        let speed = self.speed(&spec.service, now);
         let all = self.by_service.get(&spec.service)?;
         let untried = all.iter().filter(|(_, hash)| !spec.tried.contains(hash));
         let mut eligibility = Eligibility {
@@ -49,7 +51,13 @@
             demand_part,
         };
         let usable = eligibility.select(untried, now);
-        let candidates = usable.into_iter().map(candidate).collect::<Candidates<'_>>();
+        let candidates = usable.into_iter().map(|(target, hash)| placement::Candidate {
+            target,
+            hash: *hash,
+            slots: f64::from(target.slots),
+            tokens_per_ms: speed.tokens_per_ms(&self.speeds, *hash, now),
+        });
+        let candidates = candidates.collect::<Candidates<'_>>();
         let weights = &self.weights;
         let choice = match &spec.prompt {
             Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
@@ -66,7 +74,8 @@
         let (hash, id) = (chosen.hash, chosen.target.id.clone());
         let target = self.registry.get(&id)?.clone();
         let limit = self.target_limits.limit(hash, now);
-        Some(Placement { target, hash, choice, limit })
+        let timing = self.timing(&spec.service, hash, now);
+        Some(Placement { target, hash, choice, limit, timing })
     }
 
     /// This router's part of the demand for a service, at most [`SHARES_INTERVAL`] old: of what is
@@ -129,11 +138,14 @@
         {
             return Some(*backlog);
         }
+        let speed = self.speed(service, now);
         let (mut eligibility, targets) = self.eligibility(service, now)?;
         let open = targets.iter().map(|(_, hash)| *hash);
         let open = open.filter(|hash| eligibility.is_open(*hash, now));
         let open = open.collect::<SmallVec<[Hash; 32]>>();
-        let loads = open.iter().map(|hash| self.load.load(*hash));
+        let loads = open
+            .iter()
+            .map(|hash| (self.load.load(*hash), speed.tokens_per_ms(&self.speeds, *hash, now)));
         let backlog = placement::service_backlog(loads, &self.weights);
         if backlog.least_wait_ms.is_infinite() {
             return None;
@@ -186,7 +198,3 @@
         (placement, best)
     }
 }
-
-fn candidate((target, hash): &(Arc<Target>, Hash)) -> placement::Candidate<'_> {
-    placement::Candidate { target, hash: *hash, slots: f64::from(target.slots) }
-}
--- a/daemon/src/edge/state/reports.rs
+++ b/daemon/src/edge/state/reports.rs
@@ -33,6 +33,7 @@
         if !report.services.is_empty() {
             self.retries.apply_report(&report.sender, report.incarnation, report.services, now);
         }
+        self.apply_first_events(&report.first_events, now);
         let gone = report.late_records.iter().filter_map(|late| {
             let id = self.registry.hear_late(*late)?;
             Some((id, late.target))
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -17,6 +17,9 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.045, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0, 120.0,
 ];
 
+/// Upper bounds of the buckets of `gentianhinge_first_event_ratio`.
+const RATIO_BUCKETS: [f64; 12] = [0.2, 0.4, 0.6, 0.8, 0.9, 1.0, 1.1, 1.3, 1.6, 2.0, 3.0, 5.0];
+
 /// Interval at which the recorder's internal buffers must be drained.
 pub const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -69,9 +72,13 @@
     /// Creates a recorder without metrics.
     pub fn new() -> Telemetry {
         let builder = prometheus::PrometheusBuilder::new();
-        let builder = match builder.set_buckets(&SECONDS_BUCKETS) {
+        let ratio = prometheus::Matcher::Full("gentianhinge_first_event_ratio".to_string());
+        let builder = builder
+            .set_buckets(&SECONDS_BUCKETS)
+            .and_then(|builder| builder.set_buckets_for_metric(ratio, &RATIO_BUCKETS));
+        let builder = match builder {
             Ok(builder) => builder,
-            // `set_buckets` fails only for an empty list; the exporter would then use summaries.
+            // Buckets are refused only if the list is empty; the exporter would then use summaries.
             Err(_) => prometheus::PrometheusBuilder::new(),
         };
         Telemetry { recorder: builder.build_recorder() }
--- a/daemon/tests/edge_first_event.rs
+++ b/daemon/tests/edge_first_event.rs
@@ -7,7 +7,7 @@
 use gentianhinge_core::polling::Position;
 use gentianhinge_core::prompt::{Part, Prompt};
 use gentianhinge_core::registry::Target;
-use gentianhinged::edge::spec::{Decision, Placement, RequestSpec};
+use gentianhinged::edge::spec::{Decision, Placement, RequestSpec, Timing};
 use gentianhinged::edge::state::RouterState;
 use tokio::time::Instant;
 
@@ -74,7 +74,13 @@
         has_slot: true,
         mean_wait_ms: 50.0,
     };
-    let placement = Placement { target: Arc::new(target), hash, choice, limit: None };
+    let placement = Placement {
+        target: Arc::new(target),
+        hash,
+        choice,
+        limit: None,
+        timing: Timing::default(),
+    };
     for _ in 0..100 {
         state.times.record_first_event(&placement, Duration::from_millis(150 + extra_ms));
     }
