--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -3,7 +3,7 @@
 //! [`choice`] chooses the target of a request, [`topics`] keeps the positions in the store's topics, and
 //! [`reports`] applies what other routers and targets tell, [`speeds`] learns how fast targets are.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,7 +71,7 @@
     /// Whether load is spread over the targets of all services.
     spreads_all: bool,
     /// Services over whose targets load is spread.
-    spreading_services: HashSet<Name>,
+    spreading_services: HashMap<Name, speeds::SpreadingCause>,
     spreading_news: Vec<speeds::SpreadingNews>,
     weights: placement::Weights,
     policy: admission::Policy,
@@ -110,7 +110,7 @@
             topic_views: Default::default(),
             speeds: Speeds::new(placement::Weights::default().read_tokens_per_ms),
             spreads_all: false,
-            spreading_services: HashSet::new(),
+            spreading_services: HashMap::new(),
             spreading_news: Vec::new(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
--- a/daemon/src/edge/state/speeds.rs
+++ b/daemon/src/edge/state/speeds.rs
@@ -57,17 +57,20 @@
 pub type SpreadingNews = (Name, SpreadingCause);
 
 impl RouterState {
-    /// Applies changed settings for the choice of targets. Services for which spreading has begun keep
-    /// it until the process ends.
+    /// Applies changed settings for the choice of targets. Services for which spreading has begun by a
+    /// target's statement keep it until the process ends.
     pub fn set_placement(&mut self, placement: &edge::EdgePlacement) {
         self.spreads_all = placement.spread_load;
+        if !self.spreads_all {
+            self.spreading_services.retain(|_, cause| *cause == SpreadingCause::Target);
+        }
         self.begin_spreading_all();
     }
 
     /// Whether load is spread over the targets of a service and their speeds are learned: the settings
     /// say so, or one of its targets has stated how long work takes on its host.
     pub fn spreads_load(&self, service: &str) -> bool {
-        self.spreads_all || self.spreading_services.contains(service)
+        self.spreads_all || self.spreading_services.contains_key(service)
     }
 
     /// Services for which [`RouterState::spreads_load`] holds since the last call.
@@ -86,7 +89,8 @@
     }
 
     fn begin_spreading(&mut self, service: &Name, cause: SpreadingCause) {
-        if self.spreading_services.insert(service.clone()) {
+        if !self.spreading_services.contains_key(service) {
+            self.spreading_services.insert(service.clone(), cause);
             self.spreading_news.push((service.clone(), cause));
         }
     }
--- a/daemon/tests/edge_speed.rs
+++ b/daemon/tests/edge_speed.rs
@@ -38,8 +38,9 @@
 }
 
 fn add_targets(state: &mut RouterState) {
-    for id in ["m1", "m2"] {
-        state.registry.apply(id, Position::default(), Some(target(id)), Instant::now());
+    for (id, offset) in [("m1", 0), ("m2", 1)] {
+        let at = Position { era: 0, offset };
+        state.registry.apply(id, at, Some(target(id)), Instant::now());
     }
 }
 
@@ -147,6 +148,8 @@
     let placement = decide(&mut state, &[]);
     assert_eq!(placement.choice.read_ms, 100.0, "nominal as long as nothing is learned");
     assert_eq!(state.take_spreading_news().len(), 1);
+    state.set_placement(&edge::EdgePlacement { spread_load: false });
+    assert!(!state.spreads_load("model"), "the setting was taken back");
 }
 
 /// A request sent to a target that was ejected says nothing of its usual speed.
