--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -61,6 +61,12 @@
                 flags += flag;
             }
         }
+        if let Some(tokens_per_ms) = target["tokens_per_ms"].as_f64() {
+            flags += &format!(", {tokens_per_ms:.1} prompt tokens per ms");
+        }
+        if let Some(percent) = target["host_percent"].as_u64() {
+            flags += &format!(", host at {percent}% of the usual time");
+        }
         out += &format!(
             "  {} of {} at {} in {}: {} running of {}, {} unprocessed prompt tokens{flags}\n",
             text(&target["id"]),
--- a/daemon/tests/edge_speed.rs
+++ b/daemon/tests/edge_speed.rs
@@ -81,20 +81,18 @@
 /// The routers r1 and r2; r2's state. `m1` takes twice the nominal time at r1, `m2` half of it.
 async fn exchange(percent: Option<u32>) -> (LoadReport, RouterState) {
     let first = edge_context::context(io::sink());
-    {
+    add_targets(&mut first.state());
+    for _ in 0..30 {
+        time::advance(Duration::from_millis(100)).await;
         let mut state = first.state();
-        add_targets(&mut state);
-        for _ in 0..30 {
-            time::advance(Duration::from_millis(100)).await;
-            for (id, other, time) in [("m1", "m2", NOMINAL * 2), ("m2", "m1", NOMINAL / 2)] {
-                let now = Instant::now();
-                if let Some(percent) = percent {
-                    let target = target(id);
-                    state.record_host_percent(&target.service, target.hash(), percent, now);
-                }
-                let placement = decide(&mut state, &[target(other)]);
-                state.record_first_event(&placement, time, now);
+        let now = Instant::now();
+        for (id, other, time) in [("m1", "m2", NOMINAL * 2), ("m2", "m1", NOMINAL / 2)] {
+            if let Some(percent) = percent {
+                let target = target(id);
+                state.record_host_percent(&target.service, target.hash(), percent, now);
             }
+            let placement = decide(&mut state, &[target(other)]);
+            state.record_first_event(&placement, time, now);
         }
     }
     let (report, _) = load_reports::compose(&first, 1, SUMS);
