--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -1,11 +1,9 @@
 //! The choice of a request's target.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use gentianhinge_core::eligibility::{self, Eligibility};
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::registry::Target;
 use gentianhinge_core::report::{self, Hash};
 use gentianhinge_core::{admission, placement, spreading};
 use rand::Rng;
@@ -26,6 +24,7 @@
         self.refresh_target_index(now);
         let service_load = self.service_load(&spec.service, now);
         let demand_part = self.demand_part(&spec.service, now);
+        let speed = self.speed(&spec.service, now);
         let all = self.by_service.get(&spec.service)?;
         let untried = all.iter().filter(|(_, hash)| !spec.tried.contains(hash));
         let mut eligibility = Eligibility {
@@ -36,7 +35,13 @@
             demand_part,
         };
         let usable = eligibility.select(untried, now);
-        let candidates = usable.into_iter().map(candidate).collect::<Candidates<'_>>();
+        let candidates = usable.into_iter().map(|(target, hash)| placement::Candidate {
+            target,
+            hash: *hash,
+            slots: f64::from(target.slots),
+            tokens_per_ms: speed.tokens_per_ms(&self.speeds, *hash, now),
+        });
+        let candidates = candidates.collect::<Candidates<'_>>();
         let weights = &self.weights;
         let choice = match &spec.prompt {
             Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
@@ -53,7 +58,8 @@
         let (hash, id) = (chosen.hash, chosen.target.id.clone());
         let target = self.registry.get(&id)?.clone();
         let limit = self.target_limits.limit(hash, now);
-        Some(Placement { target, hash, choice, limit })
+        let timing = self.timing(&spec.service, hash, now);
+        Some(Placement { target, hash, choice, limit, timing })
     }
 
     /// This router's part of the demand for a service, at most [`SHARES_INTERVAL`] old: of what is
@@ -116,11 +122,14 @@
         {
             return Some(*backlog);
         }
+        let speed = self.speed(service, now);
         let (mut eligibility, targets) = self.eligibility(service, now)?;
         let open = targets.iter().map(|(_, hash)| *hash);
         let open = open.filter(|hash| eligibility.is_open(*hash, now));
         let open = open.collect::<SmallVec<[Hash; 32]>>();
-        let loads = open.iter().map(|hash| self.load.load(*hash));
+        let loads = open
+            .iter()
+            .map(|hash| (self.load.load(*hash), speed.tokens_per_ms(&self.speeds, *hash, now)));
         let backlog = placement::service_backlog(loads, &self.weights);
         if backlog.least_wait_ms.is_infinite() {
             return None;
@@ -173,7 +182,3 @@
         (placement, best)
     }
 }
-
-fn candidate((target, hash): &(Arc<Target>, Hash)) -> placement::Candidate<'_> {
-    placement::Candidate { target, hash: *hash, slots: f64::from(target.slots) }
-}
--- a/daemon/src/edge/state/evacuated.rs
+++ b/daemon/src/edge/state/evacuated.rs
@@ -36,6 +36,7 @@
         }
         self.indexed_revisions = revisions;
         self.by_service.clear();
+        self.service_names.clear();
         self.evacuated_services.clear();
         self.service_backlogs.clear();
         self.next_return = None;
@@ -46,6 +47,7 @@
                 continue;
             }
             let hash = target.hash();
+            self.service_names.insert(hash, target.service.clone());
             if let Some(at) = self.evacuations.returns_at(&target.zone, hash, &self.name, now) {
                 self.next_return = Some(self.next_return.map_or(at, |next| next.min(at)));
                 returning.push((target.clone(), hash));
@@ -61,6 +63,7 @@
             self.by_service.entry(entry.0.service.clone()).or_default().push(entry);
         }
         self.evacuated_services.retain(|service| !self.by_service.contains_key(service));
+        self.begin_spreading_all();
     }
 
     /// Whether a service has targets, all of them in evacuated zones.
