Trial: a draw among targets of nearly the same cost, and a model to compare

Cause: routers that share an old view choose the same target. core/tests/even_load.rs models it with the real placement.

--- /dev/null
+++ b/core/tests/even_load.rs
@@ -0,0 +1,406 @@
+//! Guards against routers that choose the same target because they share an old view of its load.
+//!
+//! A model of the load pattern on a virtual clock: routers send prompts with shared parts to targets
+//! that process them in order of arrival, and see each other's requests only as of the last report.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::time::Duration;
+
+use gentianhinge_core::load::LoadView;
+use gentianhinge_core::placement::{self, Candidate, Choice, Draw, Weights};
+use gentianhinge_core::prompt::{Part, Prompt};
+use gentianhinge_core::registry::Target;
+use gentianhinge_core::report::{CachedPart, LoadReport, TargetLoad};
+use gentianhinge_core::spreading::UnreportedWork;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+/// Prompt tokens that a target processes per millisecond.
+const TOKENS_PER_MS: f64 = 40.0;
+/// Time from the first event to the end of a response.
+const STREAM_TIME: Duration = Duration::from_millis(600);
+/// Time in which caches fill; it isn't measured.
+const WARM_UP: Duration = Duration::from_secs(8);
+const MEASURED: Duration = Duration::from_secs(12);
+
+/// A kind of request: its share of all requests, the number and size of its shared parts, and the
+/// mean size of the rest of its prompt.
+struct Kind {
+    share: f64,
+    part_count: u64,
+    part_tokens: u32,
+    own_tokens: f64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind { share: 0.26, part_count: 580, part_tokens: 13_300, own_tokens: 3_700.0 },
+    Kind { share: 0.35, part_count: 290, part_tokens: 3_800, own_tokens: 2_900.0 },
+    Kind { share: 0.39, part_count: 390, part_tokens: 140, own_tokens: 1_100.0 },
+];
+
+struct Pattern {
+    router_count: usize,
+    target_count: usize,
+    arrivals_per_s: f64,
+    report_interval: Duration,
+}
+
+/// How a router chooses among the targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    LeastCost,
+    /// The cheaper of two random targets and the one that has the shared part cached.
+    TwoChoices,
+    /// The least cost after an equal part of the unreported work is added to each target that has
+    /// less than the mean.
+    AgeCorrected,
+    /// The least cost among targets to which the router has sent less than its part of the room
+    /// since the last reports.
+    RoomPerRouter,
+    /// A draw among costs that differ by less than the unreported work of a target.
+    CostDraw,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    /// Busiest target to the mean, by time at work.
+    busiest_to_mean: f64,
+    /// Busiest target to the mean within single seconds, averaged over the seconds.
+    busiest_to_mean_by_second: f64,
+    mean_first_event_ms: f64,
+    p95_first_event_ms: f64,
+    /// Tokens of shared parts that were processed per request.
+    reread_tokens: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Report(usize),
+    FirstEvent { router: usize, target: usize, unread_tokens: u32 },
+    End { router: usize, target: usize },
+}
+
+struct Router {
+    view: LoadView,
+    unreported: UnreportedWork,
+    /// Requests sent to each target since the last reports, in ms of work.
+    sent_ms: Vec<f64>,
+    reported: BTreeMap<u64, TargetLoad>,
+    known_parts: usize,
+    seq: u64,
+}
+
+struct Model<'a> {
+    pattern: &'a Pattern,
+    policy: Policy,
+    targets: Vec<Target>,
+    hashes: Vec<u64>,
+    routers: Vec<Router>,
+    rng: SmallRng,
+    events: BinaryHeap<Reverse<(Instant, Event)>>,
+    reported_sums: BTreeMap<u64, [i64; 2]>,
+    parts: Vec<CachedPart>,
+    cached: Vec<HashSet<u64>>,
+    free_at: Vec<Instant>,
+}
+
+fn target(i: usize) -> Target {
+    Target {
+        id: format!("t{i}").into(),
+        started_ms: 1,
+        service: "model".into(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        zone: "a".into(),
+        slots: 64,
+        is_leaving: false,
+        heartbeat: 0,
+        cold_left: None,
+    }
+}
+
+fn empty_report(sender: &str, seq: u64) -> LoadReport {
+    LoadReport {
+        sender: sender.into(),
+        incarnation: 1,
+        seq,
+        targets: Vec::new(),
+        teams: Vec::new(),
+        services: Vec::new(),
+        cached_parts: Vec::new(),
+        is_full: true,
+        store_era: 0,
+        offsets: Default::default(),
+        polls: Vec::new(),
+        forward_in_zone: false,
+        crashes: Vec::new(),
+        cleared_parts: Vec::new(),
+        ended: Vec::new(),
+        cleared_requests: Vec::new(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+        late_records: Vec::new(),
+        first_events: Vec::new(),
+    }
+}
+
+impl Model<'_> {
+    fn new(pattern: &Pattern, policy: Policy, seed: u64, now: Instant) -> Model<'_> {
+        let targets = (0..pattern.target_count).map(target).collect::<Vec<_>>();
+        let router = |_| Router {
+            view: LoadView::default(),
+            unreported: UnreportedWork::default(),
+            sent_ms: vec![0.0; pattern.target_count],
+            reported: BTreeMap::new(),
+            known_parts: 0,
+            seq: 0,
+        };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let first_reports = (0..pattern.router_count).map(|router| {
+            let at = now + pattern.report_interval.mul_f64(rng.random());
+            Reverse((at, Event::Report(router)))
+        });
+        Model {
+            pattern,
+            policy,
+            hashes: targets.iter().map(Target::hash).collect(),
+            targets,
+            routers: (0..pattern.router_count).map(router).collect(),
+            events: first_reports.collect(),
+            rng,
+            reported_sums: BTreeMap::new(),
+            parts: Vec::new(),
+            cached: vec![HashSet::new(); pattern.target_count],
+            free_at: vec![now; pattern.target_count],
+        }
+    }
+
+    fn prompt(&mut self) -> Prompt {
+        let mut draw = self.rng.random_range(0.0..1.0);
+        let mut at = 0;
+        while at + 1 < KINDS.len() && draw >= KINDS[at].share {
+            draw -= KINDS[at].share;
+            at += 1;
+        }
+        let kind = &KINDS[at];
+        // A skewed choice: some parts are asked for several times as often as others.
+        let position = self.rng.random_range(0.0_f64..1.0).powf(1.4);
+        let shared = (position * kind.part_count as f64) as u64 + 10_000 * at as u64;
+        let own = (-self.rng.random_range(0.001_f64..1.0).ln() * kind.own_tokens) as u32 + 1;
+        let parts = [
+            Part { id: shared, tokens: kind.part_tokens },
+            Part { id: self.rng.random(), tokens: own },
+        ];
+        Prompt {
+            parts: parts.into_iter().collect(),
+            prompt_tokens: kind.part_tokens + own,
+            max_output_tokens: 100,
+        }
+    }
+
+    fn choose(&mut self, router: usize, prompt: &Prompt, now: Instant) -> (usize, Choice) {
+        let weights = Weights::default();
+        let Router { view, unreported, sent_ms, .. } = &self.routers[router];
+        let pattern = self.pattern;
+        let unreported_ms = unreported.tokens_per_target(
+            1.0 / pattern.router_count as f64,
+            pattern.report_interval,
+            pattern.target_count,
+            now,
+        ) / TOKENS_PER_MS;
+        let all = (0..self.targets.len()).collect::<Vec<_>>();
+        let choose = |among: &[usize], view: &LoadView, draw| {
+            let candidates = among.iter().map(|at| Candidate {
+                target: &self.targets[*at],
+                hash: self.hashes[*at],
+                slots: 64.0,
+            });
+            let candidates = candidates.collect::<SmallVec<[Candidate<'_>; 32]>>();
+            let choice = placement::choose(&candidates, view, prompt, "a", &weights, draw, now);
+            choice.map(|choice| (among[choice.candidate_index], choice))
+        };
+        let chosen = match self.policy {
+            Policy::LeastCost => choose(&all, view, None),
+            Policy::CostDraw => {
+                choose(&all, view, Some(Draw { unreported_ms, position: self.rng.random() }))
+            }
+            Policy::TwoChoices => {
+                let part = prompt.parts[0].id;
+                let is_home = |at: &usize| view.has_cached(self.hashes[*at], part);
+                let mut among = all.iter().copied().filter(is_home).collect::<Vec<_>>();
+                if !among.is_empty() {
+                    let mut random = || self.rng.random_range(0..all.len());
+                    among.extend([random(), random()]);
+                }
+                choose(if among.is_empty() { &all } else { &among }, view, None)
+            }
+            Policy::AgeCorrected => {
+                // Fills the least busy targets with the unreported work, as if it were sent there.
+                let mut filled = all.clone();
+                let load = |at: &usize| view.load(self.hashes[*at]).unread_tokens / TOKENS_PER_MS;
+                filled.sort_by(|a, b| load(a).total_cmp(&load(b)));
+                let least = load(&filled[0]);
+                let level = least + unreported_ms;
+                let among = filled.into_iter().filter(|at| {
+                    load(at) <= level || view.has_cached(self.hashes[*at], prompt.parts[0].id)
+                });
+                choose(&among.collect::<Vec<_>>(), view, None)
+            }
+            Policy::RoomPerRouter => {
+                let room_ms = (unreported_ms / pattern.router_count as f64).max(100.0);
+                let has_room = |at: &usize| sent_ms[*at] < room_ms;
+                let among = all.iter().copied().filter(has_room).collect::<Vec<_>>();
+                choose(if among.is_empty() { &all } else { &among }, view, None)
+            }
+        };
+        chosen.unwrap()
+    }
+
+    /// Sends a request; returns the time to its first event, its work and its reread tokens.
+    fn send(&mut self, now: Instant) -> (usize, f64, f64, u32) {
+        let prompt = self.prompt();
+        let router = self.rng.random_range(0..self.routers.len());
+        let (target, choice) = self.choose(router, &prompt, now);
+        let hash = self.hashes[target];
+        let state = &mut self.routers[router];
+        state.view.begin_request(hash, choice.unread_tokens, &prompt, now);
+        state.unreported.record_send(choice.unread_tokens, now);
+        state.sent_ms[target] += f64::from(choice.unread_tokens) / TOKENS_PER_MS;
+        let shared = prompt.parts[0];
+        let is_read = !self.cached[target].insert(shared.id);
+        let reread_tokens = if is_read { 0 } else { shared.tokens };
+        let work_ms = f64::from(prompt.own_tokens() + reread_tokens) / TOKENS_PER_MS;
+        let begins_at = self.free_at[target].max(now);
+        let at = begins_at + Duration::from_secs_f64(work_ms / 1e3);
+        self.free_at[target] = at;
+        let unread_tokens = choice.unread_tokens;
+        self.events.push(Reverse((at, Event::FirstEvent { router, target, unread_tokens })));
+        self.events.push(Reverse((at + STREAM_TIME, Event::End { router, target })));
+        (target, (at - now).as_secs_f64() * 1e3, work_ms, reread_tokens)
+    }
+
+    fn handle(&mut self, event: Event, now: Instant) {
+        match event {
+            Event::FirstEvent { router, target, unread_tokens } => {
+                self.routers[router].view.prompt_read(self.hashes[target], unread_tokens);
+            }
+            Event::End { router, target } => {
+                self.routers[router].view.end_request(self.hashes[target], 0);
+            }
+            Event::Report(router) => {
+                self.report(router, now);
+                let at = now + self.pattern.report_interval;
+                self.events.push(Reverse((at, Event::Report(router))));
+            }
+        }
+    }
+
+    /// Reports a router's load to the others, and applies the sum of theirs.
+    fn report(&mut self, router: usize, now: Instant) {
+        let state = &mut self.routers[router];
+        state.sent_ms.fill(0.0);
+        let lines = state.view.own_report(true);
+        let before = std::mem::take(&mut state.reported);
+        for (line, sign) in before.values().map(|l| (l, -1)).chain(lines.iter().map(|l| (l, 1))) {
+            let sums = self.reported_sums.entry(line.target).or_default();
+            sums[0] += sign * i64::from(line.unread_tokens);
+            sums[1] += sign * i64::from(line.running_count);
+        }
+        state.reported = lines.into_iter().map(|line| (line.target, line)).collect();
+        self.parts.extend(state.view.take_new_cached_parts());
+        state.seq += 1;
+        let others = self.reported_sums.iter().map(|(target, sums)| {
+            let own = state.reported.get(target);
+            let own = own.map_or([0, 0], |l| [l.unread_tokens.into(), l.running_count.into()]);
+            TargetLoad {
+                target: *target,
+                unread_tokens: u32::try_from(sums[0] - own[0]).unwrap(),
+                running_count: u32::try_from(sums[1] - own[1]).unwrap(),
+            }
+        });
+        let report = LoadReport {
+            targets: others.collect(),
+            cached_parts: self.parts[state.known_parts..].to_vec(),
+            ..empty_report("others", state.seq)
+        };
+        state.known_parts = self.parts.len();
+        state.view.apply_report(&report, now);
+    }
+}
+
+fn run(pattern: &Pattern, policy: Policy, seed: u64) -> Outcome {
+    let start = Instant::now();
+    let mut model = Model::new(pattern, policy, seed, start);
+    let ends_at = start + WARM_UP + MEASURED;
+    let mut now = start;
+    let mut work_ms = vec![0.0; pattern.target_count];
+    let mut second_ms = vec![0.0; pattern.target_count];
+    let (mut second_ends_at, mut by_second) =
+        (start + WARM_UP + Duration::from_secs(1), Vec::new());
+    let (mut times_ms, mut reread_tokens) = (Vec::new(), 0.0);
+    let ratio = |work: &[f64]| {
+        work.iter().copied().fold(0.0, f64::max) * work.len() as f64 / work.iter().sum::<f64>()
+    };
+    while now < ends_at {
+        let gap_s = -model.rng.random_range(1e-9_f64..1.0).ln() / pattern.arrivals_per_s;
+        now += Duration::from_secs_f64(gap_s);
+        while let Some(Reverse((at, event))) = model.events.peek().copied()
+            && at <= now
+        {
+            model.events.pop();
+            model.handle(event, at);
+        }
+        let (target, first_event_ms, work, reread) = model.send(now);
+        if now < start + WARM_UP {
+            continue;
+        }
+        if now >= second_ends_at {
+            by_second.push(ratio(&second_ms));
+            second_ms.fill(0.0);
+            second_ends_at += Duration::from_secs(1);
+        }
+        work_ms[target] += work;
+        second_ms[target] += work;
+        times_ms.push(first_event_ms);
+        reread_tokens += f64::from(reread);
+    }
+    times_ms.sort_by(f64::total_cmp);
+    let count = times_ms.len() as f64;
+    Outcome {
+        busiest_to_mean: ratio(&work_ms),
+        busiest_to_mean_by_second: by_second.iter().sum::<f64>() / by_second.len() as f64,
+        mean_first_event_ms: times_ms.iter().sum::<f64>() / count,
+        p95_first_event_ms: times_ms[(count * 0.95) as usize],
+        reread_tokens: reread_tokens / count,
+    }
+}
+
+#[test]
+#[ignore = "prints the comparison of docs/design/even-load.md"]
+fn compare() {
+    for (router_count, target_count, per_target) in [(60, 60, 9.0), (60, 60, 12.0), (300, 240, 9.0)]
+    {
+        for report_ms in [100, 500] {
+            let pattern = Pattern {
+                router_count,
+                target_count,
+                arrivals_per_s: per_target * target_count as f64,
+                report_interval: Duration::from_millis(report_ms),
+            };
+            println!(
+                "{router_count} routers, {target_count} targets, {per_target}/s each, reports each {report_ms} ms"
+            );
+            for policy in [
+                Policy::LeastCost,
+                Policy::TwoChoices,
+                Policy::AgeCorrected,
+                Policy::RoomPerRouter,
+                Policy::CostDraw,
+            ] {
+                println!("  {policy:?}: {:.2?}", run(&pattern, policy, 1));
+            }
+        }
+    }
+}
--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -52,7 +52,9 @@
         let candidates = usable.into_iter().map(candidate).collect::<Candidates<'_>>();
         let weights = &self.weights;
         let choice = match &spec.prompt {
-            Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
+            Some(prompt) => {
+                placement::choose(&candidates, &self.load, prompt, zone, weights, None, now)
+            }
             None => placement::choose_without_prompt(
                 &candidates,
                 &self.load,
