--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod sampling;
 pub mod share;
 pub mod slots;
+pub mod speed;
 pub mod spreading;
 pub mod table;
 pub mod target_limit;
