--- a/core/tests/even_load.rs
+++ b/core/tests/even_load.rs
@@ -15,7 +15,6 @@
 use gentianhinge_core::sampling;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
 /// Prompt tokens that a target processes per millisecond.
@@ -206,8 +205,12 @@
 
     fn choose(&mut self, router: usize, prompt: &Prompt, now: Instant) -> (usize, Choice) {
         let Router { view, sent_ms, .. } = &self.routers[router];
-        let candidate =
-            |at: usize| Candidate { target: &self.targets[at], hash: self.hashes[at], slots: 64.0 };
+        let candidate = |at: usize| Candidate {
+            target: &self.targets[at],
+            hash: self.hashes[at],
+            slots: 64.0,
+            tokens_per_ms: TOKENS_PER_MS,
+        };
         let backlog_ms = |at: usize| view.load(self.hashes[at]).unread_tokens / TOKENS_PER_MS;
         let has_cached = |at: usize| view.has_cached(self.hashes[at], prompt.parts[0].id);
         let least_ms = (0..self.targets.len()).map(backlog_ms).fold(f64::INFINITY, f64::min);
@@ -388,6 +391,7 @@
             target,
             hash: target.hash(),
             slots: 64.0,
+            tokens_per_ms: TOKENS_PER_MS,
         });
         let candidates = candidates.collect::<sampling::Sample<'_>>();
         let part = Part { id: 5, tokens: 13_300 };
--- a/daemon/src/edge/state/choice.rs
+++ b/daemon/src/edge/state/choice.rs
@@ -5,7 +5,7 @@
 use gentianhinge_core::eligibility::{self, Eligibility};
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::report::{self, Hash};
-use gentianhinge_core::{admission, placement, spreading};
+use gentianhinge_core::{admission, placement, sampling, spreading};
 use rand::Rng;
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -17,8 +17,6 @@
 /// the queue.
 const BACKLOG_CACHE_TIME: Duration = Duration::from_millis(10);
 
-type Candidates<'a> = SmallVec<[placement::Candidate<'a>; 32]>;
-
 impl RouterState {
     /// Rebuilds the index of targets by service if the registry has changed.
     pub(super) fn refresh_target_index(&mut self) {
@@ -42,6 +40,7 @@
         let service_load = self.service_load(&spec.service, now);
         let demand_part = self.demand_part(&spec.service, now);
         let speed = self.speed(&spec.service, now);
+        let spreads_load = self.spreads_load(&spec.service);
         let all = self.by_service.get(&spec.service)?;
         let untried = all.iter().filter(|(_, hash)| !spec.tried.contains(hash));
         let mut eligibility = Eligibility {
@@ -57,7 +56,10 @@
             slots: f64::from(target.slots),
             tokens_per_ms: speed.tokens_per_ms(&self.speeds, *hash, now),
         });
-        let candidates = candidates.collect::<Candidates<'_>>();
+        let mut candidates = candidates.collect::<sampling::Sample<'_>>();
+        if let Some(prompt) = spec.prompt.as_ref().filter(|_| spreads_load) {
+            candidates = sampling::select(candidates, &self.load, prompt, zone, &mut rand::rng());
+        }
         let weights = &self.weights;
         let choice = match &spec.prompt {
             Some(prompt) => placement::choose(&candidates, &self.load, prompt, zone, weights, now),
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -58,6 +58,7 @@
     let before = state.table.as_ref().map(|table| table.version);
     let is_newer = before.is_none_or(|before| version > before);
     let old_table = if is_newer { state.table.replace(table) } else { Some(table) };
+    state.begin_spreading_all();
     drop(state);
     // Requests wait for the state, and dropping a large table takes time.
     drop(old_table);
