Speed: a host's statement fades to what it states usually, not to 100%

Cause: on a fleet whose targets state 70 or 170 as their usual figure, the learned factor excluded the figure while the prediction dropped it after 0.6 s, so between two answers all targets looked alike.

--- a/core/src/speed.rs
+++ b/core/src/speed.rs
@@ -60,10 +60,14 @@
 /// failures, which the health of targets is for.
 const MAX_FACTOR: f64 = 6.0;
 
-/// Time in which the effect of a target's statement about its host fades out. Hosts are slow for 0.6 s
+/// Time in which a target's statement about its host fades to the usual one. Hosts are slow for 0.6 s
 /// at a time, and statements reach other routers up to 0.4 s later.
 const HOST_STATEMENT_TIME: Duration = Duration::from_millis(600);
 
+/// Weight of a statement in the usual scale of its host, if it is below and above it. Other work slows
+/// a host down for short times, so the lower statements show what is usual.
+const USUAL_WEIGHTS: (f64, f64) = (0.5, 0.05);
+
 /// Range of a host's scale; statements outside it count as its ends.
 const HOST_SCALES: (f64, f64) = (0.25, 10.0);
 
@@ -98,13 +102,34 @@
     actual_ms: f64,
 }
 
+/// What a target stated about its host.
+#[derive(Clone, Copy, Debug)]
+struct HostStatement {
+    scale: f64,
+    at: Instant,
+    /// Scale that is usual, by all statements.
+    usual_scale: f64,
+}
+
+impl HostStatement {
+    fn first(scale: f64, now: Instant) -> HostStatement {
+        HostStatement { scale, at: now, usual_scale: scale }
+    }
+
+    fn next(self, scale: f64, now: Instant) -> HostStatement {
+        let (below, above) = USUAL_WEIGHTS;
+        let weight = if scale < self.usual_scale { below } else { above };
+        let usual_scale = self.usual_scale + (scale - self.usual_scale) * weight;
+        HostStatement { scale, at: now, usual_scale }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Learned {
     sums: Sums,
     /// Time up to which the sums are decayed.
     at: Instant,
-    /// Scale that the target stated, and when.
-    host: Option<(f64, Instant)>,
+    host: Option<HostStatement>,
 }
 
 impl Learned {
@@ -115,9 +140,9 @@
     }
 
     fn host_scale(&self, now: Instant) -> f64 {
-        let Some((scale, at)) = self.host else { return 1.0 };
-        let age = now.duration_since(at).as_secs_f64() / HOST_STATEMENT_TIME.as_secs_f64();
-        1.0 + (scale - 1.0) * (1.0 - age).max(0.0)
+        let Some(host) = self.host else { return 1.0 };
+        let age = now.duration_since(host.at).as_secs_f64() / HOST_STATEMENT_TIME.as_secs_f64();
+        host.usual_scale + (host.scale - host.usual_scale) * (1.0 - age).max(0.0)
     }
 }
 
@@ -171,7 +196,9 @@
     /// percent of the usual time.
     pub fn record_host_percent(&mut self, target: Hash, percent: u32, now: Instant) {
         let scale = (f64::from(percent) / 100.0).clamp(HOST_SCALES.0, HOST_SCALES.1);
-        self.learned(target, now).host = Some((scale, now));
+        let learned = self.learned(target, now);
+        let first = HostStatement::first(scale, now);
+        learned.host = Some(learned.host.map_or(first, |host| host.next(scale, now)));
     }
 
     /// Applies the observations of another router, which is told to all others by itself.
@@ -255,7 +282,8 @@
 
     /// Drops targets without news for a long time.
     pub fn expire(&mut self, now: Instant) {
-        let at = |learned: &Learned| learned.host.map_or(learned.at, |(_, at)| at.max(learned.at));
+        let at =
+            |learned: &Learned| learned.host.map_or(learned.at, |host| host.at.max(learned.at));
         self.targets.retain(|_, learned| now.duration_since(at(learned)) < EXPIRY_TIME);
     }
 
--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentianhinge_core::evacuation::Evacuations;
 use gentianhinge_core::cold::{self, Cold};
+use gentianhinge_core::evacuation::Evacuations;
 use gentianhinge_core::holds::Holds;
 use gentianhinge_core::ids::Name;
 use gentianhinge_core::load::LoadView;
