Relay large polls in parts, and unchanged records as heartbeats

Cause: 3,000 targets write 625 KB/s of records; a poll of 375 KB didn't fit the one datagram of 20 KB, so each router read all of it from the store. Missing records are read with a delay that grows with the rank. The first listing of targets waits up to 1 s for the configuration. Registry keeps targets by hash.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod quarantine;
 pub mod recent;
 pub mod registry;
+pub mod relaying;
 pub mod report;
 pub mod retry_budget;
 pub mod router;
--- a/core/src/polling.rs
+++ b/core/src/polling.rs
@@ -54,6 +54,14 @@
 /// missing records arrive with the next relayed poll.
 const BEHIND_PART: f64 = 0.2;
 
+/// Additional delay of the last routers, as a part of the bound. With a pause of a fifth of the bound
+/// between polls, it lets most routers hear the next poll, which repeats the records.
+const BEHIND_SPREAD_PART: f64 = 0.25;
+
+/// Position in the order from which routers poll with all of this delay: the size of the largest
+/// fleets. The routers of a zone miss the same datagram if the one that forwards it does.
+const LAST_BEHIND_RANK: usize = 300;
+
 /// Delay from the begin of an era to the listing of the second router, as a part of the bound. It
 /// leaves time for the first router's listing and for relaying it.
 const LISTING_PART: f64 = 0.1;
@@ -102,6 +110,12 @@
         self.bound.mul_f64(LISTING_PART + steps * RANK_PART)
     }
 
+    /// Delay from a hint that records are missing to the poll for them, at this position.
+    pub fn behind_delay(&self, rank: usize) -> Duration {
+        let spread = rank.min(LAST_BEHIND_RANK) as f64 / LAST_BEHIND_RANK as f64;
+        self.bound.mul_f64(BEHIND_PART + spread * BEHIND_SPREAD_PART)
+    }
+
     /// Maximum delay after failed calls at this position.
     pub fn max_backoff(&self, rank: usize) -> Duration {
         let part = (rank as f64 / BACKOFF_RANKS).min(1.0) * LAST_BACKOFF_PART;
@@ -199,6 +213,12 @@
         is_first_in_long
     }
 
+    /// Takes into account that records up to `next_offset` are applied and that the topic has more.
+    pub fn advance(&mut self, next_offset: u64, end_offset: u64, now: Instant) {
+        self.next_offset = self.next_offset.max(Some(next_offset));
+        self.hear(end_offset, now);
+    }
+
     /// Takes into account that another router has read up to `offset`.
     pub fn hear(&mut self, offset: u64, now: Instant) {
         if self.next_offset.is_some_and(|own| offset > own) {
@@ -225,7 +245,7 @@
             return since + policy.listing_delay(rank);
         }
         let by_age = confirmed_at + policy.max_age(rank);
-        let by_offset = self.behind_since.map(|since| since + policy.bound.mul_f64(BEHIND_PART));
+        let by_offset = self.behind_since.map(|since| since + policy.behind_delay(rank));
         by_offset.map_or(by_age, |at| at.min(by_age))
     }
 }
--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -22,7 +22,7 @@
 //! have gone since the copy reappear in its listing; they stay gone until a record shows a later
 //! heartbeat. Removals are delayed as after an outage.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,6 +67,13 @@
         report::hash(&self.id, self.started_ms)
     }
 
+    /// What a record tells if only its heartbeat is new.
+    pub fn as_heartbeat(&self) -> report::Heartbeat {
+        let millis = |left: Duration| left.as_nanos().div_ceil(1_000_000);
+        let cold_left_ms = self.cold_left.map(|left| millis(left).try_into().unwrap_or(u32::MAX));
+        report::Heartbeat { target: self.hash(), number: self.heartbeat, cold_left_ms }
+    }
+
     fn incarnation(&self) -> Incarnation {
         Incarnation {
             started_ms: self.started_ms,
@@ -95,6 +102,8 @@
 #[derive(Debug)]
 pub struct Registry {
     targets: BTreeMap<Name, Arc<Target>>,
+    /// Ids of the targets by the hashes of their incarnations.
+    by_hash: report::HashKeyed<Name>,
     /// Position after the last record that was applied.
     next: Position,
     /// Hashes of incarnations that said themselves that they are leaving.
@@ -114,6 +123,7 @@
     fn default() -> Registry {
         Registry {
             targets: BTreeMap::new(),
+            by_hash: report::HashKeyed::default(),
             next: Position::default(),
             leaving: RecentSet::new(incarnations::MAX_PAST),
             past: Incarnations::default(),
@@ -173,6 +183,39 @@
         }
     }
 
+    /// Whether a record of a registered target differs from what is known only by a later heartbeat
+    /// and by the time for which the target stays cold.
+    pub fn is_heartbeat(&self, record: &Target) -> bool {
+        let Some(known) = self.targets.get(&record.id) else { return false };
+        let (heartbeat, cold_left) = (record.heartbeat, record.cold_left);
+        heartbeat > known.heartbeat
+            && !self.delayed_removals.contains_key(&record.id)
+            && *record == Target { heartbeat, cold_left, ..Target::clone(known) }
+    }
+
+    /// Returns the target with this incarnation.
+    pub fn by_hash(&self, hash: report::Hash) -> Option<&Arc<Target>> {
+        self.targets.get(self.by_hash.get(&hash)?)
+    }
+
+    /// Applies a record of which another router has told only what differs from the one before, as
+    /// [`apply`](Registry::apply) does; [`by_hash`](Registry::by_hash) must know its target.
+    pub fn apply_heartbeat(
+        &mut self,
+        heartbeat: &report::Heartbeat,
+        at: Position,
+        now: Instant,
+    ) -> Change {
+        let Some(known) = self.by_hash(heartbeat.target) else { return Change::None };
+        let cold_left_ms = heartbeat.cold_left_ms.map(u64::from);
+        let record = Target {
+            heartbeat: heartbeat.number,
+            cold_left: cold_left_ms.map(Duration::from_millis),
+            ..Target::clone(known)
+        };
+        self.apply(&record.id.clone(), at, Some(record), now)
+    }
+
     /// Replaces the targets by a full listing of the registry.
     ///
     /// Returns the targets that changed, or `None` if the listing ends before
@@ -190,7 +233,8 @@
         let source = if is_copy { Source::Copy } else { Source::Listing };
         self.next = end;
         self.late.clear();
-        let absent = self.targets.keys().filter(|id| !listing.iter().any(|t| t.id == **id));
+        let listed = listing.iter().map(|target| &target.id).collect::<HashSet<_>>();
+        let absent = self.targets.keys().filter(|id| !listed.contains(id));
         let absent = absent.cloned().collect::<Vec<_>>();
         let mut changes = Vec::new();
         for id in absent {
@@ -213,7 +257,7 @@
             // Reports repeat it, and hashing all targets each time is expensive.
             return None;
         }
-        let known = self.targets.values_mut().find(|target| target.hash() == hash);
+        let known = self.targets.get_mut(self.by_hash.get(&hash)?);
         let known = known.filter(|target| !target.is_leaving)?;
         *known = Arc::new(Target { is_leaving: true, ..Target::clone(known) });
         self.revision += 1;
@@ -263,6 +307,7 @@
         self.delayed_removals.remove(id);
         self.revision += 1;
         if let Some(target) = self.targets.remove(id) {
+            self.by_hash.remove(&target.hash());
             self.past.retire(id, target.incarnation(), None);
         }
     }
@@ -282,6 +327,7 @@
                 let past = self.past.get(&target.id, target.started_ms);
                 target.is_leaving |= past.is_some_and(|past| past.is_leaving);
                 if let Some(known) = known {
+                    self.by_hash.remove(&known.hash());
                     self.past.retire(&target.id, known.incarnation(), Some(&record));
                 }
                 self.insert(target)
@@ -333,6 +379,7 @@
     fn insert(&mut self, target: Target) -> Change {
         self.revision += 1;
         let change = if target.is_leaving { Change::Leaving } else { Change::Added };
+        self.by_hash.insert(target.hash(), target.id.clone());
         self.targets.insert(target.id.clone(), Arc::new(target));
         change
     }
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -207,12 +207,31 @@
     pub is_listing: bool,
     /// Offset of the first record.
     pub from: u64,
-    /// Offset at which the topic ended.
+    /// Offset after the last record.
     pub next_offset: u64,
+    /// Offset at which the topic ended; beyond `next_offset` if other parts of the poll follow.
+    pub end_offset: u64,
     /// Time since the topic ended there, in milliseconds.
     pub age_ms: u32,
-    /// All records from `from` to `next_offset`; empty if they are too long for a report.
+    /// Records from `from` to `next_offset`, without those that `heartbeats` stand for.
     pub records: Vec<Record>,
+    /// Offsets of `records`, counted from `from`; empty if they have successive offsets.
+    pub record_offsets: Vec<u32>,
+    /// What the records at the other offsets say, in their order; see [`crate::relaying`].
+    pub heartbeats: Vec<Heartbeat>,
+}
+
+/// A record of a target that differs from the one before only by the number of its heartbeat and
+/// by the time for which the target stays cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Hash of the target's incarnation.
+    pub target: Hash,
+    /// Number of the heartbeat.
+    pub number: u64,
+    /// How long the target stays cold after this record, in milliseconds; `None` if the record
+    /// doesn't say.
+    pub cold_left_ms: Option<u32>,
 }
 
 /// A record of a topic; records have successive offsets.
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -1,15 +1,16 @@
 //! Keeps the state in sync with the store's topics of configurations, targets and routers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use gentianhinge_core::ids::Name;
-use gentianhinge_core::polling;
 use gentianhinge_core::registry::Change;
+use gentianhinge_core::{polling, report};
 use gentianhinge_platform::store::{Entries, Entry};
 use gentianhinge_platform::{config as platform_config, peers, registry};
 use serde_json::json;
+use tokio::task;
 use tokio::time::{self, Instant};
 
 use super::topic_reader::{Batch, TopicReader};
@@ -26,6 +27,17 @@
 /// read. All routers write at once when the fleet starts.
 const ROUTERS_PAUSE: Duration = Duration::from_millis(800);
 
+/// Records after which the readers of the other topics get processor time: a configuration must not
+/// wait for some thousand targets.
+const YIELD_COUNT: usize = 64;
+
+/// Time for which the first listing of the targets waits for the configuration's. The configuration is
+/// one record, which the listings of all routers would delay after a restart of the fleet.
+const CONFIG_FIRST_TIME: Duration = Duration::from_secs(1);
+
+/// Interval at which the arrival of the configuration is checked meanwhile.
+const CONFIG_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Keeps the configuration in sync with the store; never returns.
 pub async fn config(mut reader: TopicReader) {
     loop {
@@ -74,6 +86,10 @@
 pub async fn targets(mut reader: TopicReader, drain: Duration) {
     let context = reader.context.clone();
     let mut unreadable = HashSet::new();
+    let config_due_at = Instant::now() + CONFIG_FIRST_TIME;
+    while context.state().table.is_none() && Instant::now() < config_due_at {
+        time::sleep(CONFIG_CHECK_INTERVAL).await;
+    }
     loop {
         let due_at = context.state().registry.next_removal();
         let removal_due = async {
@@ -92,7 +108,8 @@
                 if reader.has_recovered {
                     context.state().registry.resume_after_outage(now);
                 }
-                apply_targets(&context, &mut unreadable, &batch, now);
+                let heartbeats = std::mem::take(&mut reader.heartbeats);
+                apply_targets(&context, &mut unreadable, &batch, heartbeats, now).await;
                 reader.pause(drain.mul_f64(TARGETS_PAUSE_PART));
             }
             None => reader.store.disconnect(),
@@ -104,12 +121,24 @@
     }
 }
 
-fn apply_targets(context: &Context, unreadable: &mut HashSet<Name>, batch: &Batch, now: Instant) {
+async fn apply_targets(
+    context: &Context,
+    unreadable: &mut HashSet<Name>,
+    batch: &Batch,
+    heartbeats: Vec<(u64, report::Heartbeat)>,
+    now: Instant,
+) {
     let read = match batch {
-        Batch::Snapshot(listing) => return apply_listing(context, unreadable, listing, now),
+        Batch::Snapshot(listing) => return apply_listing(context, unreadable, listing, now).await,
         Batch::Updates(read) => read,
     };
-    for entry in &read.entries {
+    let mut heartbeats = heartbeats.into_iter().peekable();
+    for (i, entry) in read.entries.iter().enumerate() {
+        if i % YIELD_COUNT == YIELD_COUNT - 1 {
+            task::yield_now().await;
+        }
+        let before = std::iter::from_fn(|| heartbeats.next_if(|(at, _)| *at < entry.offset));
+        apply_heartbeats(context, read.era, before.collect(), now).await;
         let target = registry::decode(entry);
         record_unreadable(context, unreadable, entry, target.is_none());
         let mut state = context.state();
@@ -129,22 +158,45 @@
         }
         record_change(context, &entry.key, change, before.as_deref());
     }
+    apply_heartbeats(context, read.era, heartbeats.collect(), now).await;
+}
+
+/// Applies records of which another router has told the heartbeats only.
+async fn apply_heartbeats(
+    context: &Context,
+    era: u64,
+    heartbeats: Vec<(u64, report::Heartbeat)>,
+    now: Instant,
+) {
+    for (i, (offset, heartbeat)) in heartbeats.iter().enumerate() {
+        if i % YIELD_COUNT == YIELD_COUNT - 1 {
+            task::yield_now().await;
+        }
+        let at = polling::Position { era, offset: *offset };
+        // A heartbeat changes neither a target's state nor its incarnation.
+        context.state().registry.apply_heartbeat(heartbeat, at, now);
+    }
 }
 
-fn apply_listing(
+async fn apply_listing(
     context: &Context,
     unreadable: &mut HashSet<Name>,
     listing: &Entries,
     now: Instant,
 ) {
-    let targets = listing.entries.iter().filter_map(|entry| {
-        let target = registry::decode(entry);
-        record_unreadable(context, unreadable, entry, target.is_none());
-        target
-    });
-    let targets = targets.collect();
+    let mut targets = Vec::with_capacity(listing.entries.len());
+    for some in listing.entries.chunks(YIELD_COUNT) {
+        targets.extend(some.iter().filter_map(|entry| {
+            let target = registry::decode(entry);
+            record_unreadable(context, unreadable, entry, target.is_none());
+            target
+        }));
+        task::yield_now().await;
+    }
     let mut state = context.state();
-    let targets_before = state.registry.targets().cloned().collect::<Vec<_>>();
+    let targets_before = state.registry.targets().cloned();
+    let targets_before =
+        targets_before.map(|target| (target.id.clone(), target)).collect::<HashMap<_, _>>();
     let end = polling::Position { era: listing.era, offset: listing.next_offset };
     let Some(changes) = state.registry.replace(targets, end, now) else {
         drop(state);
@@ -156,7 +208,7 @@
     state.set_targets_loaded();
     drop(state);
     for (id, change) in changes {
-        let before = targets_before.iter().find(|target| target.id == id);
+        let before = targets_before.get(&id);
         record_change(context, &id, change, before.map(|target| &**target));
     }
 }
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -1,16 +1,15 @@
 //! Follows one topic of the store: polls it, or hears of the polls of the router that polls for
 //! all. [`polling`] decides when this router polls.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use gentianhinge_core::polling;
 use gentianhinge_core::report::{self, Topic};
+use gentianhinge_core::{polling, relaying};
 use gentianhinge_platform::store::{Entries, Entry, Store, StoreError};
 use gentianhinge_platform::{config, peers, registry};
-use gentianhinge_wire::load;
 use rand::Rng;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -18,6 +17,8 @@
 
 use super::Context;
 
+mod relay;
+
 /// Interval at which a router checks whether it has to poll: reports may show that it is behind.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -27,14 +28,6 @@
 /// Time without a report after which a router loses its position in the order.
 const RANK_WINDOW: Duration = Duration::from_secs(15);
 
-/// Maximum size of the records that are relayed with a poll, so that they fit one datagram: room
-/// for a configuration of some hundred teams.
-const MAX_RELAYED_BYTES: usize = load::MAX_DATAGRAM_BYTES / 2;
-
-/// Time for which a record is relayed again with further polls, as a part of the bound. The
-/// repetition makes up for lost datagrams.
-const RELAY_TIME_PART: f64 = 0.5;
-
 /// Records read from a topic.
 #[derive(Debug)]
 pub enum Batch {
@@ -67,8 +60,12 @@
     failing_since: Option<Instant>,
     /// Whether the last batch was the first one after an outage.
     pub has_recovered: bool,
-    /// Records that are relayed, in the order of their offsets, and when they were read.
-    relayed: VecDeque<(Instant, Entry)>,
+    /// Records of the last batch of which only the heartbeat is told, with their offsets.
+    pub heartbeats: Vec<(u64, report::Heartbeat)>,
+    /// Records that are relayed.
+    relayed: relaying::Outbox,
+    /// Parts of others' polls that wait for earlier ones.
+    waiting: relaying::Inbox,
 }
 
 impl TopicReader {
@@ -95,7 +92,9 @@
             backoff: polling::MIN_BACKOFF,
             failing_since: None,
             has_recovered: false,
-            relayed: VecDeque::new(),
+            heartbeats: Vec::new(),
+            relayed: relaying::Outbox::default(),
+            waiting: relaying::Inbox::default(),
         }
     }
 
@@ -119,6 +118,9 @@
     pub async fn next_batch(&mut self) -> Batch {
         loop {
             let now = Instant::now();
+            if let Some(batch) = self.take_waiting(now) {
+                return batch;
+            }
             let rank = self.rank(now);
             let view = self.view();
             let due_at =
@@ -291,56 +293,6 @@
         }
     }
 
-    /// Sends the result of a poll to the other routers, with the records of the last polls.
-    fn relay(&mut self, read: &Entries, at: Instant) {
-        let keep_time = self.policy.bound.mul_f64(RELAY_TIME_PART);
-        self.relayed.retain(|(read_at, _)| read_at.elapsed() <= keep_time);
-        let begins_at = read.entries.first().map_or(read.next_offset, |entry| entry.offset);
-        if self.relayed.back().is_some_and(|(_, last)| last.offset + 1 != begins_at) {
-            // Other routers have relayed the records in between.
-            self.relayed.clear();
-        }
-        self.relayed.extend(read.entries.iter().map(|entry| (Instant::now(), entry.clone())));
-        let mut len = self.relayed.iter().map(|(_, entry)| record_len(entry)).sum::<usize>();
-        while len > MAX_RELAYED_BYTES {
-            let Some((_, entry)) = self.relayed.pop_front() else { break };
-            len -= record_len(&entry);
-        }
-        let poll = report::Poll {
-            topic: self.topic,
-            era: read.era,
-            is_listing: false,
-            from: self.relayed.front().map_or(read.next_offset, |(_, entry)| entry.offset),
-            next_offset: read.next_offset,
-            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
-            records: self.relayed.iter().map(|(_, entry)| record(entry)).collect(),
-        };
-        self.send(poll);
-    }
-
-    /// Sends the first listing of an era to the other routers, unless it is too long; then each of
-    /// them lists the topic itself.
-    fn relay_listing(&self, listing: &Entries, at: Instant) {
-        if listing.entries.iter().map(record_len).sum::<usize>() > MAX_RELAYED_BYTES {
-            return;
-        }
-        self.send(report::Poll {
-            topic: self.topic,
-            era: listing.era,
-            is_listing: true,
-            from: listing.next_offset,
-            next_offset: listing.next_offset,
-            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
-            records: listing.entries.iter().map(record).collect(),
-        });
-    }
-
-    fn send(&self, poll: report::Poll) {
-        if self.outbox.try_send(poll).is_err() {
-            tracing::debug!("a poll isn't relayed: the queue is full");
-        }
-    }
-
     /// Takes a poll of another router into account; returns the records that are new.
     fn accept(&mut self, poll: report::Poll) -> Option<Batch> {
         let now = Instant::now();
@@ -355,32 +307,58 @@
             drop(state);
             return self.accept_listing(poll, now);
         }
-        let is_complete =
-            poll.next_offset - poll.from.min(poll.next_offset) == poll.records.len() as u64;
-        if poll.next_offset > from && (poll.from > from || !is_complete) {
-            view.hear(poll.next_offset, now);
+        let at = ended_at(&poll, now)?;
+        if poll.next_offset <= from {
+            if poll.next_offset >= poll.end_offset {
+                self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
+                drop(state);
+                self.end_failure("another router reads the store");
+                return self.has_recovered.then(|| {
+                    self.updates(relaying::Part {
+                        era: poll.era,
+                        lines: Default::default(),
+                        next_offset: from,
+                        end_offset: from,
+                        at,
+                    })
+                });
+            }
             return None;
         }
-        let at = ended_at(&poll, now)?;
-        self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
+        let (end_offset, part) = (poll.end_offset, relaying::Part::read(poll, at));
+        let Some(part) = part else {
+            view.hear(end_offset, now);
+            return None;
+        };
+        drop(state);
+        self.waiting.add(part);
+        self.take_waiting(now)
+    }
+
+    /// Applies the part of a relayed poll that continues what is known, if there is one.
+    fn take_waiting(&mut self, now: Instant) -> Option<Batch> {
+        let mut state = self.context.state();
+        let view = *state.topic_view(self.topic);
+        if self.needs_listing || view.must_list() {
+            return None;
+        }
+        let end = self.waiting.end(view.era);
+        let Some(part) = self.waiting.take(view.era, view.next_offset?) else {
+            state.topic_view(self.topic).hear(end, now);
+            return None;
+        };
+        let is_known = |hash| state.registry.by_hash(hash).is_some();
+        let (part, cut_at) = part.split_known(is_known, &mut self.waiting);
+        let view = state.topic_view(self.topic);
+        if cut_at.is_none() && part.is_last() {
+            self.has_recovered = view.confirm(&self.policy, part.next_offset, part.at);
+        } else {
+            view.advance(part.next_offset, part.end_offset, now);
+        }
         drop(state);
         self.end_failure("another router reads the store");
-        let (first, next_offset) = (poll.from, poll.next_offset);
-        let entries = poll.records.into_iter().zip(first..).map(|(record, offset)| Entry {
-            offset,
-            key: record.key,
-            value: record.value.map(Bytes::from),
-        });
-        let entries = entries.filter(|entry| (from..next_offset).contains(&entry.offset));
-        let entries = entries.collect::<Vec<_>>();
-        let is_news = !entries.is_empty() || self.has_recovered;
-        let end_offset = next_offset;
-        is_news.then_some(Batch::Updates(Entries {
-            entries,
-            next_offset,
-            era: poll.era,
-            end_offset,
-        }))
+        let is_news = !part.lines.is_empty() || self.has_recovered;
+        is_news.then(|| self.updates(part))
     }
 
     /// Takes over the first listing of an era from another router.
@@ -451,7 +429,8 @@
         if poll.era < view.era || poll.is_listing {
             continue;
         }
-        if let Some(at) = ended_at(&poll, Instant::now()) {
+        let is_last = poll.next_offset >= poll.end_offset;
+        if let Some(at) = ended_at(&poll, Instant::now()).filter(|_| is_last) {
             context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
         }
     }
@@ -461,13 +440,3 @@
 fn ended_at(poll: &report::Poll, now: Instant) -> Option<Instant> {
     now.checked_sub(Duration::from_millis(poll.age_ms.into()))
 }
-
-/// Length of a record in a relayed poll.
-fn record_len(entry: &Entry) -> usize {
-    entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16
-}
-
-fn record(entry: &Entry) -> report::Record {
-    let value = entry.value.as_ref().map(|value| value.to_vec());
-    report::Record { key: entry.key.clone(), value }
-}
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -41,7 +41,18 @@
 fn poll(from: u64, next_offset: u64, age_ms: u32, record_count: usize) -> Poll {
     let record = |i| Record { key: format!("t{i}"), value: Some(b"{}".to_vec()) };
     let records = (0..record_count).map(record).collect();
-    Poll { topic: Topic::Targets, era: 1, is_listing: false, from, next_offset, age_ms, records }
+    Poll {
+        topic: Topic::Targets,
+        era: 1,
+        is_listing: false,
+        from,
+        next_offset,
+        end_offset: next_offset,
+        age_ms,
+        records,
+        record_offsets: Vec::new(),
+        heartbeats: Vec::new(),
+    }
 }
 
 fn empty_report() -> LoadReport {
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -60,11 +60,16 @@
 struct Poll {
   topic @0 :Topic;
   from @1 :UInt64;                  # offset of the first record
-  nextOffset @2 :UInt64;            # offset at which the topic ended
-  ageMs @3 :UInt32;                 # time since the topic ended there
-  records @4 :List(Record);         # all of them, or none if they are too long
+  nextOffset @2 :UInt64;            # offset after the last record
+  ageMs @3 :UInt32;                 # time since the topic ended at endOffset
+  records @4 :List(Record);         # those from the first one on, without those told as heartbeats
   era @5 :UInt64;                   # era of the store
   isListing @6 :Bool;               # whether the records are the newest ones of all keys
+  endOffset @7 :UInt64;             # offset at which the topic ended; 0: nextOffset
+  recordOffsets @8 :List(UInt32);   # offsets of the records, from the first one; empty: successive
+  heartbeatTargets @9 :List(UInt64); # records that only tell a heartbeat: hashes of the targets' incarnations
+  heartbeatNumbers @10 :List(UInt64); # numbers of these heartbeats
+  heartbeatColdMs @11 :List(UInt32); # 1 + how long these targets stay cold, 0: not said; empty: none says it
 }
 
 enum Topic {
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -143,7 +143,19 @@
     builder.set_era(poll.era);
     builder.set_is_listing(poll.is_listing);
     builder.set_next_offset(poll.next_offset);
+    builder.set_end_offset(poll.end_offset);
     builder.set_age_ms(poll.age_ms);
+    // The length of a list in a message is bounded by that of the slice.
+    let _ = builder.set_record_offsets(poll.record_offsets.as_slice());
+    let targets = poll.heartbeats.iter().map(|line| line.target).collect::<Vec<_>>();
+    let _ = builder.set_heartbeat_targets(targets.as_slice());
+    let numbers = poll.heartbeats.iter().map(|line| line.number).collect::<Vec<_>>();
+    let _ = builder.set_heartbeat_numbers(numbers.as_slice());
+    if poll.heartbeats.iter().any(|line| line.cold_left_ms.is_some()) {
+        let cold = poll.heartbeats.iter();
+        let cold = cold.map(|line| line.cold_left_ms.map_or(0, |left| left.saturating_add(1)));
+        let _ = builder.set_heartbeat_cold_ms(cold.collect::<Vec<_>>().as_slice());
+    }
     let mut records = builder.init_records(poll.records.len() as u32);
     for (i, line) in poll.records.iter().enumerate() {
         let mut record = records.reborrow().get(i as u32);
@@ -186,6 +198,15 @@
         let value = Some(line.get_value()?.to_vec()).filter(|value| !value.is_empty());
         records.push(report::Record { key, value });
     }
+    let (targets, numbers) = (reader.get_heartbeat_targets()?, reader.get_heartbeat_numbers()?);
+    let cold = reader.get_heartbeat_cold_ms()?;
+    let cold = cold.iter().map(|left| left.checked_sub(1)).chain(std::iter::repeat(None));
+    let heartbeats = targets.iter().zip(numbers).zip(cold);
+    let heartbeats = heartbeats.map(|((target, number), cold_left_ms)| report::Heartbeat {
+        target,
+        number,
+        cold_left_ms,
+    });
     Ok(report::Poll {
         topic: match reader.get_topic().map_err(DecodeError::from)? {
             load_capnp::Topic::Config => report::Topic::Config,
@@ -196,8 +217,11 @@
         is_listing: reader.get_is_listing(),
         from: reader.get_from(),
         next_offset: reader.get_next_offset(),
+        end_offset: reader.get_end_offset().max(reader.get_next_offset()),
         age_ms: reader.get_age_ms(),
         records,
+        record_offsets: reader.get_record_offsets()?.iter().collect(),
+        heartbeats: heartbeats.collect(),
     })
 }
 
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -154,11 +154,17 @@
             is_listing: true,
             from: 338,
             next_offset: 340,
+            end_offset: 350,
             age_ms: 20,
             records: vec![
                 report::Record { key: "i-1".to_string(), value: Some(b"{}".to_vec()) },
                 report::Record { key: "i-2".to_string(), value: None },
             ],
+            record_offsets: vec![0, 3],
+            heartbeats: vec![
+                report::Heartbeat { target: 14, number: 15, cold_left_ms: None },
+                report::Heartbeat { target: 1 << 63, number: 1 << 40, cold_left_ms: Some(0) },
+            ],
         }],
         forward_in_zone: true,
         crashes: vec![report::Crash { target: 5, team: 6, age_ms: 70, parts: vec![8, 9] }],
