--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -62,6 +62,8 @@
     pub has_recovered: bool,
     /// Records of the last batch of which only the heartbeat is told, with their offsets.
     pub heartbeats: Vec<(u64, report::Heartbeat)>,
+    /// Whether the last relayed poll of this router didn't reach the topic's end.
+    has_rest: bool,
     /// Records that are relayed.
     relayed: relaying::Outbox,
     /// Parts of others' polls that wait for earlier ones.
@@ -93,6 +95,7 @@
             failing_since: None,
             has_recovered: false,
             heartbeats: Vec::new(),
+            has_rest: false,
             relayed: relaying::Outbox::default(),
             waiting: relaying::Inbox::default(),
         }
@@ -194,8 +197,9 @@
                 // An empty response comes after the wait, and so says that there is no record then.
                 let at = if read.entries.is_empty() { now + wait } else { now };
                 self.confirm(&read, at.min(Instant::now()));
-                if !is_behind && read.next_offset >= read.end_offset {
+                if !is_behind || self.has_rest {
                     self.relay(&read, at);
+                    self.has_rest = read.next_offset < read.end_offset;
                 }
                 Some(Batch::Updates(read)).filter(|_| self.has_news(from))
             }
--- a/daemon/src/edge/topic_reader/relay.rs
+++ b/daemon/src/edge/topic_reader/relay.rs
@@ -20,7 +20,7 @@
     /// Sends the result of a poll to the other routers, with the records of the last polls.
     pub(super) fn relay(&mut self, read: &Entries, at: Instant) {
         let keep_time = self.policy.bound.mul_f64(RELAY_TIME_PART);
-        let end = relaying::End { topic: self.topic, era: read.era, offset: read.next_offset, at };
+        let end = relaying::End { topic: self.topic, era: read.era, offset: read.end_offset, at };
         let lines = self.relayed_lines(&read.entries);
         let polls = self.relayed.polls(lines, end, keep_time, Instant::now());
         polls.into_iter().for_each(|poll| self.send(poll));
--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -42,8 +42,13 @@
     is_down: Arc<Mutex<bool>>,
     is_silent: Arc<Mutex<bool>>,
     era: Arc<Mutex<u64>>,
+    read_bytes: Arc<Mutex<HashMap<String, usize>>>,
+    failing_page_count: Arc<atomic::AtomicUsize>,
 }
 
+/// Maximum number of items of a page of a listing, as the platform's store has it.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// Copy of a store's topics.
 pub type Backup = HashMap<String, Records>;
 
@@ -75,6 +80,16 @@
         *self.era.lock().unwrap() += 1;
     }
 
+    /// Bytes of a topic's records, with those of repeated reads, that routers have read.
+    pub fn read_bytes(&self, topic: &str) -> usize {
+        self.read_bytes.lock().unwrap().get(topic).copied().unwrap_or(0)
+    }
+
+    /// Makes the store refuse the next `count` calls for further pages of listings.
+    pub fn fail_pages(&self, count: usize) {
+        self.failing_page_count.store(count, atomic::Ordering::Relaxed);
+    }
+
     /// Number of records of a topic.
     pub fn len(&self, topic: &str) -> usize {
         self.topics.lock().unwrap().get(topic).map_or(0, Vec::len)
@@ -166,11 +181,20 @@
         newest.insert(key.clone(), (offset, value.clone()));
     }
     newest.retain(|_, (_, value)| !value.is_empty());
-    let items = newest.into_iter().map(|(key, (offset, value))| {
+    if let Some(after) = query.get("after") {
+        newest.retain(|key, _| key > after);
+        let one_less = |count: usize| count.checked_sub(1);
+        let order = atomic::Ordering::Relaxed;
+        if store.failing_page_count.fetch_update(order, order, one_less).is_ok() {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+    }
+    let has_more = newest.len() > MAX_PAGE_ITEMS;
+    let items = newest.into_iter().take(MAX_PAGE_ITEMS).map(|(key, (offset, value))| {
         json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
     });
     let items = items.collect::<Vec<_>>();
-    axum::Json(json!({ "items": items, "has_more": false, "end_offset": records.len() }))
+    axum::Json(json!({ "items": items, "has_more": has_more, "end_offset": records.len() }))
         .into_response()
 }
 
@@ -203,6 +227,8 @@
                 body.extend_from_slice(key.as_bytes());
                 body.extend_from_slice(value);
             }
+            let mut read_bytes = store.read_bytes.lock().unwrap();
+            *read_bytes.entry(query["topic"].clone()).or_default() += body.len();
             return body.into_response();
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
