--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -70,8 +70,8 @@
     /// What a record tells if only its heartbeat is new.
     pub fn as_heartbeat(&self) -> report::Heartbeat {
         let millis = |left: Duration| left.as_nanos().div_ceil(1_000_000);
-        let cold_left_ms = self.cold_left.map(|left| millis(left).try_into().unwrap_or(u32::MAX));
-        report::Heartbeat { target: self.hash(), number: self.heartbeat, cold_left_ms }
+        let cold_ms = self.cold_left.map(|left| millis(left).try_into().unwrap_or(u32::MAX));
+        report::Heartbeat { target: self.hash(), number: self.heartbeat, cold_ms }
     }
 
     fn incarnation(&self) -> Incarnation {
@@ -207,10 +207,10 @@
         now: Instant,
     ) -> Change {
         let Some(known) = self.by_hash(heartbeat.target) else { return Change::None };
-        let cold_left_ms = heartbeat.cold_left_ms.map(u64::from);
+        let cold_ms = heartbeat.cold_ms.map(u64::from);
         let record = Target {
             heartbeat: heartbeat.number,
-            cold_left: cold_left_ms.map(Duration::from_millis),
+            cold_left: cold_ms.map(Duration::from_millis),
             ..Target::clone(known)
         };
         self.apply(&record.id.clone(), at, Some(record), now)
--- a/core/src/relaying.rs
+++ b/core/src/relaying.rs
@@ -56,7 +56,7 @@
     fn len(&self) -> usize {
         match self {
             Line::Record(record) => record_len(record),
-            Line::Heartbeat(line) if line.cold_left_ms.is_some() => HEARTBEAT_BYTES + COLD_BYTES,
+            Line::Heartbeat(line) if line.cold_ms.is_some() => HEARTBEAT_BYTES + COLD_BYTES,
             Line::Heartbeat(_) => HEARTBEAT_BYTES,
         }
     }
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -231,7 +231,7 @@
     pub number: u64,
     /// How long the target stays cold after this record, in milliseconds; `None` if the record
     /// doesn't say.
-    pub cold_left_ms: Option<u32>,
+    pub cold_ms: Option<u32>,
 }
 
 /// A record of a topic; records have successive offsets.
--- a/wire/src/load.rs
+++ b/wire/src/load.rs
@@ -151,9 +151,9 @@
     let _ = builder.set_heartbeat_targets(targets.as_slice());
     let numbers = poll.heartbeats.iter().map(|line| line.number).collect::<Vec<_>>();
     let _ = builder.set_heartbeat_numbers(numbers.as_slice());
-    if poll.heartbeats.iter().any(|line| line.cold_left_ms.is_some()) {
+    if poll.heartbeats.iter().any(|line| line.cold_ms.is_some()) {
         let cold = poll.heartbeats.iter();
-        let cold = cold.map(|line| line.cold_left_ms.map_or(0, |left| left.saturating_add(1)));
+        let cold = cold.map(|line| line.cold_ms.map_or(0, |left| left.saturating_add(1)));
         let _ = builder.set_heartbeat_cold_ms(cold.collect::<Vec<_>>().as_slice());
     }
     let mut records = builder.init_records(poll.records.len() as u32);
@@ -202,11 +202,8 @@
     let cold = reader.get_heartbeat_cold_ms()?;
     let cold = cold.iter().map(|left| left.checked_sub(1)).chain(std::iter::repeat(None));
     let heartbeats = targets.iter().zip(numbers).zip(cold);
-    let heartbeats = heartbeats.map(|((target, number), cold_left_ms)| report::Heartbeat {
-        target,
-        number,
-        cold_left_ms,
-    });
+    let heartbeats =
+        heartbeats.map(|((target, number), cold_ms)| report::Heartbeat { target, number, cold_ms });
     Ok(report::Poll {
         topic: match reader.get_topic().map_err(DecodeError::from)? {
             load_capnp::Topic::Config => report::Topic::Config,
--- a/wire/tests/edge.rs
+++ b/wire/tests/edge.rs
@@ -162,8 +162,8 @@
             ],
             record_offsets: vec![0, 3],
             heartbeats: vec![
-                report::Heartbeat { target: 14, number: 15, cold_left_ms: None },
-                report::Heartbeat { target: 1 << 63, number: 1 << 40, cold_left_ms: Some(0) },
+                report::Heartbeat { target: 14, number: 15, cold_ms: None },
+                report::Heartbeat { target: 1 << 63, number: 1 << 40, cold_ms: Some(0) },
             ],
         }],
         forward_in_zone: true,
