--- a/core/tests/even_load.rs
+++ b/core/tests/even_load.rs
@@ -379,7 +379,15 @@
             [Policy::LeastCost, Policy::Sampled].map(|policy| run(&pattern, policy, 1));
         assert!(sampled.p95_first_event_ms <= LATENCY_TARGET_MS, "{sampled:?}");
         assert!(least_cost.p95_first_event_ms > LATENCY_TARGET_MS, "{least_cost:?}");
-        assert!(sampled.reread_tokens <= least_cost.reread_tokens, "{sampled:?}, {least_cost:?}");
+        let figures = [
+            |outcome: &Outcome| outcome.busiest_to_mean,
+            |outcome: &Outcome| outcome.busiest_to_mean_by_second,
+            |outcome: &Outcome| outcome.mean_first_event_ms,
+            |outcome: &Outcome| outcome.reread_tokens,
+        ];
+        for figure in figures {
+            assert!(figure(&sampled) < figure(&least_cost), "{sampled:?}, {least_cost:?}");
+        }
     },
     three_hundred_routers_with_an_old_view_meet_the_latency_target: {
         let sampled = run(&pattern(300, 120, 9.0), Policy::Sampled, 1);
--- a/daemon/src/edge/topic_reader.rs
+++ b/daemon/src/edge/topic_reader.rs
@@ -1,16 +1,15 @@
 //! Follows one topic of the store: polls it, or hears of the polls of the router that polls for
 //! all. [`polling`] decides when this router polls.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use gentianhinge_core::polling;
 use gentianhinge_core::report::{self, Topic};
+use gentianhinge_core::{polling, relaying};
 use gentianhinge_platform::store::{Entries, Entry, Store, StoreError};
 use gentianhinge_platform::{config, peers, registry};
-use gentianhinge_wire::load;
 use rand::Rng;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -18,6 +17,8 @@
 
 use super::Context;
 
+mod relay;
+
 /// Interval at which a router checks whether it has to poll: reports may show that it is behind.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -27,14 +28,6 @@
 /// Time without a report after which a router loses its position in the order.
 const RANK_WINDOW: Duration = Duration::from_secs(15);
 
-/// Maximum size of the records that are relayed with a poll, so that they fit one datagram: room
-/// for a configuration of some hundred teams.
-const MAX_RELAYED_BYTES: usize = load::MAX_DATAGRAM_BYTES / 2;
-
-/// Time for which a record is relayed again with further polls, as a part of the bound. The
-/// repetition makes up for lost datagrams.
-const RELAY_TIME_PART: f64 = 0.5;
-
 /// Records read from a topic.
 #[derive(Debug)]
 pub enum Batch {
@@ -70,8 +63,14 @@
     failing_since: Option<Instant>,
     /// Whether the last batch was the first one after an outage.
     pub has_recovered: bool,
-    /// Records that are relayed, in the order of their offsets, and when they were read.
-    relayed: VecDeque<(Instant, Entry)>,
+    /// Records of the last batch of which only the heartbeat is told, with their offsets.
+    pub heartbeats: Vec<(u64, report::Heartbeat)>,
+    /// Whether the last relayed poll of this router didn't reach the topic's end.
+    has_rest: bool,
+    /// Records that are relayed.
+    relayed: relaying::Outbox,
+    /// Parts of others' polls that wait for earlier ones.
+    waiting: relaying::Inbox,
 }
 
 impl TopicReader {
@@ -98,7 +97,10 @@
             backoff: polling::MIN_BACKOFF,
             failing_since: None,
             has_recovered: false,
-            relayed: VecDeque::new(),
+            heartbeats: Vec::new(),
+            has_rest: false,
+            relayed: relaying::Outbox::default(),
+            waiting: relaying::Inbox::default(),
         }
     }
 
@@ -122,6 +124,9 @@
     pub async fn next_batch(&mut self) -> Batch {
         loop {
             let now = Instant::now();
+            if let Some(batch) = self.take_waiting(now) {
+                return batch;
+            }
             let rank = self.rank(now);
             let view = self.view();
             let due_at =
@@ -195,8 +200,9 @@
                 // An empty response comes after the wait, and so says that there is no record then.
                 let at = if read.entries.is_empty() { now + wait } else { now };
                 self.confirm(&read, at.min(Instant::now()));
-                if !is_behind && read.next_offset >= read.end_offset {
+                if !is_behind || self.has_rest {
                     self.relay(&read, at);
+                    self.has_rest = read.next_offset < read.end_offset;
                 }
                 Some(Batch::Updates(read)).filter(|_| self.has_news(from))
             }
@@ -294,56 +300,6 @@
         }
     }
 
-    /// Sends the result of a poll to the other routers, with the records of the last polls.
-    fn relay(&mut self, read: &Entries, at: Instant) {
-        let keep_time = self.policy.bound.mul_f64(RELAY_TIME_PART);
-        self.relayed.retain(|(read_at, _)| read_at.elapsed() <= keep_time);
-        let begins_at = read.entries.first().map_or(read.next_offset, |entry| entry.offset);
-        if self.relayed.back().is_some_and(|(_, last)| last.offset + 1 != begins_at) {
-            // Other routers have relayed the records in between.
-            self.relayed.clear();
-        }
-        self.relayed.extend(read.entries.iter().map(|entry| (Instant::now(), entry.clone())));
-        let mut len = self.relayed.iter().map(|(_, entry)| record_len(entry)).sum::<usize>();
-        while len > MAX_RELAYED_BYTES {
-            let Some((_, entry)) = self.relayed.pop_front() else { break };
-            len -= record_len(&entry);
-        }
-        let poll = report::Poll {
-            topic: self.topic,
-            era: read.era,
-            is_listing: false,
-            from: self.relayed.front().map_or(read.next_offset, |(_, entry)| entry.offset),
-            next_offset: read.next_offset,
-            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
-            records: self.relayed.iter().map(|(_, entry)| record(entry)).collect(),
-        };
-        self.send(poll);
-    }
-
-    /// Sends the first listing of an era to the other routers, unless it is too long; then each of
-    /// them lists the topic itself.
-    fn relay_listing(&self, listing: &Entries, at: Instant) {
-        if listing.entries.iter().map(record_len).sum::<usize>() > MAX_RELAYED_BYTES {
-            return;
-        }
-        self.send(report::Poll {
-            topic: self.topic,
-            era: listing.era,
-            is_listing: true,
-            from: listing.next_offset,
-            next_offset: listing.next_offset,
-            age_ms: u32::try_from(at.elapsed().as_millis()).unwrap_or(u32::MAX),
-            records: listing.entries.iter().map(record).collect(),
-        });
-    }
-
-    fn send(&self, poll: report::Poll) {
-        if self.outbox.try_send(poll).is_err() {
-            tracing::debug!("a poll isn't relayed: the queue is full");
-        }
-    }
-
     /// Takes a poll of another router into account; returns the records that are new.
     fn accept(&mut self, poll: report::Poll) -> Option<Batch> {
         let now = Instant::now();
@@ -358,24 +314,82 @@
             drop(state);
             return self.accept_listing(poll, now);
         }
-        let is_complete =
-            poll.next_offset - poll.from.min(poll.next_offset) == poll.records.len() as u64;
-        let must_list = view.must_list();
-        if must_list || (poll.next_offset > from && (poll.from > from || !is_complete)) {
-            if !must_list {
-                view.hear(poll.next_offset, now);
+        if view.must_list() {
+            drop(state);
+            return self.after_gap(poll, now);
+        }
+        let at = ended_at(&poll, now)?;
+        if poll.next_offset <= from {
+            if poll.next_offset >= poll.end_offset {
+                self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
+                drop(state);
+                self.end_failure("another router reads the store");
+                return self.has_recovered.then(|| {
+                    self.updates(relaying::Part {
+                        era: poll.era,
+                        lines: Default::default(),
+                        next_offset: from,
+                        end_offset: from,
+                        at,
+                    })
+                });
             }
-            let is_usable = is_complete && self.topic == Topic::Config;
-            return is_usable.then(|| Batch::AfterGap(entries(poll)));
+            return None;
         }
+        let (end_offset, part) = (poll.end_offset, relaying::Part::read(poll, at));
+        let Some(part) = part else {
+            view.hear(end_offset, now);
+            return None;
+        };
+        drop(state);
+        let begins_at = part.lines.front().map_or(from, |(offset, _)| *offset);
+        let gap = (begins_at > from).then(|| part.clone());
+        self.waiting.add(part);
+        let batch = self.take_waiting(now);
+        batch.or_else(|| gap.and_then(|part| self.batch_after_gap(part)))
+    }
+
+    /// Records of a relayed poll before which others are missing; `None` if they can't be used.
+    fn after_gap(&mut self, poll: report::Poll, now: Instant) -> Option<Batch> {
         let at = ended_at(&poll, now)?;
-        self.has_recovered = view.confirm(&self.policy, poll.next_offset, at);
+        let part = relaying::Part::read(poll, at)?;
+        self.batch_after_gap(part)
+    }
+
+    fn batch_after_gap(&mut self, part: relaying::Part) -> Option<Batch> {
+        if self.topic != Topic::Config {
+            return None;
+        }
+        match self.updates(part) {
+            Batch::Updates(read) => Some(Batch::AfterGap(read)),
+            batch => Some(batch),
+        }
+    }
+
+    /// Applies the part of a relayed poll that continues what is known, if there is one.
+    fn take_waiting(&mut self, now: Instant) -> Option<Batch> {
+        let mut state = self.context.state();
+        let view = *state.topic_view(self.topic);
+        if self.needs_listing || view.must_list() {
+            return None;
+        }
+        let end = self.waiting.end(view.era);
+        let Some(part) = self.waiting.take(view.era, view.next_offset?) else {
+            state.topic_view(self.topic).hear(end, now);
+            return None;
+        };
+        let is_known = |hash| state.registry.by_hash(hash).is_some();
+        let (part, cut_at) = part.split_known(is_known, &mut self.waiting);
+        let view = state.topic_view(self.topic);
+        if cut_at.is_none() && part.is_last() {
+            self.has_recovered = view.confirm(&self.policy, part.next_offset, part.at);
+        } else {
+            view.advance(part.next_offset, part.end_offset, now);
+        }
         drop(state);
         self.end_failure("another router reads the store");
-        let mut read = entries(poll);
-        read.entries.retain(|entry| (from..read.next_offset).contains(&entry.offset));
-        let is_news = !read.entries.is_empty() || self.has_recovered;
-        is_news.then_some(Batch::Updates(read))
+        let is_news = !part.lines.is_empty() || self.has_recovered;
+        is_news.then(|| self.updates(part))
     }
 
     /// Takes over the first listing of an era from another router.
@@ -431,18 +445,6 @@
     }
 }
 
-/// The records of a relayed poll.
-fn entries(poll: report::Poll) -> Entries {
-    let (first, next_offset) = (poll.from, poll.next_offset);
-    let entries = poll.records.into_iter().zip(first..).map(|(record, offset)| Entry {
-        offset,
-        key: record.key,
-        value: record.value.map(Bytes::from),
-    });
-    let entries = entries.collect();
-    Entries { entries, next_offset, era: poll.era, end_offset: next_offset }
-}
-
 /// Waits for a poll of another router that has read further than `view`; others only confirm it.
 async fn next_news(
     polls: &mut mpsc::Receiver<report::Poll>,
@@ -458,7 +460,8 @@
         if poll.era < view.era || poll.is_listing {
             continue;
         }
-        if let Some(at) = ended_at(&poll, Instant::now()) {
+        let is_last = poll.next_offset >= poll.end_offset;
+        if let Some(at) = ended_at(&poll, Instant::now()).filter(|_| is_last) {
             context.state().topic_view(poll.topic).confirm(policy, poll.next_offset, at);
         }
     }
@@ -468,13 +471,3 @@
 fn ended_at(poll: &report::Poll, now: Instant) -> Option<Instant> {
     now.checked_sub(Duration::from_millis(poll.age_ms.into()))
 }
-
-/// Length of a record in a relayed poll.
-fn record_len(entry: &Entry) -> usize {
-    entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len) + 16
-}
-
-fn record(entry: &Entry) -> report::Record {
-    let value = entry.value.as_ref().map(|value| value.to_vec());
-    report::Record { key: entry.key.clone(), value }
-}
--- a/daemon/tests/edge_polls.rs
+++ b/daemon/tests/edge_polls.rs
@@ -42,7 +42,18 @@
 fn poll(from: u64, next_offset: u64, age_ms: u32, record_count: usize) -> Poll {
     let record = |i| Record { key: format!("t{i}"), value: Some(b"{}".to_vec()) };
     let records = (0..record_count).map(record).collect();
-    Poll { topic: Topic::Targets, era: 1, is_listing: false, from, next_offset, age_ms, records }
+    Poll {
+        topic: Topic::Targets,
+        era: 1,
+        is_listing: false,
+        from,
+        next_offset,
+        end_offset: next_offset,
+        age_ms,
+        records,
+        record_offsets: Vec::new(),
+        heartbeats: Vec::new(),
+    }
 }
 
 fn empty_report() -> LoadReport {
@@ -117,8 +128,9 @@
         |zone: &&str| Record { key: format!("evacuate/{zone}"), value: Some(b"{}".to_vec()) };
     let records = zones.iter().map(record).collect();
     let from = next_offset - zones.len() as u64;
-    let topic = Topic::Config;
-    Poll { topic, era, is_listing: false, from, next_offset, age_ms: 20, records }
+    let count = zones.len();
+    let poll = poll(from, next_offset, 20, count);
+    Poll { topic: Topic::Config, era, records, ..poll }
 }
 
 /// A configuration of 40 KB is too long to be relayed, and so are listings with it. A router that
