--- a/core/src/speed.rs
+++ b/core/src/speed.rs
@@ -257,8 +257,13 @@
     /// Prompt tokens that a target processes per millisecond at the moment. `service_factor` is that
     /// of its service.
     pub fn tokens_per_ms(&self, target: Hash, service_factor: f64, now: Instant) -> f64 {
-        let factor = self.factor(target, service_factor, now) * self.host_scale(target, now);
-        self.nominal_tokens_per_ms / factor
+        self.nominal_tokens_per_ms / self.slowness(target, service_factor, now)
+    }
+
+    /// Time that a target takes at the moment relative to the nominal speed. `service_factor` is that of
+    /// its service.
+    pub fn slowness(&self, target: Hash, service_factor: f64, now: Instant) -> f64 {
+        self.factor(target, service_factor, now) * self.host_scale(target, now)
     }
 
     /// How much longer than usual work takes on the target's host, as it stated lately; 1 if it
--- a/core/tests/even_load.rs
+++ b/core/tests/even_load.rs
@@ -84,7 +84,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Report(usize),
-    FirstEvent { router: usize, target: usize, unread_tokens: u32 },
+    Begin { router: usize, target: usize, unread_tokens: u32 },
     End { router: usize, target: usize },
 }
 
@@ -252,14 +252,14 @@
         let at = begins_at + Duration::from_secs_f64(work_ms / 1e3);
         self.free_at[target] = at;
         let unread_tokens = choice.unread_tokens;
-        self.events.push(Reverse((at, Event::FirstEvent { router, target, unread_tokens })));
+        self.events.push(Reverse((at, Event::Begin { router, target, unread_tokens })));
         self.events.push(Reverse((at + STREAM_TIME, Event::End { router, target })));
         (target, (at - now).as_secs_f64() * 1e3, work_ms, reread_tokens)
     }
 
     fn handle(&mut self, event: Event, now: Instant) {
         match event {
-            Event::FirstEvent { router, target, unread_tokens } => {
+            Event::Begin { router, target, unread_tokens } => {
                 self.routers[router].view.prompt_read(self.hashes[target], unread_tokens);
             }
             Event::End { router, target } => {
--- a/daemon/src/edge/state/speeds.rs
+++ b/daemon/src/edge/state/speeds.rs
@@ -43,16 +43,28 @@
 pub enum ServiceSpeed {
     /// All have this speed, in tokens per ms.
     Nominal(f64),
-    /// They are learned, with this mean factor.
-    Learned(f64),
+    /// They are learned.
+    Learned {
+        /// Speed of a target with the mean factor, in tokens per ms.
+        nominal_tokens_per_ms: f64,
+        /// Mean factor of the service's targets.
+        service_factor: f64,
+    },
 }
 
 impl ServiceSpeed {
-    /// Prompt tokens that a target of the service processes per millisecond.
+    /// Prompt tokens that a target of the service is taken to process per millisecond.
+    ///
+    /// Learned speeds are relative to the mean of the service. The thresholds of admission are in
+    /// milliseconds at the nominal speed; with absolute times, a fleet on which all targets are slower
+    /// admitted less while targets had room.
     pub fn tokens_per_ms(self, speeds: &Speeds, target: Hash, now: Instant) -> f64 {
         match self {
             ServiceSpeed::Nominal(tokens_per_ms) => tokens_per_ms,
-            ServiceSpeed::Learned(factor) => speeds.tokens_per_ms(target, factor, now),
+            ServiceSpeed::Learned { nominal_tokens_per_ms, service_factor } => {
+                let slowness = speeds.slowness(target, service_factor, now);
+                nominal_tokens_per_ms * service_factor / slowness
+            }
         }
     }
 }
@@ -165,7 +177,10 @@
     /// What placement assumes of the speeds of a service's targets.
     pub fn speed(&mut self, service: &Name, now: Instant) -> ServiceSpeed {
         if self.spreads_load(service) {
-            ServiceSpeed::Learned(self.service_factor(service, now))
+            ServiceSpeed::Learned {
+                nominal_tokens_per_ms: self.weights.read_tokens_per_ms,
+                service_factor: self.service_factor(service, now),
+            }
         } else {
             ServiceSpeed::Nominal(self.weights.read_tokens_per_ms)
         }
