--- a/daemon/src/edge/active.rs
+++ b/daemon/src/edge/active.rs
@@ -33,7 +33,7 @@
 use super::queue::{Admission, InFlight};
 use super::reply::Reason;
 use super::request_record::RequestRecord;
-use super::spec::{Placement, Refused, RequestSpec};
+use super::spec::{Placement, RequestSpec};
 use super::traffic::Traffic;
 
 /// Maximum number of attempts until a target answers, including those that weren't run.
@@ -267,7 +267,7 @@
                 self.record.set_refusal(&refused);
                 let retry_after = refused.retry_after_with_jitter();
                 let retry_after = Some(retry_after).filter(|_| !refused.is_quarantined);
-                Err(self.refusal(failed.unwrap_or(refusal_reason(&refused)), retry_after))
+                Err(self.refusal(failed.unwrap_or(Reason::of_refusal(&refused)), retry_after))
             }
         }
     }
@@ -488,15 +488,3 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
-
-fn refusal_reason(refused: &Refused) -> Reason {
-    if refused.is_quarantined {
-        Reason::Quarantined
-    } else if refused.is_evacuated {
-        Reason::Evacuated
-    } else if refused.has_no_target {
-        Reason::NoTarget
-    } else {
-        Reason::Overload
-    }
-}
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -75,6 +75,7 @@
 pub mod retry_counts;
 pub mod serve;
 pub mod service_times;
+pub mod settings_file;
 pub mod spec;
 pub mod state;
 pub mod statements;
@@ -454,7 +455,7 @@
     tokio::spawn(team_counts::log_counts(context.clone()));
     tokio::spawn(retry_counts::log_counts(context.clone()));
     tokio::spawn(operators::serve(context.clone(), operators));
-    let mut watcher = SettingsFile::new(path);
+    let mut watcher = settings_file::SettingsFile::new(path);
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
@@ -485,38 +486,3 @@
         time::sleep(POLL_INTERVAL).await;
     }
 }
-
-/// The settings file and its last modification time.
-struct SettingsFile<'a> {
-    path: &'a path::Path,
-    modified: Option<SystemTime>,
-}
-
-impl SettingsFile<'_> {
-    fn new(path: &path::Path) -> SettingsFile<'_> {
-        let modified = fs::metadata(path).and_then(|meta| meta.modified()).ok();
-        SettingsFile { path, modified }
-    }
-
-    fn reload_if_changed(&mut self, context: &Context) {
-        let modified = fs::metadata(self.path).and_then(|meta| meta.modified()).ok();
-        if modified.is_some() && modified != self.modified {
-            self.modified = modified;
-            self.reload(context, "file changed");
-        }
-    }
-
-    /// Applies changed bounds and the log rate; addresses stay as they were at the start.
-    fn reload(&mut self, context: &Context, cause: &str) {
-        let outcome = match read_settings(self.path) {
-            Ok(settings) => {
-                context.state().set_bounds(&settings.bounds);
-                context.state().set_placement(&settings.placement);
-                context.log.set_rate(settings.log.max_lines_per_s);
-                "applied".to_string()
-            }
-            Err(err) => format!("rejected, keeping the previous settings: {err}"),
-        };
-        context.log.state_change(json!({ "event": "reload", "cause": cause, "outcome": outcome }));
-    }
-}
--- a/daemon/src/edge/reply.rs
+++ b/daemon/src/edge/reply.rs
@@ -9,6 +9,8 @@
 use http_body_util::{BodyExt, Full};
 use quick_error::quick_error;
 
+use super::spec::Refused;
+
 quick_error! {
     /// Error that ends the body of a response early.
     #[derive(Debug)]
@@ -59,6 +61,19 @@
 }
 
 impl Reason {
+    /// The reason for a request that admission refused.
+    pub fn of_refusal(refused: &Refused) -> Reason {
+        if refused.is_quarantined {
+            Reason::Quarantined
+        } else if refused.is_evacuated {
+            Reason::Evacuated
+        } else if refused.has_no_target {
+            Reason::NoTarget
+        } else {
+            Reason::Overload
+        }
+    }
+
     /// Status code for the caller. 429 and 503 mean that the request wasn't run and won't be.
     pub fn status(self) -> StatusCode {
         match self {
