--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -91,7 +91,7 @@
     pub leaving: Vec<Hash>,
     /// Some of the late records in the registry of targets.
     pub late_records: Vec<LateRecord>,
-    /// First events that the sender has seen since its last report with sums, by target.
+    /// First events that the sender has seen since its last full report, by target.
     pub first_events: Vec<FirstEvents>,
 }
 
--- a/daemon/src/edge/load_reports.rs
+++ b/daemon/src/edge/load_reports.rs
@@ -225,6 +225,7 @@
         || !report.limits.is_empty()
         || !report.cleared_parts.is_empty()
         || !report.cleared_requests.is_empty()
+        || !report.first_events.is_empty()
 }
 
 /// Sends the result of a poll to all other routers.
@@ -395,7 +396,8 @@
         cleared_requests: state.quarantine.take_cleared_requests(),
         leaving: if parts.has_sums { state.statements.leaving(now) } else { Vec::new() },
         late_records: if parts.has_sums { late_records(&state) } else { Vec::new() },
-        first_events: if parts.has_sums { state.speeds.take_report(now) } else { Vec::new() },
+        // Sums are also the heartbeats of routers and must not become less frequent for this.
+        first_events: if parts.is_full { state.speeds.take_report(now) } else { Vec::new() },
         limits: if parts.has_changes || parts.has_sums {
             state.target_limits.own_report(parts.has_sums, now)
         } else {
--- a/wire/schema/load.capnp
+++ b/wire/schema/load.capnp
@@ -24,7 +24,7 @@
   ended @18 :List(EndedTarget);
   clearedRequests @19 :List(UInt64); # requests of ended targets that the sender has seen answered
   lateRecords @20 :List(LateRecord); # records of targets that have gone, which lie in the registry
-  firstEvents @21 :List(FirstEvents); # first events since the last report with sums
+  firstEvents @21 :List(FirstEvents); # first events since the last full report
 }
 
 struct FirstEvents {
