Test: the request waits before its route changes

Change: the change follows 100 ms after the request; status, header and the limit of one second stay.

--- a/daemon/tests/edge_under_way.rs
+++ b/daemon/tests/edge_under_way.rs
@@ -130,7 +130,12 @@
         time::sleep(Duration::from_millis(200)).await;
         let began_at = Instant::now();
         let call = edge_kit::call(&fleet.router, edge_kit::request("/book/", "b1", &[]));
-        let (response, ()) = tokio::join!(call, change_config(&fleet, change));
+        let changing = async {
+            // A request that arrives after the change is handled by the new configuration.
+            time::sleep(Duration::from_millis(100)).await;
+            change_config(&fleet, change).await;
+        };
+        let (response, ()) = tokio::join!(call, changing);
         (response, began_at.elapsed())
     };
     tokio::join!(futures_util::future::join_all(running), waiting).1
