Learned speeds need the setting; what targets state of their hosts counts without it

Change: placement uses learned factors only with placement.spread_load. Where targets state the momentary figure, it scales the nominal speed, and first events carry it between routers.

--- a/daemon/src/edge/state.rs
+++ b/daemon/src/edge/state.rs
@@ -83,6 +83,8 @@
     spreads_all: bool,
     /// Services over whose targets load is spread.
     spreading_services: HashMap<Name, speeds::SpreadingCause>,
+    /// Services whose targets have stated how long work takes on their hosts.
+    stating_services: HashSet<Name>,
     spreading_news: Vec<speeds::SpreadingNews>,
     weights: placement::Weights,
     policy: admission::Policy,
@@ -133,6 +135,7 @@
             speeds: Speeds::new(placement::Weights::default().read_tokens_per_ms),
             spreads_all: false,
             spreading_services: HashMap::new(),
+            stating_services: HashSet::new(),
             spreading_news: Vec::new(),
             weights: placement::Weights::default(),
             policy: admission::Policy::default(),
--- a/daemon/src/edge/state/speeds.rs
+++ b/daemon/src/edge/state/speeds.rs
@@ -43,6 +43,8 @@
 pub enum ServiceSpeed {
     /// All have this speed, in tokens per ms.
     Nominal(f64),
+    /// They are what the targets state of their hosts, relative to this speed in tokens per ms.
+    Stated(f64),
     /// They are learned.
     Learned {
         /// Speed of a target with the mean factor, in tokens per ms.
@@ -61,6 +63,7 @@
     pub fn tokens_per_ms(self, speeds: &Speeds, target: Hash, now: Instant) -> f64 {
         match self {
             ServiceSpeed::Nominal(tokens_per_ms) => tokens_per_ms,
+            ServiceSpeed::Stated(tokens_per_ms) => tokens_per_ms / speeds.host_scale(target, now),
             ServiceSpeed::Learned { nominal_tokens_per_ms, service_factor } => {
                 let slowness = speeds.slowness(target, service_factor, now);
                 nominal_tokens_per_ms * service_factor / slowness
@@ -89,6 +92,12 @@
         self.spreads_all || self.spreading_services.contains_key(service)
     }
 
+    /// Whether what the first events show of a service's targets is kept and exchanged: the settings
+    /// say so, or the targets state figures of their hosts, which are exchanged with it.
+    fn exchanges_first_events(&self, service: &str) -> bool {
+        self.spreads_all || self.stating_services.contains(service)
+    }
+
     /// Services for which [`RouterState::spreads_load`] holds since the last call.
     pub fn take_spreading_news(&mut self) -> Vec<SpreadingNews> {
         std::mem::take(&mut self.spreading_news)
@@ -112,6 +121,9 @@
     }
 
     fn begin_spreading(&mut self, service: &Name, cause: SpreadingCause) {
+        if cause == SpreadingCause::Target && !self.stating_services.contains(service) {
+            self.stating_services.insert(service.clone());
+        }
         if !self.spreading_services.contains_key(service) {
             self.spreading_services.insert(service.clone(), cause);
             self.spreading_news.push((service.clone(), cause));
@@ -147,11 +159,11 @@
     /// Records the time from sending to the first event of a request with a prompt.
     pub fn record_first_event(&mut self, placement: &Placement, time: Duration, now: Instant) {
         let service = &placement.target.service;
-        if !self.spreads_load(service) {
+        let uses_learned_speeds = self.spreads_all;
+        if !uses_learned_speeds {
             self.times.record_first_event(placement, time);
-            return;
         }
-        if placement.timing.is_unproven {
+        if !self.exchanges_first_events(service) || placement.timing.is_unproven {
             return;
         }
         let time_ms = time.as_secs_f64() * 1e3;
@@ -164,7 +176,9 @@
         };
         let service_factor = self.service_factor(service, now);
         self.speeds.record(placement.hash, &observation, service_factor, now);
-        self.times.record_fixed_time(placement, time);
+        if uses_learned_speeds {
+            self.times.record_fixed_time(placement, time);
+        }
     }
 
     /// Mean factor of the targets of a service; see [`Speeds`].
@@ -175,8 +189,13 @@
     }
 
     /// What placement assumes of the speeds of a service's targets.
+    ///
+    /// Learned speeds are used only if the settings say so: in trials on two fleets they moved prompts
+    /// away from the targets that had them cached, and fewer requests were served.
     pub fn speed(&mut self, service: &Name, now: Instant) -> ServiceSpeed {
-        if self.spreads_load(service) {
+        if !self.spreads_all && self.stating_services.contains(service) {
+            ServiceSpeed::Stated(self.weights.read_tokens_per_ms)
+        } else if self.spreads_all {
             ServiceSpeed::Learned {
                 nominal_tokens_per_ms: self.weights.read_tokens_per_ms,
                 service_factor: self.service_factor(service, now),
@@ -191,7 +210,7 @@
         let learned_scale = self.speeds.host_scale(target, now);
         Timing {
             fixed_ms: self.times.mean_extra_ms(service),
-            host_scale: if self.spreads_load(service) { learned_scale } else { 1.0 },
+            host_scale: if self.exchanges_first_events(service) { learned_scale } else { 1.0 },
             is_unproven: self.health.is_unproven(target),
         }
     }
--- a/daemon/tests/edge_speed.rs
+++ b/daemon/tests/edge_speed.rs
@@ -79,8 +79,10 @@
 }
 
 /// The routers r1 and r2; r2's state. `m1` takes twice the nominal time at r1, `m2` half of it.
-async fn exchange(percent: Option<u32>) -> (LoadReport, RouterState) {
+async fn exchange(percent: Option<u32>, spread_load: bool) -> (LoadReport, RouterState) {
+    let placement = edge::EdgePlacement { spread_load };
     let first = edge_context::context(io::sink());
+    first.state().set_placement(&placement);
     add_targets(&mut first.state());
     for _ in 0..30 {
         time::advance(Duration::from_millis(100)).await;
@@ -98,6 +100,7 @@
     let (report, _) = load_reports::compose(&first, 1, SUMS);
     let report = load::decode(&load::encode(&report)).unwrap();
     let mut second = RouterState::new("r2".into(), &edge_context::bounds(), 2);
+    second.set_placement(&placement);
     add_targets(&mut second);
     second.apply_report(report.clone(), Instant::now());
     (report, second)
@@ -105,7 +108,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn another_router_chooses_and_predicts_by_what_one_has_seen() {
-    let (report, mut second) = exchange(Some(100)).await;
+    let (report, mut second) = exchange(Some(100), true).await;
     assert_eq!(report.first_events.len(), 2, "one line per target");
     assert!(second.spreads_load("model"));
     let news = second.take_spreading_news();
@@ -124,10 +127,23 @@
     );
 }
 
+/// Learned speeds served fewer requests in trials, so they need the setting; what targets state of
+/// their hosts counts without it.
+#[tokio::test(start_paused = true)]
+async fn without_the_setting_only_what_targets_state_counts() {
+    let (report, mut second) = exchange(Some(200), false).await;
+    assert_eq!(report.first_events.len(), 2, "they carry the figures of the hosts");
+    for other in ["m1", "m2"] {
+        let placement = decide(&mut second, &[target(other)]);
+        let read_ms = f64::from(PROMPT_TOKENS) / 20.0;
+        assert!((placement.choice.read_ms - read_ms).abs() < 1.0, "{}", placement.choice.read_ms);
+    }
+}
+
 /// Deployments whose targets state nothing must be served as before.
 #[tokio::test(start_paused = true)]
 async fn without_statement_and_setting_nothing_is_learned() {
-    let (report, mut second) = exchange(None).await;
+    let (report, mut second) = exchange(None, false).await;
     assert!(report.first_events.is_empty());
     assert!(!second.spreads_load("model"));
     for other in ["m1", "m2"] {
