Even load: a rate for cold targets no longer calls for the random sample

Change: the sample takes effect with the setting or where targets state the momentary figure of their hosts.

--- a/daemon/src/edge/state/speeds.rs
+++ b/daemon/src/edge/state/speeds.rs
@@ -22,9 +22,6 @@
     Setting,
     /// A target has stated how long work takes on its host.
     Target,
-    /// The configuration names a rate that cold targets of the service tolerate: one that is overrun
-    /// then fails.
-    ColdRate,
 }
 
 impl SpreadingCause {
@@ -33,7 +30,6 @@
         match self {
             SpreadingCause::Setting => "setting",
             SpreadingCause::Target => "target",
-            SpreadingCause::ColdRate => "cold rate",
         }
     }
 }
@@ -103,23 +99,16 @@
         std::mem::take(&mut self.spreading_news)
     }
 
-    /// Begins spreading for the known services for which the settings or the configuration call for it.
-    pub fn begin_spreading_all(&mut self) {
-        let services = self.by_service.keys().cloned().collect::<Vec<_>>();
-        for service in services {
-            if self.spreads_all {
+    /// Begins spreading for all known services if the settings say so.
+    pub(super) fn begin_spreading_all(&mut self) {
+        if self.spreads_all {
+            let services = self.by_service.keys().cloned().collect::<Vec<_>>();
+            for service in services {
                 self.begin_spreading(&service, SpreadingCause::Setting);
-            } else if self.has_cold_rate(&service) {
-                self.begin_spreading(&service, SpreadingCause::ColdRate);
             }
         }
     }
 
-    fn has_cold_rate(&self, service: &str) -> bool {
-        let service = self.table.as_ref().and_then(|table| table.service(service));
-        service.is_some_and(|service| service.cold_per_s > 0.0)
-    }
-
     fn begin_spreading(&mut self, service: &Name, cause: SpreadingCause) {
         if cause == SpreadingCause::Target && !self.stating_services.contains(service) {
             self.stating_services.insert(service.clone());
--- a/daemon/src/edge/store_sync.rs
+++ b/daemon/src/edge/store_sync.rs
@@ -77,7 +77,6 @@
         state.cold.set_services(table.services());
     }
     let old_table = if is_newer { state.table.replace(table) } else { Some(table) };
-    state.begin_spreading_all();
     drop(state);
     super::log_cold(context);
     // Requests wait for the state, and dropping a large table takes time.
