Review, case 9: streams whose ids increase by more than one

A server that numbers its events by the tokens in them is taken for one that leaves events out: no stream comes whole, and a client that takes its stream up gets nothing.

--- a/review/stand-ins-2/tests/fleet.rs
+++ b/review/stand-ins-2/tests/fleet.rs
@@ -469,6 +469,16 @@
 /// What all servers have received.
 pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
 
+/// How a server numbers and sends the events of its streams.
+#[derive(Clone, Copy)]
+pub struct Numbering {
+    /// Difference between the ids of two events; the first event has this id.
+    pub step: u64,
+    pub event_count: u64,
+    /// Time that an event takes.
+    pub pace: Duration,
+}
+
 /// An extra answer that a faulty server sends after a complete one.
 pub struct Stray {
     pub bytes: Vec<u8>,
@@ -481,6 +491,7 @@
     /// Part of the requests that fail with 500 after they have run, in percent.
     fail_percent: AtomicU32,
     stray: Mutex<Option<Stray>>,
+    numbering: Mutex<Option<Numbering>>,
     answer_count: AtomicU64,
     stray_count: AtomicU64,
     is_beating: AtomicBool,
@@ -525,6 +536,7 @@
                 work,
                 fail_percent: AtomicU32::new(0),
                 stray: Mutex::default(),
+                numbering: Mutex::default(),
                 answer_count: AtomicU64::new(0),
                 stray_count: AtomicU64::new(0),
                 is_beating: AtomicBool::new(true),
@@ -581,6 +593,11 @@
         *lock(&self.state.stray) = stray;
     }
 
+    /// Sends streams event by event from now on.
+    pub fn set_numbering(&self, numbering: Numbering) {
+        *lock(&self.state.numbering) = Some(numbering);
+    }
+
     /// Number of answers, and of extra answers.
     pub fn answer_counts(&self) -> (u64, u64) {
         let load = |count: &AtomicU64| count.load(Ordering::SeqCst);
@@ -622,6 +639,14 @@
                     return;
                 }
             }
+            let numbering = *lock(&self.state.numbering);
+            let is_stream = request.second_word().starts_with("/brief/");
+            if let Some(numbering) = numbering.filter(|_| is_meant && is_stream) {
+                if self.send_events(&mut channel, &request, &attempt, numbering).is_err() {
+                    return;
+                }
+                continue;
+            }
             let bytes = if is_meant {
                 thread::sleep(self.state.work);
                 let percent = self.state.fail_percent.load(Ordering::SeqCst);
@@ -629,7 +654,6 @@
                 let status =
                     if draw < percent.into() { "500 Internal Server Error" } else { "200 OK" };
                 let headers = [("Attempt-Id", attempt.as_str()), ("Server-Stamp", "3e1b.07")];
-                let is_stream = request.second_word().starts_with("/brief/");
                 let body =
                     if is_stream { events() } else { format!("done by {}", self.id).into_bytes() };
                 answer(status, &headers, &body)
@@ -643,6 +667,32 @@
             stray = self.stray_after();
         }
     }
+
+    /// Sends a stream event by event, from the one after `Last-Event-Id` on.
+    fn send_events(
+        &self,
+        channel: &mut Channel,
+        request: &Message,
+        attempt: &str,
+        numbering: Numbering,
+    ) -> io::Result<()> {
+        thread::sleep(self.state.work);
+        let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let first = last.unwrap_or(0) / numbering.step + 1;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+             Attempt-Id: {attempt}\r\nServer-Stamp: 3e1b.07\r\n\r\n"
+        );
+        channel.write(head.as_bytes())?;
+        for number in first..=numbering.event_count {
+            thread::sleep(numbering.pace);
+            let event = format!("id: {}\ndata: event {number}\n\n", number * numbering.step);
+            channel.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        }
+        channel.write(b"0\r\n\r\n")?;
+        self.record.add(format!("server {}: has sent all events of {attempt}", self.id));
+        Ok(())
+    }
 }
 
 /// Number of events of a stream, and their size in bytes: the largest of the kind `dossier-appeal` in
