--- a/review/stand-ins-2/tests/fleet.rs
+++ b/review/stand-ins-2/tests/fleet.rs
@@ -7,6 +7,7 @@
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::panic;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -83,7 +84,9 @@
 pub fn main_of(run: impl FnOnce(&Record) -> Result<(bool, String), String>) -> ! {
     let record = Record::new();
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_string());
-    let result = run(&record);
+    // A case that ends by a panic couldn't run.
+    let result = panic::catch_unwind(panic::AssertUnwindSafe(|| run(&record)));
+    let result = result.unwrap_or_else(|_| Err("the script panicked".to_string()));
     let (code, text) = match result {
         Ok((true, text)) => (BROKEN, format!("BROKEN: {text}")),
         Ok((false, text)) => (HELD, format!("HELD: {text}")),
