Log and count connections that end with an error

Errors of idle connections and of those that linger were dropped.

Change: the first error of each connection to a caller or target is counted by peer and cause. A timeout, where this host has given the peer up, is logged.

--- a/daemon/src/edge/connections.rs
+++ b/daemon/src/edge/connections.rs
@@ -14,6 +14,7 @@
 use std::mem::MaybeUninit;
 use std::pin::{self, Pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{self, Poll};
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
 use tokio::sync::Notify;
 use tokio::time::{self, Instant};
 
+use super::Context;
+use super::connection_errors::{ErrorRecorder, PeerKind};
 use super::linger::{LINGER_TIME, LingeringStream};
 use super::reply::{Body, BodyError};
 
@@ -237,12 +240,18 @@
 pub struct Stream {
     inner: LingeringStream<TcpStream>,
     connection: Rc<Connection>,
+    errors: ErrorRecorder,
 }
 
 impl Stream {
     /// Wraps the socket of a connection.
-    pub fn new(socket: TcpStream, connection: Rc<Connection>) -> Stream {
-        Stream { inner: LingeringStream::new(socket), connection }
+    pub fn new(socket: TcpStream, connection: Rc<Connection>, context: Arc<Context>) -> Stream {
+        let addr = socket.peer_addr().ok();
+        Stream {
+            inner: LingeringStream::new(socket),
+            connection,
+            errors: ErrorRecorder::new(context, PeerKind::Caller, addr),
+        }
     }
 
     /// Whether the socket has unread bytes, also if the runtime doesn't know yet.
@@ -261,6 +270,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let poll = self.errors.check(poll);
         let has_read = buf.filled().len() > before;
         let has_unread = poll.is_pending() && self.connection.is_closing.get() && self.has_unread();
         self.connection.update(|state| {
@@ -277,7 +287,8 @@
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        let poll = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.errors.check(poll)
     }
 
     fn poll_write_vectored(
@@ -285,7 +296,8 @@
         cx: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
+        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, slices);
+        self.errors.check(poll)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -302,6 +314,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        let poll = Pin::new(&mut self.inner).poll_shutdown(cx);
+        self.errors.check(poll)
     }
 }
--- a/daemon/src/edge/linger.rs
+++ b/daemon/src/edge/linger.rs
@@ -41,13 +41,13 @@
 
 impl<S: AsyncRead + Unpin> LingeringStream<S> {
     /// Reads and drops bytes until the peer closes its direction or the connection fails.
-    fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> Poll<()> {
+    fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
         let mut bytes = [0; DISCARD_BYTES];
         loop {
             let mut buf = ReadBuf::new(&mut bytes);
-            let result = task::ready!(Pin::new(&mut self.inner).poll_read(cx, &mut buf));
-            if result.is_err() || buf.filled().is_empty() {
-                return Poll::Ready(());
+            task::ready!(Pin::new(&mut self.inner).poll_read(cx, &mut buf))?;
+            if buf.filled().is_empty() {
+                return Poll::Ready(Ok(()));
             }
         }
     }
@@ -93,8 +93,8 @@
             task::ready!(Pin::new(&mut self.inner).poll_shutdown(cx))?;
             self.linger = Some(Box::pin(time::sleep(LINGER_TIME)));
         }
-        if self.poll_discard(cx).is_ready() {
-            return Poll::Ready(Ok(()));
+        if let Poll::Ready(result) = self.poll_discard(cx) {
+            return Poll::Ready(result);
         }
         match &mut self.linger {
             Some(linger) => linger.as_mut().poll(cx).map(Ok),
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -52,6 +52,7 @@
 pub mod attempt;
 pub mod buffered;
 pub mod buffers;
+pub mod connection_errors;
 pub mod connections;
 pub mod crash;
 pub mod decisions;
--- a/daemon/src/edge/operators.rs
+++ b/daemon/src/edge/operators.rs
@@ -21,6 +21,7 @@
     outcomes: Mutex<HashMap<&'static str, metrics::Counter>>,
     retries: Mutex<HashMap<(Name, bool), metrics::Counter>>,
     resumptions: Mutex<HashMap<(&'static str, &'static str), metrics::Counter>>,
+    connection_errors: Mutex<HashMap<(&'static str, &'static str), metrics::Counter>>,
     /// Requests that ended later than their deadline allows.
     pub overdue_requests: metrics::Counter,
     /// Calls to the store.
@@ -108,6 +109,7 @@
             outcomes: Mutex::default(),
             retries: Mutex::default(),
             resumptions: Mutex::default(),
+            connection_errors: Mutex::default(),
             telemetry,
         }
     }
@@ -158,6 +160,16 @@
         counter.increment(1);
     }
 
+    /// Counts a connection that ended with an error, by its peer and the cause.
+    pub fn count_connection_error(&self, peer: &'static str, cause: &'static str) {
+        let mut errors = self.connection_errors.lock().unwrap_or_else(PoisonError::into_inner);
+        let counter = errors.entry((peer, cause)).or_insert_with(|| {
+            let labels = [("peer", peer), ("cause", cause)];
+            self.telemetry.labelled_counter("gentianhinge_connection_errors_total", &labels)
+        });
+        counter.increment(1);
+    }
+
     /// Counts a retry that was sent, or denied as the budget of its service had no room for it.
     pub fn count_retry(&self, service: &Name, is_sent: bool) {
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -232,10 +232,10 @@
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(IdleTimer::new(context))
+        .timer(IdleTimer::new(context.clone()))
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
-    let stream = rt::TokioIo::new(Stream::new(stream, connection.clone()));
+    let stream = rt::TokioIo::new(Stream::new(stream, connection.clone(), context));
     let mut served = pin::pin!(builder.serve_connection(stream, service));
     tokio::select! {
         // Errors of the connection are handled by the request in progress.
--- a/daemon/src/edge/traffic.rs
+++ b/daemon/src/edge/traffic.rs
@@ -60,9 +60,9 @@
     /// Creates the state of a traffic thread without requests.
     pub fn new(context: Arc<Context>, queue: Rc<Queue>, bounds: Bounds) -> Traffic {
         Traffic {
+            upstream: Upstream::new(context.clone()),
             context,
             queue,
-            upstream: Upstream::default(),
             request_buffers: BufferBudget::new(bounds.memory_mb, REQUEST_MEMORY_PART),
             response_buffers: BufferBudget::new(bounds.memory_mb, RESPONSE_MEMORY_PART),
             inherits_options: OnceCell::new(),
