Don't end connections whose peers read slowly

The other direction broke as well: an upload that a target read slowly ended in 502 after 3 s, though the order may have run.

Cause: TCP_USER_TIMEOUT of 3 s, which detects peers that are gone. The kernel also counts the time for which a peer answers each probe of its receive window but keeps the window closed.

In a trial, TCP_INFO of such a connection showed no segment in flight, 24,576 unsent bytes and no unanswered probe; of a peer behind a filter that drops everything, segments in flight, or probes that stay unanswered.

Change: a watch samples TCP_INFO of the connections with unacknowledged data each half second. It lifts the kernel's timeout at its first sight of a connection, and ends those whose peers have left what was sent unanswered for 3 s. A caller has until its deadline to read its answer, and the rest of an abandoned request is dropped at the close. The time since the last acknowledgment isn't used alone, since probes of a closed window get rarer: 6.7 s were seen between two answered ones. Where the kernel doesn't count segments, its timeout stays as it was.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -61,3 +61,4 @@
 pub mod stream_versions;
 pub mod table;
 pub mod target_limit;
+pub mod tcp_peer;
--- a/daemon/src/edge/connection_errors.rs
+++ b/daemon/src/edge/connection_errors.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 
+use gentianhinge_core::tcp_peer::Sample;
 use serde_json::json;
 
 use super::Context;
@@ -56,7 +57,28 @@
         poll
     }
 
-    /// A timeout is logged as well: this host gave the peer up, while other errors are the peer's doing.
+    /// Records that this router ends the connection, and why.
+    pub fn record_end(&self, cause: &'static str, sample: &Sample) {
+        if !self.has_error.replace(true) {
+            self.context.metrics.count_connection_error(self.kind.name(), cause);
+            self.log(cause, Some(sample));
+        }
+    }
+
+    /// Logs what has become of the connection.
+    pub fn log(&self, outcome: &str, sample: Option<&Sample>) {
+        self.context.log.state_change(json!({
+            "event": "connection", "peer": self.kind.name(), "outcome": outcome,
+            "addr": self.addr.map(|addr| addr.to_string()),
+            "in_flight_segments": sample.map(|sample| sample.in_flight_segments),
+            "unsent_bytes": sample.map(|sample| sample.unsent_bytes),
+            "unanswered_probes": sample.map(|sample| sample.unanswered_probes),
+            "since_ack_ms": sample.map(|sample| sample.since_ack.as_millis() as u64),
+        }));
+    }
+
+    /// A timeout is logged as well: the kernel gave the peer up, while other errors are the peer's
+    /// doing.
     fn record(&self, err: &io::Error) {
         if self.has_error.replace(true) {
             return;
@@ -68,10 +90,7 @@
         };
         self.context.metrics.count_connection_error(self.kind.name(), cause);
         if cause == "timeout" {
-            self.context.log.state_change(json!({
-                "event": "connection", "peer": self.kind.name(), "outcome": "timeout",
-                "addr": self.addr.map(|addr| addr.to_string()), "cause": err.to_string(),
-            }));
+            self.log(cause, None);
         }
     }
 }
--- a/daemon/src/edge/connections.rs
+++ b/daemon/src/edge/connections.rs
@@ -14,7 +14,6 @@
 use std::mem::MaybeUninit;
 use std::pin::{self, Pin};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{self, Poll};
 use std::time::Duration;
 
@@ -25,13 +24,11 @@
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{self, Instant};
 
-use super::Context;
-use super::connection_errors::{ErrorRecorder, PeerKind};
 use super::linger::{LINGER_TIME, LingeringStream};
+use super::peer_watch::WatchedStream;
 use super::reply::{Body, BodyError};
 
 /// Time that the caller of a new connection has to send its first request, if the shutdown closes
@@ -238,26 +235,20 @@
 /// Stream of a connection, which records its progress.
 #[derive(Debug)]
 pub struct Stream {
-    inner: LingeringStream<TcpStream>,
+    inner: LingeringStream,
     connection: Rc<Connection>,
-    errors: ErrorRecorder,
 }
 
 impl Stream {
-    /// Wraps the socket of a connection.
-    pub fn new(socket: TcpStream, connection: Rc<Connection>, context: Arc<Context>) -> Stream {
-        let addr = socket.peer_addr().ok();
-        Stream {
-            inner: LingeringStream::new(socket),
-            connection,
-            errors: ErrorRecorder::new(context, PeerKind::Caller, addr),
-        }
+    /// Wraps the stream of a connection.
+    pub fn new(stream: WatchedStream, connection: Rc<Connection>) -> Stream {
+        Stream { inner: LingeringStream::new(stream), connection }
     }
 
     /// Whether the socket has unread bytes, also if the runtime doesn't know yet.
     fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(self.inner.get_ref()).peek(&mut byte);
+        let peeked = socket2::SockRef::from(self.inner.get_ref().socket()).peek(&mut byte);
         peeked.is_ok_and(|len| len > 0)
     }
 }
@@ -270,7 +261,6 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
-        let poll = self.errors.check(poll);
         let has_read = buf.filled().len() > before;
         let has_unread = poll.is_pending() && self.connection.is_closing.get() && self.has_unread();
         self.connection.update(|state| {
@@ -287,8 +277,7 @@
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write(cx, bytes);
-        self.errors.check(poll)
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -296,8 +285,7 @@
         cx: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, slices);
-        self.errors.check(poll)
+        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -314,7 +302,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
-        let poll = Pin::new(&mut self.inner).poll_shutdown(cx);
-        self.errors.check(poll)
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/daemon/src/edge/handle.rs
+++ b/daemon/src/edge/handle.rs
@@ -24,7 +24,7 @@
 use super::request_record::RequestRecord;
 use super::spec::{Identity, RequestSpec, Resumption};
 use super::traffic::Traffic;
-use super::{Context, Phase, panics, request_body, response_limits};
+use super::{Context, Phase, linger, panics, request_body, response_limits};
 
 /// `Retry-After` of a request that a configuration may allow which this router hasn't read.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -35,6 +35,17 @@
 /// Time for which the body of a refused request is read before the refusal is sent.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
+/// Deadline of a request, in its response.
+#[derive(Clone, Copy, Debug)]
+struct Deadline(Instant);
+
+/// When the caller must have read a response: at the deadline of its request, but it has a moment in
+/// any case.
+pub fn read_by(response: &http::Response<Body>, now: Instant) -> Instant {
+    let deadline = response.extensions().get::<Deadline>();
+    deadline.map_or(now, |deadline| deadline.0).max(now + linger::LINGER_TIME)
+}
+
 /// Handles one request. Errors and panics become responses, too.
 pub async fn handle(
     traffic: Rc<Traffic>,
@@ -61,7 +72,11 @@
                 last_event_id: caller_head.last_event_id,
                 stream: caller_head.resumes.as_deref().map(Name::from),
             };
-            answer(ActiveRequest::new(traffic.clone(), request, spec, record, resumption)).await
+            let deadline = Deadline(request.deadline);
+            let active = ActiveRequest::new(traffic.clone(), request, spec, record, resumption);
+            let mut response = answer(active).await;
+            response.extensions_mut().insert(deadline);
+            response
         }
         Err(Rejection { reason, retry_after, leaves_body }) => {
             let mut response = refuse(&mut record, reason, &caller_head.request_id, retry_after);
--- a/daemon/src/edge/linger.rs
+++ b/daemon/src/edge/linger.rs
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time;
 
+use super::peer_watch::WatchedStream;
+
 /// Time for which a caller may take to read the last answer and to close the connection.
 pub const LINGER_TIME: Duration = Duration::from_secs(2);
 
@@ -21,25 +23,23 @@
 
 /// A stream whose shutdown waits until the peer has closed its direction, for a limited time.
 #[derive(Debug)]
-pub struct LingeringStream<S> {
-    inner: S,
+pub struct LingeringStream {
+    inner: WatchedStream,
     /// Set once the write direction is closed.
     linger: Option<Pin<Box<time::Sleep>>>,
 }
 
-impl<S> LingeringStream<S> {
+impl LingeringStream {
     /// Wraps a stream.
-    pub fn new(inner: S) -> LingeringStream<S> {
+    pub fn new(inner: WatchedStream) -> LingeringStream {
         LingeringStream { inner, linger: None }
     }
 
     /// The wrapped stream.
-    pub fn get_ref(&self) -> &S {
+    pub fn get_ref(&self) -> &WatchedStream {
         &self.inner
     }
-}
 
-impl<S: AsyncRead + Unpin> LingeringStream<S> {
     /// Reads and drops bytes until the peer closes its direction or the connection fails.
     fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
         let mut bytes = [0; DISCARD_BYTES];
@@ -53,7 +53,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for LingeringStream<S> {
+impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -63,7 +63,7 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for LingeringStream<S> {
+impl AsyncWrite for LingeringStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut task::Context<'_>,
--- a/daemon/src/edge/mod.rs
+++ b/daemon/src/edge/mod.rs
@@ -67,6 +67,7 @@
 pub mod load_reports;
 pub mod operators;
 pub mod panics;
+pub mod peer_watch;
 pub mod polls;
 pub mod queue;
 pub mod relay;
--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -12,7 +12,6 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::buffers::BufferBudget;
-use super::connection_errors::ErrorRecorder;
 
 /// Maximum size of a response head, including interim responses. Decoding them takes time from other
 /// requests, up to the deadline of a request if its target never comes to an answer.
@@ -42,13 +41,12 @@
 pub struct LimitedStream<S> {
     inner: S,
     read_limit: ReadLimit,
-    errors: ErrorRecorder,
 }
 
 impl<S> LimitedStream<S> {
     /// Wraps a connection.
-    pub fn new(inner: S, read_limit: ReadLimit, errors: ErrorRecorder) -> LimitedStream<S> {
-        LimitedStream { inner, read_limit, errors }
+    pub fn new(inner: S, read_limit: ReadLimit) -> LimitedStream<S> {
+        LimitedStream { inner, read_limit }
     }
 }
 
@@ -60,7 +58,6 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
-        let poll = self.errors.check(poll);
         let remaining = self.read_limit.0.get().checked_sub(buf.filled().len() - before);
         match remaining {
             Some(remaining) => self.read_limit.0.set(remaining),
@@ -78,8 +75,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write(cx, bytes);
-        self.errors.check(poll)
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -87,8 +83,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, slices);
-        self.errors.check(poll)
+        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
     }
 
     // Without this, the body of each request is copied.
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -22,6 +22,7 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use super::connection_errors::PeerKind;
 use super::connections::{Connection, Stream, TrackedBody};
 use super::idle::IdleTimer;
 use super::queue::Queue;
@@ -75,6 +76,8 @@
     let connection_permits = traffic.permits.clone();
     let expiring = traffic.clone();
     task::spawn_local(async move { expiring.upstream.close_expired().await });
+    let watching = traffic.clone();
+    task::spawn_local(async move { watching.peer_watch.run().await });
     task::spawn_local(lag::run(context.clone()));
     task::spawn_local(serve_readiness(context.clone(), TcpListener::from_std(readiness)?));
     let callers = TcpListener::from_std(callers)?;
@@ -221,21 +224,26 @@
     let limits = traffic.context.state().table.as_ref().map(|table| table.limits);
     let limits = limits.unwrap_or_default();
     let context = traffic.context.clone();
+    let stream = traffic.peer_watch.add(stream, PeerKind::Caller);
+    let watched = stream.watched().clone();
     let mut phase = context.phase.subscribe();
     let requests = connection.clone();
     let service = service::service_fn(move |request| {
         let (traffic, open_request) = (traffic.clone(), requests.begin_request());
+        let watched = watched.clone();
+        watched.set_read_by(None);
         async move {
             let response = handle::handle(traffic, request).await;
+            watched.set_read_by(Some(handle::read_by(&response, Instant::now())));
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
         }
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(IdleTimer::new(context.clone()))
+        .timer(IdleTimer::new(context))
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
-    let stream = rt::TokioIo::new(Stream::new(stream, connection.clone(), context));
+    let stream = rt::TokioIo::new(Stream::new(stream, connection.clone()));
     let mut served = pin::pin!(builder.serve_connection(stream, service));
     tokio::select! {
         // Errors of the connection are handled by the request in progress.
--- a/daemon/src/edge/traffic.rs
+++ b/daemon/src/edge/traffic.rs
@@ -14,6 +14,7 @@
 use super::Context;
 use super::buffers::BufferBudget;
 use super::connections::Connections;
+use super::peer_watch::PeerWatch;
 use super::queue::Queue;
 use super::upstream::Upstream;
 
@@ -41,6 +42,8 @@
     pub context: Arc<Context>,
     /// Requests waiting for a target.
     pub queue: Rc<Queue>,
+    /// Watch over the connections to callers and targets.
+    pub peer_watch: Rc<PeerWatch>,
     /// Connection pool for targets.
     pub upstream: Upstream,
     /// Memory budget for bodies of requests.
@@ -59,8 +62,10 @@
 impl Traffic {
     /// Creates the state of a traffic thread without requests.
     pub fn new(context: Arc<Context>, queue: Rc<Queue>, bounds: Bounds) -> Traffic {
+        let peer_watch = Rc::new(PeerWatch::new(context.clone()));
         Traffic {
-            upstream: Upstream::new(context.clone()),
+            upstream: Upstream::new(peer_watch.clone()),
+            peer_watch,
             context,
             queue,
             request_buffers: BufferBudget::new(bounds.memory_mb, REQUEST_MEMORY_PART),
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,8 +17,8 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
-use super::Context;
-use super::connection_errors::{ErrorRecorder, PeerKind};
+use super::connection_errors::PeerKind;
+use super::peer_watch::PeerWatch;
 use super::response_limits::{LimitedStream, ReadLimit};
 
 /// Connect timeout: some round trips and one lost packet.
@@ -118,14 +118,14 @@
 /// Pool of idle connections, by target.
 #[derive(Debug)]
 pub struct Upstream {
-    context: Arc<Context>,
+    peer_watch: Rc<PeerWatch>,
     idle: RefCell<HashMap<Hash, Vec<IdleConnection>>>,
 }
 
 impl Upstream {
-    /// Creates an empty pool.
-    pub fn new(context: Arc<Context>) -> Upstream {
-        Upstream { context, idle: RefCell::default() }
+    /// Creates an empty pool, whose connections are watched.
+    pub fn new(peer_watch: Rc<PeerWatch>) -> Upstream {
+        Upstream { peer_watch, idle: RefCell::default() }
     }
 
     /// Sends a request and waits for the response head, without a timeout. A pooled connection for
@@ -184,8 +184,8 @@
         let stream = stream.map_err(|err| SendError::Unreachable(err.to_string()))?;
         let read_limit = ReadLimit::default();
         read_limit.limit_head();
-        let errors = ErrorRecorder::new(self.context.clone(), PeerKind::Target, Some(target.addr));
-        let stream = LimitedStream::new(stream, read_limit.clone(), errors);
+        let stream = self.peer_watch.add(stream, PeerKind::Target);
+        let stream = LimitedStream::new(stream, read_limit.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUF_BYTES)
             .handshake(rt::TokioIo::new(stream))
--- a/daemon/tests/edge_kit/store.rs
+++ b/daemon/tests/edge_kit/store.rs
@@ -217,6 +217,15 @@
         self.put_config_with(version, Duration::from_millis(4000), service, extra_count);
     }
 
+    /// Appends the newest configuration again, with changes.
+    pub fn change_config(&self, version: u64, change: impl FnOnce(&mut serde_json::Value)) {
+        let (_, newest) = self.backup()["keyed.op"].last().unwrap().clone();
+        let mut config = serde_json::from_slice::<serde_json::Value>(&newest).unwrap();
+        config["version"] = version.into();
+        change(&mut config);
+        self.put("keyed.op", "config", config.to_string());
+    }
+
     fn put_config_of(&self, version: u64, timeout: Duration, service: serde_json::Value) {
         self.put_config_with(version, timeout, service, 0);
     }
--- a/daemon/tests/edge_slow_callers.rs
+++ b/daemon/tests/edge_slow_callers.rs
@@ -8,6 +8,7 @@
 
 use edge_kit::{KEY, Router, Store, raw};
 use futures_util::future;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{self, Instant};
@@ -21,6 +22,19 @@
 /// Time for which a caller reads 1 KB/s, longer than any time limit of a connection.
 const SLOW_TIME: Duration = Duration::from_secs(8);
 
+/// Last chunk of a complete body.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+/// Deadline of callers that don't read.
+const DEADLINE: Duration = Duration::from_secs(6);
+
+/// Time for which a peer that is gone may go unnoticed: what is sent stays unanswered for 3 s, and is
+/// checked each half second from the write on.
+const GONE_TIME: Duration = Duration::from_secs(4);
+
+/// Time that a step may take longer on a busy machine.
+const SLACK: Duration = Duration::from_millis(700);
+
 /// Memory of the process in the settings, in kB.
 const MEMORY_KB: u64 = 256_000;
 
@@ -36,6 +50,12 @@
     addr
 }
 
+/// Path of requests for a stream that the buffers of the sockets hold, but not the receiver's alone.
+const SHORT_STREAM: &str = "/brief/short";
+
+/// Number of events of a short stream.
+const SHORT_COUNT: usize = 60;
+
 /// Sends a large response, or a stream of as many bytes, as fast as it is read.
 async fn serve(mut stream: TcpStream) {
     let Some(head) = raw::read_request(&mut stream).await else { return };
@@ -46,7 +66,9 @@
         format!("Content-Length: {RESPONSE_BYTES}\r\nConnection: close\r\n")
     };
     stream.write_all(raw::response_head(&head, &lines).as_bytes()).await.ok();
-    for id in 1..=RESPONSE_BYTES / EVENT_BYTES {
+    let is_short = head.starts_with(&format!("POST {SHORT_STREAM}"));
+    let count = if is_short { SHORT_COUNT } else { RESPONSE_BYTES / EVENT_BYTES };
+    for id in 1..=count {
         let event = format!("id: {id}\ndata: ");
         let filler = "x".repeat(EVENT_BYTES - event.len() - 2);
         if stream.write_all(format!("{event}{filler}\n\n").as_bytes()).await.is_err() {
@@ -65,17 +87,27 @@
     (store, router)
 }
 
-/// Sends a request, reads its answer at 1 KB/s for a time, then the rest at once; returns the number
-/// of bytes of the answer, and its last ones.
-async fn read_slowly(router: &Router, path: &str, id: &str) -> Result<(usize, String), String> {
+/// Sends a request on a connection with a small receive buffer.
+async fn send(router: &Router, path: &str, id: &str, lines: &str) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(16 << 10).unwrap();
     let mut stream = socket.connect(router.callers).await.unwrap();
     let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: lanes.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 50000\r\n\
-         Authorization: Bearer {KEY}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
+        "POST {path} HTTP/1.1\r\nHost: lanes.example\r\nAttempt-Id: {id}\r\n\
+         Authorization: Bearer {KEY}\r\n{lines}Content-Length: 4\r\n\r\nbody"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Sends a request, reads its answer at 1 KB/s for a time, then the rest at once; returns the number
+/// of bytes of the answer, and its last ones.
+async fn read_slowly(router: &Router, path: &str, id: &str) -> Result<(usize, String), String> {
+    let stream = send(router, path, id, "Deadline-Ms: 50000\r\nConnection: close\r\n").await;
+    read_rest_slowly(stream).await
+}
+
+async fn read_rest_slowly(mut stream: TcpStream) -> Result<(usize, String), String> {
     let began_at = Instant::now();
     let (mut received, mut buffer) = (Vec::new(), vec![0; 1 << 10]);
     loop {
@@ -91,14 +123,51 @@
                 return Err(format!("{err} after {} bytes and {after:?}", received.len()));
             }
         }
+        if received.ends_with(LAST_CHUNK) {
+            break;
+        }
         if is_slow {
             time::sleep(Duration::from_secs(1)).await;
         }
     }
-    let last = &received[received.len().saturating_sub(7)..];
+    let last = &received[received.len().saturating_sub(LAST_CHUNK.len())..];
     Ok((received.len(), String::from_utf8_lossy(last).into_owned()))
 }
 
+/// Makes the kernel drop all that arrives for a socket, as if its host were cut off.
+fn cut_off(stream: &TcpStream) {
+    // A filter program of one instruction, which accepts no byte of a packet.
+    let drop_all = socket2::SockFilter::new(0x06, 0, 0, 0);
+    SockRef::from(stream).attach_filter(&[drop_all]).unwrap();
+}
+
+/// Outcomes in the log of the connections that have ended, and times since `began_at` until each
+/// was seen.
+async fn connection_ends(
+    router: &Router,
+    began_at: Instant,
+    count: usize,
+) -> Vec<(String, Duration)> {
+    let mut ends = Vec::new();
+    while ends.len() < count && began_at.elapsed() < 2 * DEADLINE {
+        for line in router.process.drain_lines() {
+            let line = serde_json::from_str::<serde_json::Value>(&line).unwrap();
+            let outcome = line["outcome"].as_str().unwrap_or_default();
+            if line["event"] == "connection" && outcome != "slow" {
+                ends.push((outcome.to_string(), began_at.elapsed()));
+            }
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    ends
+}
+
+/// Number of open descriptors of the router's process.
+fn descriptor_count(router: &Router) -> usize {
+    let path = format!("/proc/{}/fd", router.process.pid().as_raw_nonzero());
+    std::fs::read_dir(path).unwrap().count()
+}
+
 /// Highest resident memory of the router's process so far, in kB.
 fn peak_memory_kb(router: &Router) -> u64 {
     let path = format!("/proc/{}/status", router.process.pid().as_raw_nonzero());
@@ -126,8 +195,52 @@
     a_caller_that_reads_slowly_gets_its_whole_stream: {
         let (_store, router) = router().await;
         let read = read_slowly(&router, "/brief/", "s1").await;
-        // The last chunk of a complete body.
-        assert!(read.as_ref().is_ok_and(|(_, last)| last == "\r\n0\r\n\r\n"), "{read:?}");
+        assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
+    },
+    /// Guards against keeping connections and answers of callers that never read.
+    callers_that_never_read_are_let_go_at_their_deadlines: {
+        let (_store, router) = router().await;
+        let before = descriptor_count(&router);
+        let lines = format!("Deadline-Ms: {}\r\n", DEADLINE.as_millis());
+        let began_at = Instant::now();
+        let mut streams = Vec::new();
+        for (i, path) in ["/book/", "/brief/", SHORT_STREAM].iter().cycle().take(6).enumerate() {
+            streams.push(send(&router, path, &format!("n{i}"), &lines).await);
+        }
+        time::sleep_until(began_at + DEADLINE - SLACK).await;
+        assert!(descriptor_count(&router) >= before + streams.len());
+        time::sleep_until(began_at + DEADLINE + 2 * SLACK).await;
+        let after = descriptor_count(&router);
+        assert!(after <= before, "{before} descriptors before, {after} after");
+    },
+    /// Guards against waiting until the deadline for a caller whose host is cut off.
+    a_caller_that_is_gone_is_noticed: {
+        let (_store, router) = router().await;
+        let mut stream = send(&router, "/brief/", "g1", "Deadline-Ms: 50000\r\n").await;
+        // Reading keeps the window open, so that data is in flight at the cut.
+        let (mut count, mut buffer) = (0, vec![0; 64 << 10]);
+        while count < RESPONSE_BYTES / 8 {
+            count += stream.read(&mut buffer).await.unwrap();
+        }
+        cut_off(&stream);
+        let cut_at = Instant::now();
+        let ends = connection_ends(&router, cut_at, 1).await;
+        let is_noticed = |(outcome, after): &(String, Duration)| {
+            (outcome == "gone" || outcome == "timeout") && *after < GONE_TIME + SLACK
+        };
+        assert!(ends.first().is_some_and(is_noticed), "{ends:?}");
+    },
+    /// The same for one that hasn't read for a while.
+    a_caller_that_is_gone_while_it_does_not_read_is_let_go_by_its_deadline: {
+        let (_store, router) = router().await;
+        let lines = format!("Deadline-Ms: {}\r\n", DEADLINE.as_millis());
+        let stream = send(&router, "/brief/", "g2", &lines).await;
+        let began_at = Instant::now();
+        time::sleep(Duration::from_secs(1)).await;
+        cut_off(&stream);
+        let before = descriptor_count(&router);
+        time::sleep_until(began_at + DEADLINE + 2 * SLACK).await;
+        assert!(descriptor_count(&router) < before, "{before} descriptors before");
     },
     /// Guards against buffering streams without a bound for callers that read slowly: they hold 400 MB.
     streams_of_slow_callers_are_not_buffered: {
