Let callers read the end of an answer after the close

Callers saw: the end of an answer that they read slowly was reset once the router had closed the connection, or its process had ended.

Cause: a closed connection lingered for 2 s whatever its caller had read, and then had the kernel's timeout for closed windows again. At the end of the process, the longest time between two probes, which the watch shortens, made the kernel give the socket up at its next probe.

Change: a closed connection lingers while its caller reads, until the deadline of the request or the end of the grace period. What isn't read by then is left to the kernel without limits of ours.

--- a/daemon/src/edge/linger.rs
+++ b/daemon/src/edge/linger.rs
@@ -11,16 +11,19 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::peer_watch::WatchedStream;
 
-/// Time for which a caller may take to read the last answer and to close the connection.
+/// Time that a caller has to close the connection. It may take longer to read the last answer.
 pub const LINGER_TIME: Duration = Duration::from_secs(2);
 
 /// Size of the buffer for bytes that are dropped.
 const DISCARD_BYTES: usize = 4096;
 
+/// Interval at which a closed connection is checked whose caller takes longer to read.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A stream whose shutdown waits until the peer has closed its direction, for a limited time.
 #[derive(Debug)]
 pub struct LingeringStream {
@@ -96,9 +99,14 @@
         if let Poll::Ready(result) = self.poll_discard(cx) {
             return Poll::Ready(result);
         }
-        match &mut self.linger {
-            Some(linger) => linger.as_mut().poll(cx).map(Ok),
-            None => Poll::Ready(Ok(())),
+        let this = &mut *self;
+        let Some(linger) = &mut this.linger else { return Poll::Ready(Ok(())) };
+        loop {
+            task::ready!(linger.as_mut().poll(cx));
+            if !this.inner.watched().is_reading() {
+                return Poll::Ready(Ok(()));
+            }
+            linger.as_mut().reset(Instant::now() + CHECK_INTERVAL);
         }
     }
 }
--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -28,6 +28,10 @@
 /// Interval at which connections are checked, well below [`UNANSWERED_TIMEOUT`].
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time between two probes of a peer that reads nothing: three of them take as long as
+/// [`UNANSWERED_TIMEOUT`].
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why the watch has ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -132,6 +136,12 @@
         self.read_by.set(read_by);
     }
 
+    /// Whether the caller is still reading what was written, and has time left.
+    pub fn is_reading(&self) -> bool {
+        let is_in_time = self.read_by.get().is_none_or(|read_by| Instant::now() < read_by);
+        is_in_time && self.end.get().is_none() && self.has_outstanding()
+    }
+
     fn has_outstanding(&self) -> bool {
         let socket = self.socket.get().filter(|_| self.has_written.get());
         socket.and_then(tcp_info::sample).is_some_and(|sample| sample.is_outstanding())
@@ -160,7 +170,7 @@
     /// A peer that reads nothing is logged once it would be given up, had it not answered.
     fn record_slow(&self, socket: RawFd, time: Duration, sample: &Sample) {
         // Where the option is missing, it takes longer to notice that such a peer is gone.
-        let _ = tcp_info::limit_probe_interval(socket);
+        let _ = tcp_info::set_max_probe_interval(socket, Some(MAX_PROBE_INTERVAL));
         if time >= UNANSWERED_TIMEOUT && !self.is_logged.replace(true) {
             self.errors.log("slow", Some(sample));
         }
@@ -183,7 +193,11 @@
         if self.kind == PeerKind::Target {
             // What a target hasn't read of an abandoned request must not reach it later.
             self.log_failure(tcp_info::reset_on_close(socket));
-        } else if self.context.phase() != Phase::Closing {
+            return;
+        }
+        // The kernel gives a closed socket up at the longest interval, though its peer answers.
+        let _ = tcp_info::set_max_probe_interval(socket, None);
+        if self.context.phase() != Phase::Closing {
             self.log_failure(tcp_info::set_user_timeout(socket, Some(connection::USER_TIMEOUT)));
         }
     }
--- a/daemon/tests/edge_slow_callers.rs
+++ b/daemon/tests/edge_slow_callers.rs
@@ -8,6 +8,7 @@
 
 use edge_kit::{KEY, Router, Store, raw};
 use futures_util::future;
+use rustix::process::Signal;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -25,6 +26,9 @@
 /// Last chunk of a complete body.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
+/// Grace period in the settings of the tests.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// Deadline of callers that don't read.
 const DEADLINE: Duration = Duration::from_secs(6);
 
@@ -197,6 +201,25 @@
         let read = read_slowly(&router, "/brief/", "s1").await;
         assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
     },
+    /// Guards against cutting the end of a stream that waits in the kernel after the router has closed
+    /// the connection (LOST).
+    a_caller_that_reads_slowly_gets_the_end_after_a_close: {
+        let (_store, router) = router().await;
+        let read = read_slowly(&router, SHORT_STREAM, "c1").await;
+        assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
+    },
+    /// Guards against resetting, at the end of the process, connections whose answers wait in the
+    /// kernel (LOST).
+    a_caller_that_reads_after_the_end_of_the_process_gets_its_whole_stream: {
+        let (_store, mut router) = router().await;
+        let stream = send(&router, SHORT_STREAM, "e1", "Deadline-Ms: 50000\r\n").await;
+        time::sleep(SLACK).await;
+        router.process.signal(Signal::TERM);
+        let status = router.process.wait_for_exit(GRACE);
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        let read = read_rest_slowly(stream).await;
+        assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
+    },
     /// Guards against keeping connections and answers of callers that never read.
     callers_that_never_read_are_let_go_at_their_deadlines: {
         let (_store, router) = router().await;
