Don't take a caller that is still reading for an idle one

Callers saw: a kept connection was closed at the idle timeout while they were still reading the answer, and the end of the answer was lost.

Cause: the idle time ran from the moment at which the router had written the answer, though most of it was still in the kernel.

Change: the idle time runs anew while the watch finds unacknowledged data. The deadline of the request ends that, as for any answer.

--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{self, Poll};
 use std::time::Duration;
 
@@ -79,6 +80,7 @@
             state: Cell::default(),
             read_by: Cell::default(),
             end: Cell::default(),
+            is_unread: Arc::default(),
         });
         if self.is_supported.get() {
             self.connections.borrow_mut().push(watched.clone());
@@ -128,6 +130,7 @@
     /// When the caller must have read its answer.
     read_by: Cell<Option<Instant>>,
     end: Cell<Option<End>>,
+    is_unread: Arc<AtomicBool>,
 }
 
 impl Watched {
@@ -136,6 +139,11 @@
         self.read_by.set(read_by);
     }
 
+    /// Whether the peer hadn't acknowledged all that was written at the last check.
+    pub fn is_unread(&self) -> Arc<AtomicBool> {
+        self.is_unread.clone()
+    }
+
     /// Whether the caller is still reading what was written, and has time left.
     pub fn is_reading(&self) -> bool {
         let is_in_time = self.read_by.get().is_none_or(|read_by| Instant::now() < read_by);
@@ -157,6 +165,7 @@
         let mut state = self.state.get();
         let peer = state.record(sample, now);
         self.state.set(state);
+        self.is_unread.store(peer != Peer::UpToDate, Ordering::Relaxed);
         let is_overdue = self.read_by.get().is_some_and(|read_by| now >= read_by);
         match peer {
             Peer::UpToDate => self.has_written.set(false),
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -226,6 +226,7 @@
     let context = traffic.context.clone();
     let stream = traffic.peer_watch.add(stream, PeerKind::Caller);
     let watched = stream.watched().clone();
+    let is_unread = watched.is_unread();
     let mut phase = context.phase.subscribe();
     let requests = connection.clone();
     let service = service::service_fn(move |request| {
@@ -240,7 +241,7 @@
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(IdleTimer::new(context))
+        .timer(IdleTimer::new(context, is_unread))
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
     let stream = rt::TokioIo::new(Stream::new(stream, connection.clone()));
--- a/daemon/tests/edge_slow_callers.rs
+++ b/daemon/tests/edge_slow_callers.rs
@@ -220,6 +220,18 @@
         let read = read_rest_slowly(stream).await;
         assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
     },
+    /// Guards against taking a caller that still reads for one that is idle (LOST).
+    a_caller_that_reads_for_longer_than_the_idle_timeout_gets_its_whole_stream: {
+        let (store, router) = router().await;
+        store.change_config(4, |config| {
+            config["limits"]["idle_timeout_ms"] = 1000.into();
+            config["limits"]["header_timeout_ms"] = 1000.into();
+        });
+        time::sleep(edge_kit::APPLY_BOUND).await;
+        let stream = send(&router, SHORT_STREAM, "i1", "Deadline-Ms: 50000\r\n").await;
+        let read = read_rest_slowly(stream).await;
+        assert!(read.as_ref().is_ok_and(|(_, last)| last.as_bytes() == LAST_CHUNK), "{read:?}");
+    },
     /// Guards against keeping connections and answers of callers that never read.
     callers_that_never_read_are_let_go_at_their_deadlines: {
         let (_store, router) = router().await;
