Reset a cut stream to a caller of HTTP/1.0

To callers of HTTP/1.0 an answer without a length has no last chunk, so a plain close says that it is complete.

Cause: hyper closes the connection after an error of the body, and relies on the missing last chunk to tell.

Change: a connection on which such an answer is being written is reset if it is closed before the answer is written as a whole, whatever closes it.

--- a/daemon/src/edge/connections.rs
+++ b/daemon/src/edge/connections.rs
@@ -297,6 +297,9 @@
         let poll = Pin::new(&mut self.inner).poll_flush(cx);
         if poll.is_ready() {
             self.connection.update(|state| state.has_unwritten = false);
+            if !self.connection.state.get().has_request {
+                self.inner.get_ref().watched().set_unframed(false);
+            }
         }
         poll
     }
--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -80,6 +80,7 @@
             state: Cell::default(),
             read_by: Cell::default(),
             end: Cell::default(),
+            is_unframed: Cell::default(),
             is_unread: Arc::default(),
         });
         if self.is_supported.get() {
@@ -130,6 +131,8 @@
     /// When the caller must have read its answer.
     read_by: Cell<Option<Instant>>,
     end: Cell<Option<End>>,
+    /// Whether a close now would look like the end of a complete answer.
+    is_unframed: Cell<bool>,
     is_unread: Arc<AtomicBool>,
 }
 
@@ -139,6 +142,12 @@
         self.read_by.set(read_by);
     }
 
+    /// Sets whether an answer is being written whose end only the close tells, as to callers of
+    /// HTTP/1.0. If the connection is closed meanwhile, it is reset.
+    pub fn set_unframed(&self, is_unframed: bool) {
+        self.is_unframed.set(is_unframed);
+    }
+
     /// Whether the peer hadn't acknowledged all that was written at the last check.
     pub fn is_unread(&self) -> Arc<AtomicBool> {
         self.is_unread.clone()
@@ -197,6 +206,9 @@
 
     /// Leaves the connection to the kernel, as its socket is about to be closed.
     fn release(&self) {
+        if let Some(socket) = self.socket.get().filter(|_| self.is_unframed.get()) {
+            self.log_failure(tcp_info::reset_on_close(socket));
+        }
         let is_left = self.end.get().is_none() && self.is_lifted.get() && self.has_outstanding();
         let Some(socket) = self.socket.take().filter(|_| is_left) else { return };
         if self.kind == PeerKind::Target {
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use gentianhinge_platform::{connection, names};
+use http_body::Body as _;
 use http_body_util::Empty;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -233,9 +234,12 @@
         let (traffic, open_request) = (traffic.clone(), requests.begin_request());
         let watched = watched.clone();
         watched.set_read_by(None);
+        let version = request.version();
         async move {
             let response = handle::handle(traffic, request).await;
             watched.set_read_by(Some(handle::read_by(&response, Instant::now())));
+            let is_chunked = version >= http::Version::HTTP_11;
+            watched.set_unframed(!is_chunked && response.body().size_hint().exact().is_none());
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
         }
     });
