Don't take an early end during an upload for a complete answer

Callers saw: a part of a target's answer as a complete one (MIXED), if the answer had no length and a proxy between router and target passed the target's reset on as a plain end, while the upload was still being written.

Cause: an answer without a length is complete at the end of its connection, whatever has become of the request.

Change: such an answer is complete only if the target's host has acknowledged the whole request by then. Otherwise it is a lost answer (502), and a stream is cut or resumed. Answers with a length, in chunks, or without a body by their status are complete as before.

Resets were told before, too; a router that is stopped as bytes and reset arrive didn't show the fault.

--- a/daemon/src/edge/buffered.rs
+++ b/daemon/src/edge/buffered.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use gentianhinge_platform::answer;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use super::response_limits;
 use super::traffic::Traffic;
@@ -25,7 +25,8 @@
 ///
 /// # Errors
 ///
-/// Describes why the body can't be read: the connection failed, or the response buffers are full.
+/// Describes why the body can't be read: the connection failed, the response buffers are full, or
+/// the connection ended, and the body with it, before the request was sent as a whole.
 pub async fn read(
     response: http::Response<Incoming>,
     answer_head: answer::AnswerHead,
@@ -33,7 +34,12 @@
     traffic: &Traffic,
 ) -> Result<BufferedResponse, String> {
     let (head, body) = response.into_parts();
+    // Unknown also of a chunked body. One that is empty by its status has a size.
+    let has_unknown_size = body.size_hint().exact().is_none();
     let body = response_limits::read(body, &traffic.response_buffers).await?;
+    if answer_head.ends_with_connection && has_unknown_size && lease.has_unsent() {
+        return Err("response ended before the request was sent".to_string());
+    }
     if !answer_head.is_closing && !answer_head.is_mismatched {
         lease.release(&traffic.upstream, answer_head.idle_timeout);
     }
--- a/daemon/src/edge/event_reader.rs
+++ b/daemon/src/edge/event_reader.rs
@@ -76,6 +76,9 @@
         if stream.answer_head.ends_with_connection && !self.splitter.has_events() {
             return Read::Broken("stream ended without an event".to_string());
         }
+        if stream.answer_head.ends_with_connection && stream.lease.has_unsent() {
+            return Read::Broken("stream ended before the request was sent".to_string());
+        }
         Read::End
     }
 }
--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -75,6 +75,7 @@
             kind,
             socket: Cell::new(Some(stream.as_raw_fd())),
             has_written: Cell::default(),
+            has_unflushed: Cell::default(),
             is_lifted: Cell::default(),
             is_logged: Cell::default(),
             state: Cell::default(),
@@ -123,6 +124,8 @@
     socket: Cell<Option<RawFd>>,
     /// Whether something was written that may not be acknowledged.
     has_written: Cell<bool>,
+    /// Whether something that is to be written may not have been taken by the kernel.
+    has_unflushed: Cell<bool>,
     /// Whether the kernel's user timeout is lifted.
     is_lifted: Cell<bool>,
     /// Whether the peer was logged as slow.
@@ -159,6 +162,11 @@
         is_in_time && self.end.get().is_none() && self.has_outstanding()
     }
 
+    /// Whether a part of what is to be written hasn't reached the peer.
+    pub fn has_unsent(&self) -> bool {
+        self.has_unflushed.get() || self.has_outstanding()
+    }
+
     fn has_outstanding(&self) -> bool {
         let socket = self.socket.get().filter(|_| self.has_written.get());
         socket.and_then(tcp_info::sample).is_some_and(|sample| sample.is_outstanding())
@@ -250,6 +258,7 @@
 
     fn check_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.watched.has_written.set(true);
+        self.watched.has_unflushed.set(true);
         self.watched.errors.check(poll)
     }
 }
@@ -297,8 +306,13 @@
         self.inner.is_write_vectored()
     }
 
+    /// Called by hyper only once its own write buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        let poll = Pin::new(&mut self.inner).poll_flush(cx);
+        if poll.is_ready() {
+            self.watched.has_unflushed.set(false);
+        }
+        poll
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -18,7 +18,7 @@
 use tokio::time::{self, Instant};
 
 use super::connection_errors::PeerKind;
-use super::peer_watch::PeerWatch;
+use super::peer_watch::{PeerWatch, Watched};
 use super::response_limits::{LimitedStream, ReadLimit};
 
 /// Connect timeout: some round trips and one lost packet.
@@ -69,6 +69,7 @@
     sender: Option<http1::SendRequest<Full<Bytes>>>,
     task: task::AbortHandle,
     read_limit: ReadLimit,
+    watched: Rc<Watched>,
     target: Hash,
     /// Whether an earlier request used the connection.
     pub is_reused: bool,
@@ -83,6 +84,11 @@
 }
 
 impl Lease {
+    /// Whether a part of the request hasn't reached the target.
+    pub fn has_unsent(&self) -> bool {
+        self.watched.has_unsent()
+    }
+
     /// Returns the connection to the pool after a complete response. `idle_timeout` is the idle
     /// timeout that the target states.
     pub fn release(mut self, upstream: &Upstream, idle_timeout: Option<Duration>) {
@@ -94,12 +100,13 @@
         if connections.len() >= MAX_IDLE {
             connections.remove(0).task.abort();
         }
-        let (task, read_limit, since) =
-            (self.task.clone(), self.read_limit.clone(), Instant::now());
+        let (task, since) = (self.task.clone(), Instant::now());
+        let (read_limit, watched) = (self.read_limit.clone(), self.watched.clone());
         connections.push(IdleConnection {
             sender,
             task,
             read_limit,
+            watched,
             since,
             until: since + idle_timeout,
         });
@@ -111,6 +118,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: task::AbortHandle,
     read_limit: ReadLimit,
+    watched: Rc<Watched>,
     since: Instant,
     until: Instant,
 }
@@ -170,11 +178,12 @@
         runs_once: bool,
     ) -> Result<Lease, SendError> {
         if let Some(idle) = self.take_idle(hash, runs_once) {
-            let IdleConnection { sender, task, read_limit, .. } = idle;
+            let IdleConnection { sender, task, read_limit, watched, .. } = idle;
             return Ok(Lease {
                 sender: Some(sender),
                 task,
                 read_limit,
+                watched,
                 target: hash,
                 is_reused: true,
             });
@@ -185,6 +194,7 @@
         let read_limit = ReadLimit::default();
         read_limit.limit_head();
         let stream = self.peer_watch.add(stream, PeerKind::Target);
+        let watched = stream.watched().clone();
         let stream = LimitedStream::new(stream, read_limit.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUF_BYTES)
@@ -197,7 +207,8 @@
         });
         let task = task.abort_handle();
         sender.ready().await.map_err(|err| not_sent(err.to_string()))?;
-        Ok(Lease { sender: Some(sender), task, read_limit, target: hash, is_reused: false })
+        let sender = Some(sender);
+        Ok(Lease { sender, task, read_limit, watched, target: hash, is_reused: false })
     }
 
     fn take_idle(&self, hash: Hash, runs_once: bool) -> Option<IdleConnection> {
--- a/daemon/tests/edge_early_answers.rs
+++ b/daemon/tests/edge_early_answers.rs
@@ -32,6 +32,8 @@
     Reset,
     /// With a close while bytes of the upload are unread, which resets the connection.
     CloseUnread,
+    /// With a plain end while the upload isn't read, as a proxy passes a reset on.
+    Fin,
 }
 
 impl End {
@@ -41,6 +43,7 @@
         match self {
             End::Reset => &[4, 200_000, MAX_UPLOAD_BYTES],
             End::CloseUnread => &[200_000, MAX_UPLOAD_BYTES],
+            End::Fin => &[MAX_UPLOAD_BYTES],
         }
     }
 }
@@ -169,6 +172,10 @@
     match end {
         End::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
         End::CloseUnread => {}
+        End::Fin => {
+            stream.shutdown().await.ok();
+            time::sleep(TIMEOUT).await;
+        }
     }
 }
 
@@ -270,6 +277,11 @@
         let wrong = wrong_successes("HTTP/1.1", &[End::Reset, End::CloseUnread]).await;
         assert!(wrong.is_empty(), "{wrong:#?}");
     },
+    /// The same where a proxy between the two passes the reset on as a plain end (MIXED).
+    a_plain_end_during_an_upload_gives_no_complete_answer: {
+        let wrong = wrong_successes("HTTP/1.1", &[End::Fin]).await;
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    },
     /// The same to callers of HTTP/1.0, where only a reset tells that a stream isn't whole (MIXED).
     a_reset_during_an_upload_gives_no_complete_answer_in_http_1_0: {
         let wrong = wrong_successes("HTTP/1.0", &[End::Reset, End::CloseUnread]).await;
@@ -294,7 +306,7 @@
     },
     /// Guards against such answers on a connection that has brought a whole one before (MIXED).
     a_reset_on_a_kept_connection_gives_no_complete_answer: {
-        for end in [End::Reset, End::CloseUnread] {
+        for end in [End::Reset, End::CloseUnread, End::Fin] {
             let early = Behavior::Early { part_bytes: PART_BYTES, delay_ms: 5, end };
             for path in ["/book/", "/look/", "/brief/", "/note/"] {
                 let (_store, router) = fleet(&[Behavior::Whole, early], 1).await;
@@ -307,7 +319,7 @@
     },
     /// The same for the answer of a second target beside a silent one (MIXED).
     a_reset_of_a_hedge_gives_no_complete_answer: {
-        for end in [End::Reset, End::CloseUnread] {
+        for end in [End::Reset, End::CloseUnread, End::Fin] {
             let early = Behavior::Early { part_bytes: PART_BYTES, delay_ms: 5, end };
             for path in ["/look/", "/brief/"] {
                 let (_store, router) = fleet(&[Behavior::Silent, early], 2).await;
@@ -318,7 +330,7 @@
     },
     /// The same for a target that resumes a stream (MIXED).
     a_reset_of_a_resumed_stream_gives_no_complete_answer: {
-        for end in [End::Reset, End::CloseUnread] {
+        for end in [End::Reset, End::CloseUnread, End::Fin] {
             let early = Behavior::Early { part_bytes: 0, delay_ms: 5, end };
             let (_store, router) = fleet(&[Behavior::Cut(3), early], 2).await;
             let received = call(&router, "HTTP/1.1", "/brief/", MAX_UPLOAD_BYTES).await;
