Tests: give routers addresses without binding them first

Cause: `free_addr` bound a port, closed it and handed it to a router.

Change: addresses are made from the test's process id and a counter, on a loopback address that nothing else uses. Nothing is bound before the router.

--- a/daemon/tests/edge_kit/mod.rs
+++ b/daemon/tests/edge_kit/mod.rs
@@ -290,15 +290,23 @@
     support::Process::start("gentianhinged", &["--platform", settings.path()])
 }
 
-/// An address on which nothing listens. Outgoing connections can't take its port, since they use
-/// 127.0.0.1.
+/// An address that nothing else uses: no other call in any process that runs now returns it.
+/// Outgoing connections can't take its port, since they use 127.0.0.1.
+///
+/// The port isn't found by binding and closing a listener: a process that another thread starts
+/// meanwhile holds a copy of the listener until its exec, and the router couldn't bind the port.
 fn free_addr() -> net::SocketAddr {
+    const OCTETS: u32 = 250;
+    const FIRST_PORT: u32 = 10_000;
+    const PORTS_PER_PROCESS: u32 = 100;
     static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
     let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
     let pid = std::process::id();
-    let octet = |number: u32| u8::try_from(number % 250).unwrap() + 1;
-    let ip = net::Ipv4Addr::new(127, octet(pid), octet(pid / 250), octet(number));
-    net::TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    let octet = |number: u32| u8::try_from(number % OCTETS).unwrap() + 1;
+    let ip = net::Ipv4Addr::new(127, octet(pid), octet(pid / OCTETS), octet(number));
+    let process = pid / OCTETS.pow(2) % 500;
+    let port = FIRST_PORT + process * PORTS_PER_PROCESS + number / OCTETS;
+    (ip, u16::try_from(port).unwrap()).into()
 }
 
 impl Router {
