Don't believe an answer without an id on a kept connection

Cause: an answer counted as another request's only if it carries another id.

Evidence: the stand-in of the new test sends such an answer as it runs the second order on a connection; the order ran at a second target.

Change: on a connection that was used before, an answer without an id is an unknown outcome. On a new one it can only belong to the request.

--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -204,6 +204,10 @@
     if answer_head.is_mismatched {
         return Outcome::Unknown("response carries the id of another request".to_string());
     }
+    // On a connection that was used before, it may be an extra answer to an earlier request.
+    if !answer_head.has_id && lease.is_reused && !request.id.is_empty() {
+        return Outcome::Unknown("response on a kept connection carries no id".to_string());
+    }
     record_statement(traffic, target, hash, response.status(), &answer_head, sent_at);
     let is_success = response.status().is_success();
     if answer_head.is_encoded || (is_success && !answer_head.is_signed) {
