Never send a request that doesn't name its target

Cause: an id, or a team's name, that isn't a valid header value was left out of the request, which anybody at the address then runs.

A head that can't be built is an error, and the request isn't sent.

--- a/daemon/src/edge/attempt.rs
+++ b/daemon/src/edge/attempt.rs
@@ -316,7 +316,7 @@
         .method(request.head.method.clone())
         .uri(request.head.uri.path_and_query().map_or("/", |path| path.as_str()))
         .body(Full::new(request.body.bytes.clone()))?;
-    *outgoing.headers_mut() = caller::head_for_target(&request.head.headers, &router_headers);
+    *outgoing.headers_mut() = caller::head_for_target(&request.head.headers, &router_headers)?;
     Ok(outgoing)
 }
 
