Count the memory of an answer until its caller has it

What would have been seen: a router ended for its memory. Callers that never read now have until their deadlines, and 40 of them with answers of 8 MB took a router to 358 MB, where 256 MB are allowed.

Cause: an answer's part of the memory for answers was given back as soon as it was read from the target, though it waits for its caller from then on. The time of 3 s that callers had before kept that small.

Change: the reservation lies with the bytes, and is released with their last copy.

--- a/daemon/src/edge/response_limits.rs
+++ b/daemon/src/edge/response_limits.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Reads a complete body.
+/// Reads a complete body. Its memory counts toward the budget until the last copy is dropped, however
+/// long the caller takes to read it.
 ///
 /// # Errors
 ///
@@ -113,7 +114,7 @@
         bytes.extend_from_slice(&data);
         reservation.resize(bytes.len()).map_err(|err| err.to_string())?;
     }
-    Ok(bytes.freeze())
+    Ok(reservation.hold(bytes.freeze()))
 }
 
 /// Reads and drops a body; returns `false` if it is incomplete or too long, so that the connection
--- a/daemon/tests/edge_slow_callers.rs
+++ b/daemon/tests/edge_slow_callers.rs
@@ -248,6 +248,19 @@
         let after = descriptor_count(&router);
         assert!(after <= before, "{before} descriptors before, {after} after");
     },
+    /// Guards against counting the memory of an answer only until it is read, while its caller takes
+    /// until its deadline.
+    answers_of_callers_that_never_read_keep_to_the_memory: {
+        let (_store, router) = router().await;
+        let mut streams = Vec::new();
+        for i in 0..40 {
+            let lines = "Deadline-Ms: 20000\r\n";
+            streams.push(send(&router, "/book/", &format!("a{i}"), lines).await);
+            time::sleep(Duration::from_millis(150)).await;
+        }
+        let peak = peak_memory_kb(&router);
+        assert!(peak < MEMORY_KB, "{peak} kB");
+    },
     /// Guards against waiting until the deadline for a caller whose host is cut off.
     a_caller_that_is_gone_is_noticed: {
         let (_store, router) = router().await;
