Take a connection's address from accept

Cause: the recorder of errors asked the kernel for the peer's address of each connection, one more system call for each caller and target, though accept and connect have told it.

Change: the address is passed on.

--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -8,6 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -67,8 +68,8 @@
     }
 
     /// Watches a connection until the result is dropped.
-    pub fn add(&self, stream: TcpStream, kind: PeerKind) -> WatchedStream {
-        let errors = ErrorRecorder::new(self.context.clone(), kind, stream.peer_addr().ok());
+    pub fn add(&self, stream: TcpStream, kind: PeerKind, addr: SocketAddr) -> WatchedStream {
+        let errors = ErrorRecorder::new(self.context.clone(), kind, addr);
         let watched = Rc::new(Watched {
             context: self.context.clone(),
             errors,
