--- a/daemon/src/edge/connection_errors.rs
+++ b/daemon/src/edge/connection_errors.rs
@@ -35,13 +35,17 @@
 pub struct ErrorRecorder {
     context: Arc<Context>,
     kind: PeerKind,
-    addr: net::SocketAddr,
+    addr: Option<net::SocketAddr>,
     has_error: Cell<bool>,
 }
 
 impl ErrorRecorder {
     /// Creates a recorder for a connection without an error.
-    pub fn new(context: Arc<Context>, kind: PeerKind, addr: net::SocketAddr) -> ErrorRecorder {
+    pub fn new(
+        context: Arc<Context>,
+        kind: PeerKind,
+        addr: Option<net::SocketAddr>,
+    ) -> ErrorRecorder {
         ErrorRecorder { context, kind, addr, has_error: Cell::new(false) }
     }
 
@@ -65,7 +69,7 @@
     pub fn log(&self, outcome: &str, sample: Option<&Sample>) {
         self.context.log.state_change(json!({
             "event": "connection", "peer": self.kind.name(), "outcome": outcome,
-            "addr": self.addr.to_string(),
+            "addr": self.addr.map(|addr| addr.to_string()),
             "in_flight_segments": sample.map(|sample| sample.in_flight_segments),
             "unsent_bytes": sample.map(|sample| sample.unsent_bytes),
             "unanswered_probes": sample.map(|sample| sample.unanswered_probes),
--- a/daemon/src/edge/peer_watch.rs
+++ b/daemon/src/edge/peer_watch.rs
@@ -8,7 +8,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -68,8 +67,8 @@
     }
 
     /// Watches a connection until the result is dropped.
-    pub fn add(&self, stream: TcpStream, kind: PeerKind, addr: SocketAddr) -> WatchedStream {
-        let errors = ErrorRecorder::new(self.context.clone(), kind, addr);
+    pub fn add(&self, stream: TcpStream, kind: PeerKind) -> WatchedStream {
+        let errors = ErrorRecorder::new(self.context.clone(), kind, stream.peer_addr().ok());
         let watched = Rc::new(Watched {
             context: self.context.clone(),
             errors,
--- a/daemon/src/edge/serve.rs
+++ b/daemon/src/edge/serve.rs
@@ -91,8 +91,8 @@
             accepted = accept(&callers, &connection_permits) => accepted,
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
         };
-        if let Some((accepted, permit)) = accepted {
-            task::spawn_local(serve_connection(traffic.clone(), accepted, permit));
+        if let Some((stream, permit)) = accepted {
+            task::spawn_local(serve_connection(traffic.clone(), stream, permit));
         }
         let mean_lag = Duration::from_millis(context.lag_ms.load(Ordering::Relaxed));
         let pause = lag::accept_pause(mean_lag);
@@ -122,12 +122,12 @@
         let permit = ConnectionPermit::take(traffic.permits.clone());
         let Ok(permit) = time::timeout_at(ends_at, permit).await else { break "some left" };
         match callers.accept() {
-            Ok((stream, addr)) => {
+            Ok((stream, _)) => {
                 count += 1;
                 if stream.set_nonblocking(true).is_ok()
                     && let Ok(stream) = TcpStream::from_std(stream)
                 {
-                    task::spawn_local(serve_connection(traffic.clone(), (stream, addr), permit));
+                    task::spawn_local(serve_connection(traffic.clone(), stream, permit));
                 }
                 task::yield_now().await;
             }
@@ -164,20 +164,17 @@
     }));
 }
 
-/// A caller's connection, with its address.
-type Accepted = (TcpStream, net::SocketAddr);
-
 async fn accept(
     callers: &TcpListener,
     connection_permits: &Rc<Semaphore>,
-) -> Option<(Accepted, impl Sized + use<>)> {
+) -> Option<(TcpStream, impl Sized + use<>)> {
     let permit = {
         // Acquiring can't fail, since the semaphore is never closed.
         let connection_permits = connection_permits.clone();
         ConnectionPermit::take(connection_permits).await
     };
     match callers.accept().await {
-        Ok(accepted) => Some((accepted, permit)),
+        Ok((stream, _)) => Some((stream, permit)),
         Err(err) => {
             tracing::debug!("can't accept a connection: {err}");
             time::sleep(ACCEPT_RETRY).await;
@@ -207,16 +204,16 @@
 /// Serves the requests of one caller's connection. It is tracked from here on.
 fn serve_connection(
     traffic: Rc<Traffic>,
-    accepted: Accepted,
+    stream: TcpStream,
     permit: impl Sized,
 ) -> impl Future<Output = ()> {
     let connection = traffic.connections.add();
-    serve_tracked(traffic, accepted, connection, permit)
+    serve_tracked(traffic, stream, connection, permit)
 }
 
 async fn serve_tracked(
     traffic: Rc<Traffic>,
-    (stream, addr): Accepted,
+    stream: TcpStream,
     connection: Rc<Connection>,
     permit: impl Sized,
 ) {
@@ -228,7 +225,7 @@
     let limits = traffic.context.state().table.as_ref().map(|table| table.limits);
     let limits = limits.unwrap_or_default();
     let context = traffic.context.clone();
-    let stream = traffic.peer_watch.add(stream, PeerKind::Caller, addr);
+    let stream = traffic.peer_watch.add(stream, PeerKind::Caller);
     let watched = stream.watched().clone();
     let is_unread = watched.is_unread();
     let mut phase = context.phase.subscribe();
--- a/daemon/src/edge/upstream.rs
+++ b/daemon/src/edge/upstream.rs
@@ -193,7 +193,7 @@
         let stream = stream.map_err(|err| SendError::Unreachable(err.to_string()))?;
         let read_limit = ReadLimit::default();
         read_limit.limit_head();
-        let stream = self.peer_watch.add(stream, PeerKind::Target, target.addr);
+        let stream = self.peer_watch.add(stream, PeerKind::Target);
         let watched = stream.watched().clone();
         let stream = LimitedStream::new(stream, read_limit.clone());
         let handshake = http1::Builder::new()
