Tests: count the callers' connections of a router exactly

It compared all descriptors of the process. Two of its six callers asked for an answer of 8 MB, and the memory for answers holds one: at times the second got a 502, which it had read, and kept its idle connection, as it may.

Change: the kernel's table is asked for the router's connections to callers, which must be all there before the deadline and none after it; one caller asks for the large answer. That is stricter than before.

--- a/daemon/tests/edge_slow_callers.rs
+++ b/daemon/tests/edge_slow_callers.rs
@@ -166,10 +166,19 @@
     ends
 }
 
-/// Number of open descriptors of the router's process.
-fn descriptor_count(router: &Router) -> usize {
-    let path = format!("/proc/{}/fd", router.process.pid().as_raw_nonzero());
-    std::fs::read_dir(path).unwrap().count()
+/// Number of callers' connections that the router's process has open, according to the kernel.
+fn caller_connection_count(router: &Router) -> usize {
+    const LISTENING: &str = "0A";
+    let net::SocketAddr::V4(addr) = router.callers else { panic!("{}", router.callers) };
+    let ip = u32::from_ne_bytes(addr.ip().octets());
+    let local_addr = format!("{ip:08X}:{:04X}", addr.port());
+    let is_open = |line: &str| {
+        let fields = line.split_whitespace().collect::<Vec<_>>();
+        // The inode is 0 once no process has the socket.
+        fields[1] == local_addr && fields[3] != LISTENING && fields[9] != "0"
+    };
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().skip(1).filter(|line| is_open(line)).count()
 }
 
 /// Highest resident memory of the router's process so far, in kB.
@@ -235,18 +244,18 @@
     /// Guards against keeping connections and answers of callers that never read.
     callers_that_never_read_are_let_go_at_their_deadlines: {
         let (_store, router) = router().await;
-        let before = descriptor_count(&router);
         let lines = format!("Deadline-Ms: {}\r\n", DEADLINE.as_millis());
         let began_at = Instant::now();
         let mut streams = Vec::new();
-        for (i, path) in ["/book/", "/brief/", SHORT_STREAM].iter().cycle().take(6).enumerate() {
+        // The memory for answers holds one of this size.
+        let paths = ["/book/", "/brief/", SHORT_STREAM, "/brief/", SHORT_STREAM];
+        for (i, path) in paths.iter().enumerate() {
             streams.push(send(&router, path, &format!("n{i}"), &lines).await);
         }
         time::sleep_until(began_at + DEADLINE - SLACK).await;
-        assert!(descriptor_count(&router) >= before + streams.len());
+        assert_eq!(caller_connection_count(&router), streams.len());
         time::sleep_until(began_at + DEADLINE + 2 * SLACK).await;
-        let after = descriptor_count(&router);
-        assert!(after <= before, "{before} descriptors before, {after} after");
+        assert_eq!(caller_connection_count(&router), 0);
     },
     /// Guards against counting the memory of an answer only until it is read, while its caller takes
     /// until its deadline.
@@ -286,9 +295,9 @@
         let began_at = Instant::now();
         time::sleep(Duration::from_secs(1)).await;
         cut_off(&stream);
-        let before = descriptor_count(&router);
+        assert_eq!(caller_connection_count(&router), 1);
         time::sleep_until(began_at + DEADLINE + 2 * SLACK).await;
-        assert!(descriptor_count(&router) < before, "{before} descriptors before");
+        assert_eq!(caller_connection_count(&router), 0);
     },
     /// Guards against buffering streams without a bound for callers that read slowly: they hold 400 MB.
     streams_of_slow_callers_are_not_buffered: {
