--- /dev/null
+++ b/review/stand-ins-3/tests/main.rs
@@ -0,0 +1,17 @@
+//! The program of the scripts `run.sh` of this review: `stand-in case-N`, and `stand-in server …` for the
+//! servers, which are processes of their own.
+
+#[allow(dead_code)]
+mod kit;
+mod server;
+mod unframed;
+
+fn main() {
+    let args = std::env::args().skip(1).collect::<Vec<_>>();
+    let code = match args.first().map(String::as_str) {
+        Some("server") => server::run(&args[1..]),
+        Some("case-11") => unframed::run("review/11"),
+        _ => 2,
+    };
+    std::process::exit(code);
+}
