--- a/review/stand-ins-3/tests/main.rs
+++ b/review/stand-ins-3/tests/main.rs
@@ -1,6 +1,7 @@
 //! The program of the scripts `run.sh` of this review: `stand-in case-N`, and `stand-in server …` for the
 //! servers, which are processes of their own.
 
+mod bodies;
 #[allow(dead_code)]
 mod kit;
 mod server;
@@ -11,6 +12,7 @@
     let code = match args.first().map(String::as_str) {
         Some("server") => server::run(&args[1..]),
         Some("case-11") => unframed::run("review/11"),
+        Some("case-12") => bodies::run("review/12"),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/stand-ins-3/tests/server.rs
+++ b/review/stand-ins-3/tests/server.rs
@@ -1,4 +1,5 @@
-//! A model server as a process of its own: registers itself in the store, and answers with streams.
+//! A server as a process of its own: registers itself in the store, and answers with streams on the
+//! routes `report` and `briefing`, with one body on others.
 //!
 //! `server STORE ID SERVICE PORT FRAMING EVENTS GAP_MS`; FRAMING is `chunked`, or `unframed` for answers
 //! without a length, which end with their channel.
@@ -71,7 +72,35 @@
     Ok(())
 }
 
+/// The body of an answer that isn't a stream, in the parts in which it is written.
+pub fn parts(path: &str) -> Vec<String> {
+    (1..=PARTS).map(|part| format!("{path} part {part} of {PARTS} {}\n", "x".repeat(70))).collect()
+}
+
+/// Number of parts of such a body.
+const PARTS: usize = 8;
+
 impl Server {
+    /// Answers with one body; returns whether the connection is kept.
+    fn answer(&self, conn: &mut Conn, attempt: &str, path: &str) -> io::Result<bool> {
+        let parts = parts(path);
+        let framing = if self.is_unframed {
+            "Connection: close\r\n".to_string()
+        } else {
+            format!("Content-Length: {}\r\n", parts.iter().map(String::len).sum::<usize>())
+        };
+        write!(
+            conn.stream,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {}.{attempt}\r\n{framing}\r\n",
+            self.id
+        )?;
+        for part in parts {
+            conn.stream.write_all(part.as_bytes())?;
+            thread::sleep(self.gap);
+        }
+        Ok(!self.is_unframed)
+    }
+
     fn serve(&self, mut conn: Conn) -> io::Result<()> {
         while let Some(head) = conn.head()? {
             conn.request_body(&head)?;
@@ -85,6 +114,13 @@
                 )?;
                 continue;
             }
+            if !head.path().starts_with("/report/") && !head.path().starts_with("/briefing/") {
+                println!("{} runs {attempt} {} {}", self.id, head.method(), head.path());
+                if !self.answer(&mut conn, &attempt, head.path())? {
+                    return Ok(());
+                }
+                continue;
+            }
             let from = head.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
             // One line for each run: the case reads it from this process's output.
             println!("{} runs {attempt} {} after {from}", self.id, head.path());
