--- a/review/stand-ins-3/tests/bodies.rs
+++ b/review/stand-ins-3/tests/bodies.rs
@@ -1,4 +1,4 @@
-//! Case 12: a server crashes (SIGKILL) while it sends answers without a length, which aren't streams.
+//! Case 13: a server crashes (SIGKILL) while it sends answers without a length, which aren't streams.
 //!
 //! `TROUBLE=0` leaves the crash out. `FRAMING=length` has the servers state the length: to compare.
 
@@ -41,7 +41,7 @@
 pub fn run(folder: &str) -> i32 {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let framing = std::env::var("FRAMING").unwrap_or_else(|_| "unframed".to_string());
-    let dir = std::env::temp_dir().join(format!("review-3-case-12-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("review-3-case-13-{}", std::process::id()));
     fs::create_dir_all(&dir).unwrap();
     let dir = dir.to_str().unwrap().to_string();
     let (store, store_addr) = Store::start();
--- a/review/stand-ins-3/tests/main.rs
+++ b/review/stand-ins-3/tests/main.rs
@@ -2,6 +2,7 @@
 //! servers, which are processes of their own.
 
 mod bodies;
+mod garbled;
 #[allow(dead_code)]
 mod kit;
 mod server;
@@ -11,8 +12,9 @@
     let args = std::env::args().skip(1).collect::<Vec<_>>();
     let code = match args.first().map(String::as_str) {
         Some("server") => server::run(&args[1..]),
-        Some("case-11") => unframed::run("review/11"),
-        Some("case-12") => bodies::run("review/12"),
+        Some("case-11") => garbled::run("review/11"),
+        Some("case-12") => unframed::run("review/12"),
+        Some("case-13") => bodies::run("review/13"),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/stand-ins-3/tests/server.rs
+++ b/review/stand-ins-3/tests/server.rs
@@ -1,13 +1,16 @@
 //! A server as a process of its own: registers itself in the store, and answers with streams on the
 //! routes `report` and `briefing`, with one body on others.
 //!
-//! `server STORE ID SERVICE PORT FRAMING EVENTS GAP_MS`; FRAMING is `chunked`, or `unframed` for answers
-//! without a length, which end with their channel.
+//! `server STORE ID SERVICE PORT FRAMING EVENTS GAP_MS`; FRAMING is `chunked` (bodies that aren't streams have
+//! a length), `unframed` for answers without a length, which end with their channel, or `garbled`: as `chunked`,
+//! but for 5 s one answer in 20 is no answer.
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::kit::{Conn, ms, unix_ms};
 
@@ -17,8 +20,16 @@
     is_unframed: bool,
     count: u64,
     gap: Duration,
+    /// Since when the server runs, and its requests so far, if it garbles answers.
+    garbles: Option<(Instant, Arc<AtomicU64>)>,
 }
 
+/// Time after the start of the process for which answers are garbled.
+const GARBLED: std::ops::Range<Duration> = Duration::from_secs(6)..Duration::from_secs(11);
+
+/// One request in so many gets a garbled answer then.
+const GARBLED_PART: u64 = 20;
+
 /// An event of the stream of a path.
 pub fn event(path: &str, id: u64) -> String {
     format!("id: {id}\ndata: {path} part {id}\n\n")
@@ -34,6 +45,7 @@
         is_unframed: framing == "unframed",
         count: count.parse().unwrap(),
         gap: ms(gap_ms.parse().unwrap()),
+        garbles: (framing == "garbled").then(|| (Instant::now(), Arc::default())),
     };
     let (beat_id, service, born) = (id.clone(), service.clone(), unix_ms());
     thread::spawn(move || {
@@ -81,8 +93,23 @@
 const PARTS: usize = 8;
 
 impl Server {
+    fn is_garbled(&self) -> bool {
+        let Some((started_at, count)) = &self.garbles else { return false };
+        GARBLED.contains(&started_at.elapsed())
+            && count.fetch_add(1, Ordering::Relaxed) % GARBLED_PART == 0
+    }
+
     /// Answers with one body; returns whether the connection is kept.
     fn answer(&self, conn: &mut Conn, attempt: &str, path: &str) -> io::Result<bool> {
+        if self.is_garbled() {
+            println!("{} hands out wrong bytes to {attempt}: 101", self.id);
+            // Nobody has asked for another protocol, so this is no answer to any request.
+            write!(
+                conn.stream,
+                "HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: {attempt}\r\n\r\n"
+            )?;
+            return Ok(true);
+        }
         let parts = parts(path);
         let framing = if self.is_unframed {
             "Connection: close\r\n".to_string()
--- a/review/stand-ins-3/tests/unframed.rs
+++ b/review/stand-ins-3/tests/unframed.rs
@@ -1,4 +1,4 @@
-//! Case 11: a server crashes (SIGKILL) while it sends streams without a length.
+//! Case 12: a server crashes (SIGKILL) while it sends streams without a length.
 //!
 //! `TROUBLE=0` leaves the crash out. `FRAMING=chunked` has the servers send chunks instead: to compare.
 
@@ -50,7 +50,7 @@
 pub fn run(folder: &str) -> i32 {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let framing = std::env::var("FRAMING").unwrap_or_else(|_| "unframed".to_string());
-    let dir = std::env::temp_dir().join(format!("review-3-case-11-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("review-3-case-12-{}", std::process::id()));
     fs::create_dir_all(&dir).unwrap();
     let dir = dir.to_str().unwrap().to_string();
     let (store, store_addr) = Store::start();
