--- a/review/14/tests/main.rs
+++ b/review/15/tests/main.rs
@@ -1,4 +1,4 @@
-//! Case 14 (an entry of KNOWN-RED.txt; the script of the second review, at commit 1a16e1f): the open channels of all routers to the store go silent, and a server leaves without having
+//! Case 15 (an entry of KNOWN-RED.txt; the script of the second review, at commit 1a16e1f): the open channels of all routers to the store go silent, and a server leaves without having
 //! reported `draining`.
 
 use std::sync::Mutex;
--- a/review/stand-ins-3/tests/main.rs
+++ b/review/stand-ins-3/tests/main.rs
@@ -2,6 +2,7 @@
 //! servers, which are processes of their own.
 
 mod bodies;
+mod foreign;
 mod garbled;
 #[allow(dead_code)]
 mod kit;
@@ -15,6 +16,7 @@
         Some("case-11") => garbled::run("review/11"),
         Some("case-12") => unframed::run("review/12"),
         Some("case-13") => bodies::run("review/13"),
+        Some("case-14") => foreign::run("review/14"),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/stand-ins-3/tests/server.rs
+++ b/review/stand-ins-3/tests/server.rs
@@ -49,7 +49,9 @@
     };
     let (beat_id, service, born) = (id.clone(), service.clone(), unix_ms());
     thread::spawn(move || {
-        for seq_no in 1.. {
+        // A server that leaves without a word writes no more, and goes on serving.
+        let last = std::env::var("BEATS").ok().and_then(|n| n.parse().ok()).unwrap_or(u64::MAX);
+        for seq_no in 1..=last {
             let record = format!(
                 "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
                  \"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":{seq_no},\"born\":{born}}}"
@@ -142,7 +144,7 @@
                 continue;
             }
             if !head.path().starts_with("/report/") && !head.path().starts_with("/briefing/") {
-                println!("{} runs {attempt} {} {}", self.id, head.method(), head.path());
+                println!("{} {} runs {attempt} {} {}", unix_ms(), self.id, head.method(), head.path());
                 if !self.answer(&mut conn, &attempt, head.path())? {
                     return Ok(());
                 }
@@ -150,7 +152,7 @@
             }
             let from = head.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
             // One line for each run: the case reads it from this process's output.
-            println!("{} runs {attempt} {} after {from}", self.id, head.path());
+            println!("{} {} runs {attempt} {} after {from}", unix_ms(), self.id, head.path());
             let framing = if self.is_unframed {
                 "Connection: close\r\n"
             } else {
