--- a/review/stand-ins-3/tests/kit.rs
+++ b/review/stand-ins-3/tests/kit.rs
@@ -270,6 +270,13 @@
         self.changed.notify_all();
     }
 
+    /// The newest value of a key.
+    pub fn value(&self, topic: &str, key: &str) -> Option<String> {
+        let topics = self.topics.lock().unwrap();
+        let (_, value) = topics.records.get(topic)?.iter().rev().find(|(name, _)| name == key)?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// Deletes all records of a topic but the newest of each key.
     pub fn compact(&self, topic: &str) {
         let mut topics = self.topics.lock().unwrap();
